Add kernel, HTTP server and client, peer messages and the package interfaces

The kernel has the service registry, checked settings, clocks, verdicts and readiness. The HTTP client's failures state whether the request may have run; the peer messages are authenticated, bound to their receiver and protected against replay.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+BUILD ?= build
+CMAKE_FLAGS ?=
+# Half of the cores, since a compilation with Boost.Asio coroutines takes up to 1 GiB.
+JOBS ?= $(shell n=$$(nproc); echo $$(( n > 3 ? n - 2 : 1 )))
+
+.PHONY: all setup build test unit-test session-test demo bench bench-capacity format format-check lint package-check clean
+
+all: build
+
+setup:
+	tools/install-packages
+
+build: setup
+	cmake -S . -B $(BUILD) -G Ninja $(CMAKE_FLAGS)
+	cmake --build $(BUILD) -j $(JOBS)
+
+test: build
+	ctest --test-dir $(BUILD) --output-on-failure --no-tests=error -j 2
+
+format:
+	git ls-files '*.cpp' '*.h' | xargs clang-format -i
+
+format-check:
+	git ls-files '*.cpp' '*.h' | xargs clang-format --dry-run --Werror
+
+lint: build
+	tools/lint $(BUILD)
+
+package-check:
+	tools/check-package-order
+
+clean:
+	rm -rf build build-*
--- /dev/null
+++ b/src/cmake/BulrushMacros.cmake
@@ -0,0 +1,39 @@
+# Helper macros: one call for each library, program and unit test.
+
+add_library(bulrush_options INTERFACE)
+target_include_directories(bulrush_options INTERFACE ${CMAKE_SOURCE_DIR}/src/include)
+target_compile_options(bulrush_options INTERFACE -Wall -Wextra -Wpedantic -Werror -Wno-missing-field-initializers)
+# GCC 12 reports false positives from inlined coroutine frames and std::string.
+target_compile_options(bulrush_options INTERFACE -Wno-restrict -Wno-maybe-uninitialized -Wno-array-bounds -Wno-stringop-overread -Wno-stringop-overflow)
+target_compile_definitions(bulrush_options INTERFACE XXH_INLINE_ALL BOOST_ASIO_NO_DEPRECATED)
+if(BULRUSH_SANITIZE)
+    target_compile_options(bulrush_options INTERFACE -fsanitize=address,undefined -fno-sanitize-recover=undefined -fno-omit-frame-pointer)
+    target_link_options(bulrush_options INTERFACE -fsanitize=address,undefined)
+endif()
+
+# bulrush_library(NAME SOURCES ... LINKS ...)
+function(bulrush_library name)
+    cmake_parse_arguments(ARG "" "" "SOURCES;LINKS" ${ARGN})
+    add_library(${name} STATIC ${ARG_SOURCES})
+    target_link_libraries(${name} PUBLIC bulrush_options Boost::headers ${ARG_LINKS})
+endfunction()
+
+# bulrush_program(NAME SOURCES ... LINKS ...)
+function(bulrush_program name)
+    cmake_parse_arguments(ARG "" "" "SOURCES;LINKS" ${ARGN})
+    add_executable(${name} ${ARG_SOURCES})
+    target_link_libraries(${name} PRIVATE bulrush_options Boost::headers ${ARG_LINKS})
+    set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
+endfunction()
+
+# bulrush_test(NAME SOURCES ... LINKS ...): one Boost.Test program, registered with CTest.
+function(bulrush_test name)
+    cmake_parse_arguments(ARG "" "" "SOURCES;LINKS" ${ARGN})
+    add_executable(${name} ${ARG_SOURCES})
+    target_sources(${name} PRIVATE ${CMAKE_SOURCE_DIR}/src/cmake/test_main.cpp)
+    target_compile_definitions(${name} PRIVATE BOOST_TEST_DYN_LINK)
+    target_link_libraries(${name} PRIVATE bulrush_options Boost::unit_test_framework ${ARG_LINKS})
+    set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/tests)
+    add_test(NAME ${name} COMMAND ${name})
+    set_tests_properties(${name} PROPERTIES TIMEOUT 300)
+endfunction()
--- /dev/null
+++ b/src/include/bulrushstack/execution/service_calls.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "bulrushstack/engine/plain_service.h"
+#include "bulrushstack/execution/problem.h"
+#include "bulrushstack/execution/request_context.h"
+#include "bulrushstack/execution/retry_budget.h"
+#include "bulrushstack/execution/upstream_selector.h"
+#include "bulrushstack/kernel/runtime.h"
+#include "bulrushstack/platform/table_service.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <variant>
+
+namespace bulrushstack {
+
+/// A caller's call of a plain service.
+struct ServiceRequest {
+    std::string service;
+    HttpRequest request; ///< target relative to the service: PATH?QUERY; without the caller's credentials
+    std::string idempotencyKey; ///< empty if the caller sent none
+
+    friend bool operator==(const ServiceRequest&, const ServiceRequest&) = default;
+};
+
+/// The answer to a caller, with the verdict of the request.
+struct ServiceOutcome {
+    std::variant<HttpResponse, Problem> answer;
+    Verdict verdict = Verdict::NotRun;
+    bool isReplay = false; ///< the recorded answer of an earlier call with the same key
+
+    friend bool operator==(const ServiceOutcome&, const ServiceOutcome&) = default;
+};
+
+/// Asks the instance that recorded an attempt what it knows of it: journal-query of the peer protocol.
+using JournalQuery = std::function<boost::asio::awaitable<Result<nlohmann::json>>(std::string instanceId, nlohmann::json request)>;
+
+struct ServiceCallOptions {
+    std::chrono::nanoseconds progressTimeout = std::chrono::seconds(5); ///< longest silence of a service
+    std::chrono::nanoseconds maxIdleForNonIdempotent = std::chrono::seconds(1); ///< oldest pooled connection used
+    std::chrono::nanoseconds storeTimeout = std::chrono::seconds(1); ///< for one access to the table service
+    std::chrono::nanoseconds retention = std::chrono::hours(24); ///< of journal rows
+    unsigned attemptLimit = 3; ///< attempts of one request
+};
+
+/// What the executor works with; all references outlive it.
+struct ServiceCallDependencies {
+    boost::asio::io_context& context;
+    const Clock& clock;
+    InstanceIdentity identity;
+    TableService& tables;
+    PlainService& services;
+    UpstreamSelector& selector;
+    RetryBudget& retries;
+    JournalQuery queryPeer;
+};
+
+/// Runs calls of plain services: idempotent ones with retries, non-idempotent ones at most once with a journal.
+class ServiceCallExecutor {
+public:
+    ServiceCallExecutor(ServiceCallDependencies dependencies, ServiceCallOptions options);
+    ~ServiceCallExecutor();
+
+    /// Runs the call. A non-idempotent call goes on and is recorded if the awaiting coroutine is destroyed.
+    boost::asio::awaitable<ServiceOutcome> execute(RequestContext context, ServiceRequest request);
+
+    /// Answers a journal-query of another instance.
+    nlohmann::json answerQuery(const nlohmann::json& request);
+
+    /// Completes when no call and no background work of the journal runs any more, or at the deadline.
+    boost::asio::awaitable<void> drain(SteadyTime deadline);
+
+private:
+    struct State;
+    std::shared_ptr<State> m_state;
+};
+
+} // namespace bulrushstack
--- /dev/null
+++ b/src/include/bulrushstack/kernel/ids.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace bulrushstack {
+
+/// Returns 128 random bits as 32 hexadecimal digits; used for request, attempt and change ids.
+std::string randomId();
+
+/// Returns the SHA-256 digest of the data as 64 lower-case hexadecimal digits.
+std::string sha256Hex(std::string_view data);
+
+/// Returns the HMAC-SHA256 of the data under the key as 32 raw bytes.
+std::string hmacSha256(std::string_view key, std::string_view data);
+
+/// Compares two secrets in time that does not depend on where they differ.
+bool equalInConstantTime(std::string_view a, std::string_view b);
+
+} // namespace bulrushstack
--- /dev/null
+++ b/src/libexecution/retry_budget.cpp
@@ -0,0 +1,26 @@
+#include "bulrushstack/execution/retry_budget.h"
+
+#include <algorithm>
+
+namespace bulrushstack {
+
+RetryBudget::RetryBudget(RetryBudgetOptions options)
+    : m_options(options)
+    , m_balance(options.burst)
+{
+}
+
+void RetryBudget::noteRequest()
+{
+    m_balance = std::min(m_options.burst, m_balance + m_options.ratio);
+}
+
+bool RetryBudget::tryTake()
+{
+    if (m_balance < 1)
+        return false;
+    m_balance -= 1;
+    return true;
+}
+
+} // namespace bulrushstack
--- /dev/null
+++ b/src/libkernel/result.cpp
@@ -0,0 +1,58 @@
+#include "bulrushstack/kernel/result.h"
+
+namespace bulrushstack {
+
+namespace {
+
+class ErrorCategory final : public std::error_category {
+public:
+    const char* name() const noexcept override { return "bulrushstack"; }
+
+    std::string message(int value) const override
+    {
+        switch (static_cast<Errc>(value)) {
+        case Errc::Timeout:
+            return "timed out";
+        case Errc::ConnectionClosed:
+            return "connection closed by the other end";
+        case Errc::Malformed:
+            return "malformed message";
+        case Errc::TooLarge:
+            return "message exceeds its size limit";
+        case Errc::Conflict:
+            return "condition of the transaction does not hold";
+        case Errc::NotFound:
+            return "not found";
+        case Errc::Unavailable:
+            return "unavailable";
+        case Errc::Refused:
+            return "refused";
+        case Errc::WrongAnswer:
+            return "answer belongs to another request";
+        case Errc::Cancelled:
+            return "cancelled";
+        case Errc::InvalidArgument:
+            return "invalid argument";
+        case Errc::Unauthenticated:
+            return "not authenticated";
+        }
+        return "unknown error";
+    }
+};
+
+} // namespace
+
+const std::error_category& errorCategory()
+{
+    static const ErrorCategory category;
+    return category;
+}
+
+std::error_code make_error_code(Errc code) { return { static_cast<int>(code), errorCategory() }; }
+
+void throw_exception_from_error(const Failure& failure, const boost::source_location&)
+{
+    throw std::system_error(failure.code, failure.detail);
+}
+
+} // namespace bulrushstack
--- /dev/null
+++ b/src/libnet/http_beast.cpp
@@ -0,0 +1,46 @@
+#include "http_beast.h"
+
+#include <array>
+#include <sys/socket.h>
+
+namespace bulrushstack::detail {
+
+namespace {
+
+enum class SocketInput {
+    None,
+    Data,
+    Closed,
+};
+
+SocketInput peek(asio::ip::tcp::socket& socket)
+{
+    char c = 0;
+    const auto n = ::recv(socket.native_handle(), &c, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (n > 0)
+        return SocketInput::Data;
+    if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
+        return SocketInput::None;
+    return SocketInput::Closed;
+}
+
+} // namespace
+
+asio::awaitable<void> closeAfterUnreadInput(beast::tcp_stream& stream)
+{
+    static constexpr std::chrono::seconds lingerTime { 1 };
+    static constexpr int lingerReads = 256;
+    beast::error_code ec;
+    stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+    stream.expires_after(lingerTime);
+    std::array<char, 16384> buf;
+    for (int i = 0; i < lingerReads && !ec; ++i)
+        std::tie(ec, std::ignore) = co_await stream.async_read_some(asio::buffer(buf), asTuple);
+    stream.close();
+}
+
+bool isPeerClosed(asio::ip::tcp::socket& socket) { return !socket.is_open() || peek(socket) == SocketInput::Closed; }
+
+bool isUnusable(asio::ip::tcp::socket& socket) { return !socket.is_open() || peek(socket) != SocketInput::None; }
+
+} // namespace bulrushstack::detail
--- /dev/null
+++ b/src/libnet/http_server.cpp
@@ -0,0 +1,357 @@
+#include "bulrushstack/net/http_server.h"
+
+#include "bulrushstack/kernel/clock.h"
+#include "http_beast.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <glog/logging.h>
+#include <set>
+
+namespace bulrushstack {
+
+using namespace detail;
+using asio::ip::tcp;
+
+namespace {
+
+struct Connection {
+    explicit Connection(tcp::socket socket)
+        : stream(std::move(socket))
+    {
+    }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    bool isBusy = false;
+};
+
+} // namespace
+
+struct HttpServer::State : std::enable_shared_from_this<HttpServer::State> {
+    State(asio::io_context& context, HttpServerOptions serverOptions, HttpHandler& requestHandler)
+        : options(std::move(serverOptions))
+        , handler(requestHandler)
+        , acceptor(context)
+        , drained(context)
+    {
+    }
+
+    asio::awaitable<void> acceptLoop();
+    asio::awaitable<void> refuseConnection(tcp::socket socket);
+    asio::awaitable<void> serve(std::shared_ptr<Connection> connection);
+    asio::awaitable<bool> serveRequest(Connection& connection);
+    asio::awaitable<void> answerProtocolError(Connection& connection, unsigned status, std::string detail);
+    void requestEnded();
+
+    HttpServerOptions options;
+    HttpHandler& handler;
+    tcp::acceptor acceptor;
+    asio::steady_timer drained;
+    std::set<std::shared_ptr<Connection>> connections;
+    std::size_t activeRequests = 0;
+    bool isDraining = false;
+};
+
+namespace {
+
+class Exchange final : public HttpExchange {
+public:
+    Exchange(Connection& connection, const HttpServerOptions& options, const bool& isDraining, HttpRequest request,
+        unsigned version, bool isKeptAlive)
+        : m_connection(connection)
+        , m_options(options)
+        , m_isDraining(isDraining)
+        , m_request(std::move(request))
+        , m_version(version)
+        , m_isKeptAlive(isKeptAlive)
+    {
+    }
+
+    const HttpRequest& request() const override { return m_request; }
+    bool isStarted() const override { return m_isStarted; }
+    bool isClientGone() override { return isPeerClosed(m_connection.stream.socket()); }
+
+    asio::awaitable<std::error_code> respond(HttpResponse response) override
+    {
+        http::response<http::string_body> message;
+        prepare(message, response.status, response.headers);
+        message.body() = std::move(response.body);
+        if (m_request.method == "HEAD") {
+            message.content_length(message.body().size());
+            message.body().clear();
+        } else {
+            message.prepare_payload();
+        }
+        m_connection.stream.expires_after(m_options.writeTimeout);
+        auto [ec, n] = co_await http::async_write(m_connection.stream, message, asTuple);
+        m_isComplete = !ec;
+        co_return ec;
+    }
+
+    asio::awaitable<std::error_code> beginStream(unsigned status, HttpHeaders headers) override
+    {
+        http::response<http::empty_body> message;
+        prepare(message, status, headers);
+        m_isChunked = m_version >= 11;
+        if (m_isChunked)
+            message.chunked(true);
+        else
+            m_isKeptAlive = false;
+        http::response_serializer<http::empty_body> serializer(message);
+        m_connection.stream.expires_after(m_options.writeTimeout);
+        auto [ec, n] = co_await http::async_write_header(m_connection.stream, serializer, asTuple);
+        co_return ec;
+    }
+
+    asio::awaitable<std::error_code> write(std::string_view data) override
+    {
+        if (data.empty())
+            co_return std::error_code();
+        m_connection.stream.expires_after(m_options.writeTimeout);
+        const auto buf = asio::const_buffer(data.data(), data.size());
+        beast::error_code ec;
+        if (m_isChunked) {
+            const auto chunk = http::make_chunk(buf);
+            std::tie(ec, std::ignore) = co_await asio::async_write(m_connection.stream, chunk, asTuple);
+        } else {
+            std::tie(ec, std::ignore) = co_await asio::async_write(m_connection.stream, buf, asTuple);
+        }
+        co_return ec;
+    }
+
+    asio::awaitable<std::error_code> endStream() override
+    {
+        beast::error_code ec;
+        if (m_isChunked) {
+            m_connection.stream.expires_after(m_options.writeTimeout);
+            const auto last = http::make_chunk_last();
+            std::tie(ec, std::ignore) = co_await asio::async_write(m_connection.stream, last, asTuple);
+        }
+        m_isComplete = !ec;
+        co_return ec;
+    }
+
+    /// Returns whether the connection may carry another request.
+    bool isReusable() const { return m_isComplete && m_isKeptAlive; }
+
+private:
+    template <typename Message> void prepare(Message& message, unsigned status, const HttpHeaders& headers)
+    {
+        m_isStarted = true;
+        m_isKeptAlive = m_isKeptAlive && !m_isDraining;
+        message.version(m_version);
+        message.result(status);
+        for (const auto& [name, value] : headers)
+            message.insert(name, value);
+        message.keep_alive(m_isKeptAlive);
+    }
+
+    Connection& m_connection;
+    const HttpServerOptions& m_options;
+    const bool& m_isDraining;
+    HttpRequest m_request;
+    unsigned m_version;
+    bool m_isKeptAlive;
+    bool m_isStarted = false;
+    bool m_isChunked = false;
+    bool m_isComplete = false;
+};
+
+unsigned statusOfReadError(const beast::error_code& ec)
+{
+    if (ec == http::error::header_limit || ec == http::error::buffer_overflow)
+        return 431;
+    if (ec == http::error::body_limit)
+        return 413;
+    return 400;
+}
+
+bool isConnectionLoss(const beast::error_code& ec)
+{
+    return ec == http::error::end_of_stream || ec == http::error::partial_message || ec == asio::error::eof
+        || ec == asio::error::connection_reset || ec == asio::error::operation_aborted || ec == beast::error::timeout;
+}
+
+} // namespace
+
+HttpResponse HttpHandler::protocolError(unsigned status, std::string_view detail)
+{
+    HttpResponse response;
+    response.status = status;
+    response.headers.set("Content-Type", "text/plain");
+    response.body = std::string(detail) + "\n";
+    return response;
+}
+
+asio::awaitable<void> HttpServer::State::acceptLoop()
+{
+    static constexpr std::chrono::milliseconds acceptBackoff { 20 };
+    while (acceptor.is_open()) {
+        auto [ec, socket] = co_await acceptor.async_accept(asTuple);
+        if (ec == asio::error::operation_aborted)
+            break;
+        if (ec) {
+            // The usual cause is the limit on file descriptors; pause so that the loop does not spin.
+            LOG(WARNING) << "event=accept-failed address=" << options.address.toString() << " error=\"" << ec.message()
+                         << "\"";
+            asio::steady_timer pause(acceptor.get_executor(), acceptBackoff);
+            co_await pause.async_wait(asTuple);
+            continue;
+        }
+        if (connections.size() >= options.connectionLimit) {
+            asio::co_spawn(acceptor.get_executor(), refuseConnection(std::move(socket)), asio::detached);
+            continue;
+        }
+        socket.set_option(tcp::no_delay(true), ec);
+        auto connection = std::make_shared<Connection>(std::move(socket));
+        connections.insert(connection);
+        asio::co_spawn(acceptor.get_executor(), serve(std::move(connection)), asio::detached);
+    }
+}
+
+asio::awaitable<void> HttpServer::State::refuseConnection(tcp::socket socket)
+{
+    auto self = shared_from_this();
+    Connection connection(std::move(socket));
+    co_await answerProtocolError(connection, 503, "too many connections");
+}
+
+asio::awaitable<void> HttpServer::State::serve(std::shared_ptr<Connection> connection)
+{
+    auto self = shared_from_this();
+    while (!isDraining && co_await serveRequest(*connection)) { }
+    beast::error_code ec;
+    connection->stream.socket().shutdown(tcp::socket::shutdown_both, ec);
+    connection->stream.close();
+    connections.erase(connection);
+}
+
+asio::awaitable<bool> HttpServer::State::serveRequest(Connection& connection)
+{
+    auto& stream = connection.stream;
+    if (connection.buffer.size() == 0) {
+        static constexpr std::size_t firstReadSize = 4096;
+        stream.expires_after(options.idleTimeout);
+        auto [ec, n] = co_await stream.async_read_some(connection.buffer.prepare(firstReadSize), asTuple);
+        if (ec)
+            co_return false;
+        connection.buffer.commit(n);
+    }
+
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(options.headerLimit));
+    parser.body_limit(options.bodyLimit);
+    stream.expires_after(options.readTimeout);
+    auto [ec, n] = co_await http::async_read_header(stream, connection.buffer, parser, asTuple);
+    if (!ec && beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        http::response<http::empty_body> proceed(http::status::continue_, parser.get().version());
+        std::tie(ec, std::ignore) = co_await http::async_write(stream, proceed, asTuple);
+    }
+    if (!ec && !parser.is_done())
+        std::tie(ec, std::ignore) = co_await http::async_read(stream, connection.buffer, parser, asTuple);
+    if (ec) {
+        if (!isConnectionLoss(ec))
+            co_await answerProtocolError(connection, statusOfReadError(ec), ec.message());
+        co_return false;
+    }
+
+    auto message = parser.release();
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    request.headers = copyFields(message);
+    request.body = std::move(message.body());
+    Exchange exchange(connection, options, isDraining, std::move(request), message.version(), message.keep_alive());
+
+    connection.isBusy = true;
+    ++activeRequests;
+    try {
+        co_await handler.handle(exchange);
+    } catch (const std::exception& error) {
+        LOG(ERROR) << "event=handler-failed target=" << exchange.request().path() << " error=\"" << error.what()
+                   << "\"";
+    }
+    if (!exchange.isStarted()) {
+        auto response = handler.protocolError(500, "internal error");
+        co_await exchange.respond(std::move(response));
+    }
+    connection.isBusy = false;
+    requestEnded();
+    co_return exchange.isReusable();
+}
+
+asio::awaitable<void> HttpServer::State::answerProtocolError(
+    Connection& connection, unsigned status, std::string detail)
+{
+    Exchange exchange(connection, options, isDraining, HttpRequest(), 11, false);
+    auto response = handler.protocolError(status, detail);
+    auto ec = co_await exchange.respond(std::move(response));
+    if (!ec)
+        co_await closeAfterUnreadInput(connection.stream);
+}
+
+void HttpServer::State::requestEnded()
+{
+    if (--activeRequests == 0)
+        drained.cancel();
+}
+
+HttpServer::HttpServer(asio::io_context& context, HttpServerOptions options, HttpHandler& handler)
+    : m_state(std::make_shared<State>(context, std::move(options), handler))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    beast::error_code ec;
+    m_state->acceptor.close(ec);
+    for (const auto& it : m_state->connections)
+        it->stream.close();
+}
+
+std::error_code HttpServer::start()
+{
+    beast::error_code ec;
+    auto& acceptor = m_state->acceptor;
+    const auto host = asio::ip::make_address(m_state->options.address.host, ec);
+    const tcp::endpoint endpoint(host, m_state->options.address.port);
+    if (!ec)
+        acceptor.open(endpoint.protocol(), ec);
+    if (!ec)
+        acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+    if (!ec)
+        acceptor.bind(endpoint, ec);
+    if (!ec)
+        acceptor.listen(asio::socket_base::max_listen_connections, ec);
+    if (!ec)
+        asio::co_spawn(acceptor.get_executor(), m_state->acceptLoop(), asio::detached);
+    return ec;
+}
+
+std::uint16_t HttpServer::port() const
+{
+    beast::error_code ec;
+    return m_state->acceptor.local_endpoint(ec).port();
+}
+
+std::size_t HttpServer::activeRequests() const { return m_state->activeRequests; }
+
+asio::awaitable<void> HttpServer::drain()
+{
+    auto state = m_state;
+    state->isDraining = true;
+    beast::error_code ec;
+    state->acceptor.close(ec);
+    for (const auto& it : state->connections) {
+        if (!it->isBusy)
+            it->stream.cancel();
+    }
+    while (state->activeRequests > 0) {
+        state->drained.expires_at(SteadyTime::max());
+        co_await state->drained.async_wait(asTuple);
+    }
+}
+
+} // namespace bulrushstack
--- /dev/null
+++ b/src/libnet/http_server_test.cpp
@@ -0,0 +1,126 @@
+#include "test_server.h"
+
+#include <boost/asio/detached.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace bulrushstack;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct TightServer : ServerFixture {
+    TightServer()
+        : ServerFixture({ .headerLimit = 1024,
+            .bodyLimit = 1024,
+            .connectionLimit = 4,
+            .readTimeout = 100ms,
+            .idleTimeout = 100ms })
+    {
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Server)
+
+BOOST_FIXTURE_TEST_SUITE(Answers, ServerFixture)
+
+BOOST_AUTO_TEST_CASE(ARequestWithABody)
+{
+    auto response = call("POST", "/echo", "hello");
+    BOOST_REQUIRE(response);
+    BOOST_TEST(response->status == 200u);
+    BOOST_TEST(response->body == "hello");
+}
+
+BOOST_AUTO_TEST_CASE(AHeadRequestWithoutABody)
+{
+    auto response = call("HEAD", "/echo");
+    BOOST_REQUIRE(response);
+    BOOST_TEST(response->body.empty());
+    BOOST_TEST(call("POST", "/echo", "next")->body == "next");
+}
+
+// Guards against a client that waits for ever because the handler failed.
+BOOST_AUTO_TEST_CASE(WithStatus500WhenTheHandlerFails)
+{
+    BOOST_TEST(call("GET", "/throw")->status == 500u);
+    BOOST_TEST(call("GET", "/nothing")->status == 500u);
+    BOOST_TEST(call("GET", "/echo")->status == 200u);
+}
+
+// Guards against a message body that is taken for the next request of the connection.
+BOOST_AUTO_TEST_CASE(AmbiguousFramingIsRefused)
+{
+    const std::string both
+        = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+    BOOST_TEST(sendRaw(both).starts_with("HTTP/1.1 400"));
+    const std::string two = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd";
+    BOOST_TEST(sendRaw(two).starts_with("HTTP/1.1 400"));
+    BOOST_TEST(handler.requests() == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(Limits, TightServer)
+
+BOOST_AUTO_TEST_CASE(OversizedHeaderGets431)
+{
+    BOOST_TEST(sendRaw("GET / HTTP/1.1\r\nX-Long: " + std::string(4000, 'x') + "\r\n\r\n").starts_with("HTTP/1.1 431"));
+}
+
+BOOST_AUTO_TEST_CASE(OversizedBodyGets413)
+{
+    BOOST_TEST(sendRaw("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\n" + std::string(5000, 'x'))
+                   .starts_with("HTTP/1.1 413"));
+}
+
+BOOST_AUTO_TEST_CASE(MalformedRequestGets400)
+{
+    BOOST_TEST(sendRaw("\x01\x02nonsense\r\n\r\n").starts_with("HTTP/1.1 400"));
+    BOOST_TEST(call("GET", "/echo")->status == 200u);
+}
+
+// Guards against connections held open by a client that never finishes its request.
+BOOST_AUTO_TEST_CASE(SlowWriterIsDisconnected)
+{
+    BOOST_TEST(sendRaw("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabc").empty());
+    BOOST_TEST(handler.requests() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(ConnectionsBeyondTheLimitGet503)
+{
+    std::vector<boost::asio::ip::tcp::socket> sockets;
+    const boost::asio::ip::tcp::endpoint endpoint(boost::asio::ip::make_address("127.0.0.1"), address.port);
+    for (int i = 0; i < 4; ++i) {
+        sockets.emplace_back(context);
+        sockets.back().connect(endpoint);
+    }
+    BOOST_TEST(sendRaw("").starts_with("HTTP/1.1 503"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(Drain, ServerFixture)
+
+// Guards against a shutdown that cuts off a request in flight.
+BOOST_AUTO_TEST_CASE(CompletesAfterTheRequestInFlight)
+{
+    std::optional<Result<HttpResponse>> response;
+    HttpRequest request;
+    request.target = "/slow";
+    boost::asio::co_spawn(context, client.call(address, request),
+        [&](std::exception_ptr, Result<HttpResponse> result) { response = std::move(result); });
+    while (server.activeRequests() == 0)
+        context.run_one();
+    runAwaitable(context, server.drain());
+    while (!response)
+        context.run_one();
+    BOOST_REQUIRE(response->has_value());
+    BOOST_TEST((*response)->status == 200u);
+    BOOST_TEST(call("GET", "/echo").has_error());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/libnet/peer_mesh_test.cpp
@@ -0,0 +1,141 @@
+#include "bulrushstack/kernel/run_awaitable.h"
+#include "bulrushstack/net/peer_mesh.h"
+#include "peer_envelope.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace bulrushstack;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::uint16_t freePort(boost::asio::io_context& context)
+{
+    boost::asio::ip::tcp::acceptor acceptor(context, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+    return acceptor.local_endpoint().port();
+}
+
+struct TwoInstances {
+    PeerMeshOptions optionsFor(std::string id, std::vector<std::string> keys)
+    {
+        return { .address = { .host = "127.0.0.1", .port = freePort(context) },
+            .instanceId = std::move(id),
+            .incarnation = 7,
+            .keys = std::move(keys) };
+    }
+
+    void connect(std::vector<std::string> keysOfA, std::vector<std::string> keysOfB)
+    {
+        auto optionsA = optionsFor("a", std::move(keysOfA));
+        auto optionsB = optionsFor("b", std::move(keysOfB));
+        addressB = optionsB.address;
+        a = std::make_unique<PeerMesh>(context, optionsA);
+        b = std::make_unique<PeerMesh>(context, optionsB);
+        b->handle("add", [](const nlohmann::json& request) {
+            return nlohmann::json { { "sum", request.at("x").get<int>() + 1 }, { "caller", request.at("from") } };
+        });
+        BOOST_REQUIRE(!a->start());
+        BOOST_REQUIRE(!b->start());
+    }
+
+    Result<nlohmann::json> ask(nlohmann::json message, std::chrono::nanoseconds timeout = 5s)
+    {
+        return runAwaitable(context, a->request(addressB, std::move(message), timeout));
+    }
+
+    boost::asio::io_context context;
+    std::unique_ptr<PeerMesh> a;
+    std::unique_ptr<PeerMesh> b;
+    Address addressB;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Peers)
+
+BOOST_FIXTURE_TEST_SUITE(Messages, TwoInstances)
+
+BOOST_AUTO_TEST_CASE(ReachTheHandlerWithTheSenderNamed)
+{
+    connect({ "k" }, { "k" });
+    auto reply = ask({ { "type", "add" }, { "x", 1 } });
+    BOOST_REQUIRE(reply);
+    BOOST_TEST(reply->at("sum") == 2);
+    BOOST_TEST(reply->at("caller") == "a");
+    BOOST_TEST(reply->at("from") == "b");
+}
+
+BOOST_AUTO_TEST_CASE(OfAnUnknownTypeOrShapeGetAnError)
+{
+    connect({ "k" }, { "k" });
+    BOOST_TEST(ask({ { "type", "subtract" } })->at("error") == "unknown type");
+    BOOST_TEST(ask({ { "type", "add" }, { "x", "one" } })->at("error") == "malformed request");
+    BOOST_TEST(b->counters().rejectedMalformed == 1u);
+}
+
+// Guards against an instance with another key that takes part.
+BOOST_AUTO_TEST_CASE(UnderAnotherKeyAreNotAnswered)
+{
+    connect({ "k" }, { "other" });
+    auto reply = ask({ { "type", "add" }, { "x", 1 } }, 100ms);
+    BOOST_REQUIRE(reply.has_error());
+    BOOST_TEST((reply.error().code == Errc::Timeout));
+    BOOST_TEST(b->counters().rejectedUnauthenticated == 1u);
+}
+
+// Guards against a key rotation that cuts instances off from each other.
+BOOST_AUTO_TEST_CASE(DuringKeyRotationPassWithEitherKey)
+{
+    connect({ "old", "new" }, { "new", "old" });
+    BOOST_TEST(ask({ { "type", "add" }, { "x", 1 } })->at("sum") == 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Envelope)
+
+const std::vector<std::string> keys { "k" };
+
+BOOST_AUTO_TEST_CASE(SurvivesItsEncoding)
+{
+    const PeerEnvelope envelope {
+        .from = "a", .incarnation = 2, .sequence = 3, .to = "x:1", .tag = "t", .body = { { "type", "q" } }
+    };
+    BOOST_TEST((*openEnvelope(sealEnvelope(envelope, "k"), keys, 1000) == envelope));
+}
+
+BOOST_AUTO_TEST_CASE(RefusesWhatWasChangedCutOrTooLong)
+{
+    auto sealed = sealEnvelope({ .from = "a", .body = nlohmann::json::object() }, "k");
+    BOOST_TEST((openEnvelope(sealed, keys, 10).error().code == Errc::TooLarge));
+    BOOST_TEST((openEnvelope("short", keys, 1000).error().code == Errc::Malformed));
+    sealed.back() = static_cast<char>(sealed.back() ^ 1);
+    BOOST_TEST((openEnvelope(sealed, keys, 1000).error().code == Errc::Unauthenticated));
+}
+
+BOOST_AUTO_TEST_CASE(RefusesAuthenticNonsense)
+{
+    const std::string payload = "not cbor at all";
+    PeerEnvelope wrongBody { .from = "a", .body = nlohmann::json::array() };
+    BOOST_TEST((openEnvelope(sealEnvelope(wrongBody, "k"), keys, 1000).error().code == Errc::Malformed));
+}
+
+// Guards against a recorded message that is sent again.
+BOOST_AUTO_TEST_CASE(ReplayedSequenceNumbersAreRefused)
+{
+    ReplayGuard guard;
+    BOOST_TEST(guard.accept("a", 1, 5));
+    BOOST_TEST(!guard.accept("a", 1, 5));
+    BOOST_TEST(guard.accept("a", 1, 4));
+    BOOST_TEST(!guard.accept("a", 1, 4));
+    BOOST_TEST(guard.accept("a", 1, 200));
+    BOOST_TEST(!guard.accept("a", 1, 100));
+    BOOST_TEST(guard.accept("b", 1, 5));
+    BOOST_TEST(guard.accept("a", 2, 1));
+    BOOST_TEST(!guard.accept("a", 1, 201));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
