Add the configuration document, its store and the follower

Templates, teams, models and services need one validated document whose accepted revisions reach every instance and never revert.

A call counts as idempotent only if it is so under every reading of its path. A lost commit answer is resolved through the change id; unresolved it is may-have-run.

--- /dev/null
+++ b/src/libconfig/call_rules.cpp
@@ -0,0 +1,143 @@
+#include "call_rules.h"
+
+#include "bulrushstack/config/configuration.h"
+#include "bulrushstack/net/http.h"
+
+#include <algorithm>
+
+namespace bulrushstack {
+
+namespace {
+
+using Segments = std::vector<std::string>;
+
+std::string_view withoutQuery(std::string_view path) { return path.substr(0, path.find_first_of("?#")); }
+
+Segments split(std::string_view path)
+{
+    Segments out;
+    while (!path.empty()) {
+        const auto slash = path.find('/');
+        if (slash != 0)
+            out.emplace_back(path.substr(0, slash));
+        path = slash == std::string_view::npos ? std::string_view() : path.substr(slash + 1);
+    }
+    return out;
+}
+
+Segments resolveDots(Segments segments)
+{
+    Segments out;
+    for (auto& it : segments) {
+        if (it == "..") {
+            if (!out.empty())
+                out.pop_back();
+        } else if (it != ".") {
+            out.push_back(std::move(it));
+        }
+    }
+    return out;
+}
+
+bool startsWith(const Segments& segments, const Segments& prefix)
+{
+    return segments.size() >= prefix.size() && std::equal(prefix.begin(), prefix.end(), segments.begin());
+}
+
+std::string upperCase(std::string_view text)
+{
+    std::string out(text);
+    for (auto& c : out) {
+        if (c >= 'a' && c <= 'z')
+            c = static_cast<char>(c - 'a' + 'A');
+    }
+    return out;
+}
+
+/// The segments under each reading that a service may give to a path: as it is written, decoded once, and decoded
+/// until nothing changes, each with and without dot segments resolved. Empty if the path has a broken escape.
+std::vector<Segments> readings(std::string_view path)
+{
+    // Each decoding of a changed text shortens it, so the loop ends; the limit bounds the work on hostile paths.
+    static constexpr int decodeLimit = 8;
+    std::vector<Segments> out;
+    std::string text(withoutQuery(path));
+    for (int i = 0; i < decodeLimit; ++i) {
+        out.push_back(split(text));
+        out.push_back(resolveDots(split(text)));
+        const auto decoded = percentDecode(text);
+        if (!decoded)
+            return i == 0 ? std::vector<Segments>() : out;
+        if (*decoded == text)
+            return out;
+        text = *decoded;
+    }
+    return {};
+}
+
+bool matchesServiceAndMethod(const CallRule& rule, std::string_view service, std::string_view method)
+{
+    return rule.service == service && upperCase(rule.method) == upperCase(method);
+}
+
+/// Returns whether any reading of the path lies under the path of the rule.
+bool mayMatch(const CallRule& rule, const std::vector<Segments>& paths)
+{
+    const auto prefix = normalisedSegments(rule.path);
+    return !prefix || std::any_of(paths.begin(), paths.end(), [&](const auto& it) { return startsWith(it, *prefix); });
+}
+
+/// Returns whether every reading of the path lies under the path of the rule.
+bool certainlyMatches(const CallRule& rule, const std::vector<Segments>& paths)
+{
+    const auto prefix = normalisedSegments(rule.path);
+    return prefix && std::all_of(paths.begin(), paths.end(), [&](const auto& it) { return startsWith(it, *prefix); });
+}
+
+} // namespace
+
+std::optional<Segments> normalisedSegments(std::string_view path)
+{
+    const auto decoded = percentDecode(withoutQuery(path));
+    return decoded ? std::optional(resolveDots(split(*decoded))) : std::nullopt;
+}
+
+bool isRulePath(std::string_view path)
+{
+    if (!path.starts_with('/') || path.find_first_of("?#%") != std::string_view::npos
+        || path.find("//") != std::string_view::npos)
+        return false;
+    return split(path) == resolveDots(split(path));
+}
+
+bool CallRule::matches(std::string_view callService, std::string_view callMethod, std::string_view callPath) const
+{
+    if (!matchesServiceAndMethod(*this, callService, callMethod))
+        return false;
+    const auto prefix = normalisedSegments(path);
+    const auto segments = normalisedSegments(callPath);
+    return prefix && segments && startsWith(*segments, *prefix);
+}
+
+bool Team::isIdempotent(std::string_view service, std::string_view method, std::string_view path) const
+{
+    const auto verb = upperCase(method);
+    if (verb == "GET" || verb == "HEAD")
+        return true;
+    // A service may read a path with escapes, dot or empty segments in more than one way. A call counts as idempotent
+    // only if it is so under each of them, since a wrong "idempotent" runs a call twice.
+    const auto paths = readings(path);
+    if (paths.empty())
+        return false;
+    for (const auto& rule : neverRepeat) {
+        if (matchesServiceAndMethod(rule, service, method) && mayMatch(rule, paths))
+            return false;
+    }
+    if (verb != "POST" && verb != "PATCH")
+        return true;
+    return std::any_of(repeatable.begin(), repeatable.end(), [&](const auto& rule) {
+        return matchesServiceAndMethod(rule, service, method) && certainlyMatches(rule, paths);
+    });
+}
+
+} // namespace bulrushstack
--- /dev/null
+++ b/src/libconfig/configuration_follower.cpp
@@ -0,0 +1,299 @@
+#include "configuration_follower.h"
+
+#include "configuration_records.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <glog/logging.h>
+
+namespace bulrushstack {
+
+namespace asio = boost::asio;
+
+namespace {
+
+const std::string readinessCondition = "configuration";
+
+/// Longest document that fits into a peer message of 1 MiB with its envelope; a longer one is read from the store.
+constexpr std::size_t peerDocumentLimit = 1000 * 1024;
+
+prometheus::Gauge& addGauge(RuntimeService& runtime, const std::string& name, const std::string& help)
+{
+    return prometheus::BuildGauge().Name(name).Help(help).Register(runtime.metrics()).Add({});
+}
+
+prometheus::Counter& addCounter(RuntimeService& runtime, const std::string& name, const std::string& help)
+{
+    return prometheus::BuildCounter().Name(name).Help(help).Register(runtime.metrics()).Add({});
+}
+
+} // namespace
+
+ConfigurationFollower::ConfigurationFollower(asio::io_context& context, RuntimeService& runtime, TableService& tables,
+    ObjectStore& objects, PeerRequest peerRequest, FollowerOptions options)
+    : m_context(context)
+    , m_runtime(runtime)
+    , m_clock(runtime.clock())
+    , m_store(tables, objects, runtime.clock())
+    , m_peerRequest(std::move(peerRequest))
+    , m_options(options)
+    , m_pollTimer(context)
+    , m_freshnessTimer(context)
+    , m_idle(context, asio::steady_timer::time_point::max())
+    , m_revisionGauge(
+          addGauge(runtime, "bulrush_configuration_revision", "Configuration revision in force on this instance"))
+    , m_polls(addCounter(runtime, "bulrush_configuration_polls_total", "Reads of the configuration head"))
+    , m_failures(addCounter(runtime, "bulrush_configuration_failures_total", "Failed reads of heads and documents"))
+    , m_rejections(
+          addCounter(runtime, "bulrush_configuration_rejected_documents_total", "Documents that did not validate"))
+{
+    updateReadiness();
+}
+
+bool ConfigurationFollower::offer(ConfigurationPtr configuration)
+{
+    if (!configuration || configuration->revision() <= m_current->revision())
+        return false;
+    m_current = std::move(configuration);
+    m_hasRevision = true;
+    m_revisionGauge.Set(static_cast<double>(m_current->revision()));
+    std::erase_if(m_announced, [&](const auto& it) { return it.second.revision <= m_current->revision(); });
+    std::erase_if(m_rejected, [&](const auto& it) { return it.revision <= m_current->revision(); });
+    LOG(INFO) << "event=configuration-taken revision=" << m_current->revision() << " digest=" << m_current->digest()
+              << " teams=" << m_current->teams().size() << " models=" << m_current->models().size();
+    updateReadiness();
+    return true;
+}
+
+void ConfigurationFollower::hearOf(ConfigurationHead head, Address peer)
+{
+    noteContact();
+    if (!isWanted(head)) {
+        m_announced.erase(peer);
+        return;
+    }
+    m_announced[peer] = std::move(head);
+    if (!m_isFetching && !m_isStopped)
+        spawn(&ConfigurationFollower::takeAnnounced);
+}
+
+asio::awaitable<void> ConfigurationFollower::poll()
+{
+    m_polls.Increment();
+    auto head = co_await m_store.head(m_clock.now() + m_options.callTimeout);
+    if (head) {
+        noteContact();
+        compareWithStore(*head);
+        if (isWanted(*head))
+            co_await catchUpWith(*head);
+    } else {
+        noteFailure("head", {}, head.error());
+    }
+    // Covers revisions whose first fetch from a peer failed.
+    if (!m_announced.empty())
+        co_await takeAnnounced();
+    updateReadiness();
+}
+
+/// Notes a first revision 0, and reports once each head that contradicts the revision in force.
+void ConfigurationFollower::compareWithStore(const ConfigurationHead& head)
+{
+    const auto revision = m_current->revision();
+    if (revision == 0 && head.revision == 0)
+        m_hasRevision = true;
+    const bool isContradiction
+        = head.revision < revision || (head.revision == revision && head.digest != m_current->digest());
+    if (!isContradiction || m_reportedHead == head)
+        return;
+    m_reportedHead = head;
+    LOG(ERROR) << "event=configuration-head-contradicts revision=" << revision << " digest=" << m_current->digest()
+               << " head_revision=" << head.revision << " head_digest=" << head.digest << " action=keep";
+}
+
+asio::awaitable<void> ConfigurationFollower::catchUpWith(ConfigurationHead head)
+{
+    if (std::exchange(m_isFetching, true))
+        co_return;
+    // GCC 12 emits a trap for a co_await inside a condition here.
+    const bool isTaken = co_await takeFromStore(head);
+    if (!isTaken)
+        co_await takeFromPeers(head.revision);
+    m_isFetching = false;
+}
+
+asio::awaitable<void> ConfigurationFollower::takeAnnounced()
+{
+    if (std::exchange(m_isFetching, true))
+        co_return;
+    while (!m_announced.empty() && !m_isStopped) {
+        ConfigurationHead highest;
+        for (const auto& [peer, head] : m_announced)
+            highest = std::max(highest, head);
+        bool isTaken = co_await takeFromPeers(highest.revision);
+        if (!isTaken)
+            isTaken = co_await takeFromStore(highest);
+        if (!isTaken)
+            break;
+    }
+    m_isFetching = false;
+}
+
+/// Asks the peers that announced at least the revision one after the other; returns whether one gave a higher one than
+/// the current.
+asio::awaitable<bool> ConfigurationFollower::takeFromPeers(std::uint64_t revision)
+{
+    const auto announced = m_announced;
+    for (const auto& [peer, head] : announced) {
+        if (head.revision < revision || !isWanted(head))
+            continue;
+        auto fetched = co_await fetchFromPeer(peer, head);
+        if (offer(std::move(fetched)))
+            co_return true;
+    }
+    co_return false;
+}
+
+asio::awaitable<bool> ConfigurationFollower::takeFromStore(ConfigurationHead head)
+{
+    if (!isWanted(head))
+        co_return false;
+    auto fetched = co_await m_store.fetch(head, m_clock.now() + m_options.callTimeout);
+    if (fetched)
+        co_return offer(std::move(*fetched));
+    noteFailure("store", head, fetched.error());
+    co_return false;
+}
+
+/// Returns null on a failure, which is noted. The peer may answer with a higher revision than it announced.
+asio::awaitable<ConfigurationPtr> ConfigurationFollower::fetchFromPeer(Address peer, ConfigurationHead head)
+{
+    nlohmann::json message { { "type", "config-fetch" }, { "revision", head.revision } };
+    auto reply = co_await m_peerRequest(peer, std::move(message), m_options.callTimeout);
+    if (!reply) {
+        noteFailure("peer", head, reply.error());
+        co_return nullptr;
+    }
+    noteContact();
+    Failure failure {
+        .code = Errc::Malformed, .verdict = Verdict::NotRun, .detail = "reply of peer " + peer.toString()
+    };
+    const auto held = headFromJson(*reply);
+    const auto text = reply->is_object() ? reply->value("document", nlohmann::json()) : nlohmann::json();
+    if (!held || !text.is_string() || held->revision < head.revision
+        || (held->revision == head.revision && *held != head)) {
+        failure.detail += " does not hold the announced revision";
+        noteFailure("peer", head, failure);
+        co_return nullptr;
+    }
+    auto opened = openDocument(*held, text.get_ref<const std::string&>());
+    if (opened)
+        co_return std::move(*opened);
+    noteFailure("peer", *held, opened.error());
+    co_return nullptr;
+}
+
+nlohmann::json ConfigurationFollower::serveFetch(const nlohmann::json& request) const
+{
+    nlohmann::json reply { { "revision", m_current->revision() }, { "digest", m_current->digest() } };
+    const bool isHeld = request.at("revision").get<std::uint64_t>() <= m_current->revision();
+    if (isHeld && m_current->text().size() <= peerDocumentLimit)
+        reply["document"] = m_current->text();
+    return reply;
+}
+
+bool ConfigurationFollower::isWanted(const ConfigurationHead& head) const
+{
+    return head.revision > m_current->revision() && !m_rejected.contains(head);
+}
+
+void ConfigurationFollower::noteContact()
+{
+    m_lastContact = m_clock.now();
+    updateReadiness();
+}
+
+void ConfigurationFollower::noteFailure(const char* source, const ConfigurationHead& head, const Failure& failure)
+{
+    m_failures.Increment();
+    if (failure.code != Errc::InvalidArgument) {
+        VLOG(1) << "event=configuration-read-failed source=" << source << " detail=\"" << failure.detail << "\"";
+        return;
+    }
+    if (!m_rejected.insert(head).second)
+        return;
+    std::erase_if(m_announced, [&](const auto& it) { return it.second == head; });
+    m_rejections.Increment();
+    LOG(ERROR) << "event=configuration-rejected source=" << source << " revision=" << head.revision
+               << " digest=" << head.digest << " detail=\"" << failure.detail << "\"";
+}
+
+void ConfigurationFollower::updateReadiness()
+{
+    const bool isFresh = m_lastContact && m_clock.now() - *m_lastContact < m_options.freshnessBound;
+    if (!m_hasRevision)
+        m_runtime.setReady(readinessCondition, false, "no revision was read from the store or a peer yet");
+    else if (!isFresh)
+        m_runtime.setReady(readinessCondition, false, "no contact with the store or a peer within the freshness bound");
+    else
+        m_runtime.setReady(readinessCondition, true);
+}
+
+void ConfigurationFollower::spawn(asio::awaitable<void> (ConfigurationFollower::*task)())
+{
+    ++m_tasks;
+    asio::co_spawn(m_context, (this->*task)(), [self = shared_from_this()](std::exception_ptr error) {
+        --self->m_tasks;
+        self->m_idle.cancel();
+        if (error)
+            std::rethrow_exception(error);
+    });
+}
+
+std::chrono::nanoseconds ConfigurationFollower::jitteredInterval()
+{
+    // Spreads the polls of instances that were started together.
+    std::uniform_real_distribution<double> factor(0.8, 1.2);
+    return std::chrono::duration_cast<std::chrono::nanoseconds>(m_options.pollInterval * factor(m_random));
+}
+
+asio::awaitable<void> ConfigurationFollower::pollRegularly()
+{
+    while (!m_isStopped) {
+        co_await poll();
+        if (m_isStopped)
+            co_return;
+        m_pollTimer.expires_after(jitteredInterval());
+        co_await m_pollTimer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+}
+
+/// Wakes at the moment when the last contact becomes too old, which a poll that waits for a silent store would miss.
+asio::awaitable<void> ConfigurationFollower::watchFreshness()
+{
+    while (!m_isStopped) {
+        const auto age = m_lastContact ? m_clock.now() - *m_lastContact : std::chrono::nanoseconds(0);
+        m_freshnessTimer.expires_after(
+            age < m_options.freshnessBound ? m_options.freshnessBound - age : m_options.pollInterval);
+        co_await m_freshnessTimer.async_wait(asio::as_tuple(asio::use_awaitable));
+        updateReadiness();
+    }
+}
+
+void ConfigurationFollower::start()
+{
+    spawn(&ConfigurationFollower::pollRegularly);
+    spawn(&ConfigurationFollower::watchFreshness);
+}
+
+asio::awaitable<void> ConfigurationFollower::stop()
+{
+    m_isStopped = true;
+    m_pollTimer.cancel();
+    m_freshnessTimer.cancel();
+    while (m_tasks > 0)
+        co_await m_idle.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+} // namespace bulrushstack
--- /dev/null
+++ b/src/libconfig/configuration_store_test.cpp
@@ -0,0 +1,261 @@
+#include "bulrushstack/config/configuration_store.h"
+#include "bulrushstack/kernel/run_awaitable.h"
+#include "memory_platform.h"
+#include "sample_document.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace bulrushstack;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A store that holds revision 1, the sample document.
+struct StoreFixture {
+    StoreFixture()
+    {
+        auto document = sampleDocument(1);
+        auto change = changeOf("first", 0);
+        for (const auto& [section, kind] : { std::pair("models", "model"), std::pair("services", "service"),
+                 std::pair("templates", "template"), std::pair("teams", "team") }) {
+            for (const auto& [name, value] : document[section].items())
+                change.edits.push_back({ .kind = kind, .name = name, .value = value });
+        }
+        const auto outcome = apply(change);
+        BOOST_REQUIRE((outcome.status == ChangeStatus::Accepted));
+        BOOST_REQUIRE(outcome.revision == 1u);
+    }
+
+    static ConfigurationChange changeOf(std::string id, std::uint64_t base, std::vector<ConfigurationEdit> edits = {})
+    {
+        return { .changeId = std::move(id), .author = "ana", .baseRevision = base, .edits = std::move(edits) };
+    }
+
+    static ConfigurationEdit teamEdit(std::string name)
+    {
+        return { .kind = "team", .name = std::move(name), .value = nlohmann::json { { "template", "opera-house" } } };
+    }
+
+    static ConfigurationEdit templateEdit(unsigned share)
+    {
+        auto value = sampleDocument()["templates"]["opera-house"];
+        value["share"] = share;
+        return { .kind = "template", .name = "opera-house", .value = std::move(value) };
+    }
+
+    ChangeOutcome apply(ConfigurationChange change)
+    {
+        return runAwaitable(context, store.apply(std::move(change), clock.now() + 10s));
+    }
+
+    ConfigurationHead head() { return *runAwaitable(context, store.head(clock.now() + 1s)); }
+
+    ConfigurationPtr fetch() { return *runAwaitable(context, store.fetch(head(), clock.now() + 1s)); }
+
+    /// Gives the nth call of the operation the fault.
+    void failNth(std::string operation, int n, FakeFault fault)
+    {
+        tables.fault = [=, count = 0](std::string_view actual) mutable {
+            return actual == operation && ++count == n ? fault : FakeFault::None;
+        };
+    }
+
+    boost::asio::io_context context;
+    ManualClock clock;
+    MemoryTableService tables;
+    MemoryObjectStore objects;
+    ConfigurationStore store { tables, objects, clock };
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(Store, StoreFixture)
+
+// Guards against an accepted change that cannot be read back, or whose record is incomplete.
+BOOST_AUTO_TEST_CASE(KeepsAnAcceptedChangeWithItsRecord)
+{
+    BOOST_TEST(apply(changeOf("c2", 1, { teamEdit("split") })).revision == 2u);
+    BOOST_TEST(fetch()->team("split")->models.size() == 2u);
+    const auto record = *runAwaitable(context, store.findChange("c2", clock.now() + 1s));
+    BOOST_REQUIRE(record);
+    BOOST_TEST(record->revision == 2u);
+    BOOST_TEST(record->author == "ana");
+    BOOST_TEST(record->digest == head().digest);
+    BOOST_TEST(record->acceptedAt == "2019-12-20T00:00:00Z");
+    BOOST_TEST((record->objects == std::vector<std::pair<std::string, std::string>> { { "team", "split" } }));
+    BOOST_TEST(!*runAwaitable(context, store.findChange("c3", clock.now() + 1s)));
+    const auto history = *runAwaitable(context, store.history(1, clock.now() + 1s));
+    BOOST_REQUIRE(history.size() == 1u);
+    BOOST_TEST((history.front() == *record));
+}
+
+// Guards against a history in the wrong order or cut at a page of the list.
+BOOST_AUTO_TEST_CASE(ShowsTheNewestRecordsFirst)
+{
+    for (std::uint64_t revision = 2; revision <= 4; ++revision)
+        BOOST_TEST(
+            apply(changeOf("c" + std::to_string(revision), revision - 1, { templateEdit(1) })).revision == revision);
+    const auto history = *runAwaitable(context, store.history(100, clock.now() + 1s));
+    BOOST_REQUIRE(history.size() == 4u);
+    BOOST_TEST(history.front().changeId == "c4");
+    BOOST_TEST(history.back().changeId == "first");
+}
+
+// Guards against an invalid document in force.
+BOOST_AUTO_TEST_CASE(RefusesWhatDoesNotValidate)
+{
+    const auto deletion
+        = apply(changeOf("c2", 1, { { .kind = "model", .name = "libretto-7b", .value = std::nullopt } }));
+    BOOST_TEST((deletion.status == ChangeStatus::Invalid));
+    BOOST_TEST(!deletion.problems.empty());
+    const auto absent = apply(changeOf("c2", 1, { { .kind = "team", .name = "pula", .value = std::nullopt } }));
+    BOOST_TEST(absent.problems.at(0).path == "/edits/0/name");
+    auto malformed = changeOf("c 2", 1, { { .kind = "schema", .name = "x", .value = 1 } });
+    malformed.author.clear();
+    BOOST_TEST(apply(malformed).problems.size() == 3u);
+    BOOST_TEST((apply(changeOf("c2", 7, { teamEdit("split") })).status == ChangeStatus::Invalid));
+    BOOST_TEST(head().revision == 1u);
+}
+
+BOOST_AUTO_TEST_SUITE(ConcurrentEdits)
+
+// Guards against a lost update, and against a needless conflict between operators who edit different objects.
+BOOST_AUTO_TEST_CASE(AreMergedUnlessTheyTouchTheSameObject)
+{
+    BOOST_TEST(apply(changeOf("c2", 1, { templateEdit(2) })).revision == 2u);
+    BOOST_TEST(apply(changeOf("c3", 1, { teamEdit("split") })).revision == 3u);
+    const auto outcome = apply(changeOf("c4", 1, { templateEdit(5) }));
+    BOOST_TEST((outcome.status == ChangeStatus::Conflict));
+    BOOST_REQUIRE(outcome.competing.size() == 1u);
+    BOOST_TEST(outcome.competing[0].revision == 2u);
+    BOOST_TEST(outcome.competing[0].author == "ana");
+    BOOST_TEST(fetch()->team("zagreb")->share == 2u);
+    BOOST_TEST((fetch()->team("split") != nullptr));
+}
+
+// Guards against an edit that overwrites one which was committed between its read of the head and its commit.
+BOOST_AUTO_TEST_CASE(AreDetectedAtTheCommit)
+{
+    int commits = 0;
+    ChangeOutcome other;
+    tables.fault = [&](std::string_view operation) {
+        if (operation == "commit" && ++commits == 1) {
+            boost::asio::io_context inner;
+            other = runAwaitable(inner, store.apply(changeOf("other", 1, { templateEdit(3) }), clock.now() + 10s));
+        }
+        return FakeFault::None;
+    };
+    const auto outcome = apply(changeOf("c2", 1, { templateEdit(2) }));
+    BOOST_TEST(other.revision == 2u);
+    BOOST_TEST((outcome.status == ChangeStatus::Conflict));
+    BOOST_TEST(fetch()->team("zagreb")->share == 3u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(LostAnswers)
+
+// Guards against two revisions from one change that is sent twice.
+BOOST_AUTO_TEST_CASE(LetAChangeBeSentAgainUnderItsId)
+{
+    const auto change = changeOf("c2", 1, { templateEdit(2) });
+    BOOST_TEST(apply(change).revision == 2u);
+    BOOST_TEST(apply(changeOf("c3", 2, { templateEdit(3) })).revision == 3u);
+    BOOST_TEST((apply(change).status == ChangeStatus::Accepted));
+    BOOST_TEST(apply(change).revision == 2u);
+    BOOST_TEST(head().revision == 3u);
+    BOOST_TEST(fetch()->team("zagreb")->share == 3u);
+}
+
+// Guards against a success for a change that was never made, when a client reuses an id.
+BOOST_AUTO_TEST_CASE(DoNotConfuseAnotherChangeWithTheSameId)
+{
+    BOOST_TEST(apply(changeOf("c2", 1, { templateEdit(2) })).revision == 2u);
+    const auto outcome = apply(changeOf("c2", 1, { templateEdit(9) }));
+    BOOST_TEST((outcome.status == ChangeStatus::Invalid));
+    BOOST_TEST(outcome.problems.at(0).path == "/change_id");
+}
+
+// Guards against a committed change that is reported as failed, or committed a second time.
+BOOST_AUTO_TEST_CASE(OfACommitThatTookEffectAreReadBack)
+{
+    failNth("commit", 1, FakeFault::LostAnswer);
+    const auto outcome = apply(changeOf("c2", 1, { templateEdit(2) }));
+    BOOST_TEST((outcome.status == ChangeStatus::Accepted));
+    BOOST_TEST(outcome.revision == 2u);
+    BOOST_TEST(head().revision == 2u);
+}
+
+// Guards against giving up on a change whose commit was lost on the way.
+BOOST_AUTO_TEST_CASE(OfACommitThatDidNotTakeEffectAreFollowedByAnother)
+{
+    failNth("commit", 1, FakeFault::LostRequest);
+    BOOST_TEST(apply(changeOf("c2", 1, { templateEdit(2) })).revision == 2u);
+    BOOST_TEST(tables.commits() == 2u);
+}
+
+// Guards against "not run" for a change that may be in force (G4).
+BOOST_AUTO_TEST_CASE(ThatCannotBeReadBackMayHaveRun)
+{
+    bool isDown = false;
+    tables.fault = [&](std::string_view operation) {
+        if (operation == "commit") {
+            isDown = true;
+            return FakeFault::LostAnswer;
+        }
+        return isDown ? FakeFault::Unavailable : FakeFault::None;
+    };
+    const auto outcome = apply(changeOf("c2", 1, { templateEdit(2) }));
+    BOOST_TEST((outcome.status == ChangeStatus::Unavailable));
+    BOOST_TEST((outcome.failure.verdict == Verdict::MayHaveRun));
+    tables.fault = nullptr;
+    BOOST_TEST(apply(changeOf("c2", 1, { templateEdit(2) })).revision == 2u);
+    BOOST_TEST(head().revision == 2u);
+}
+
+// Guards against an endless loop, and against "not run" while a delayed commit may still take effect.
+BOOST_AUTO_TEST_CASE(OfEveryCommitEndAsMayHaveRun)
+{
+    tables.fault
+        = [](std::string_view operation) { return operation == "commit" ? FakeFault::LostRequest : FakeFault::None; };
+    const auto outcome = apply(changeOf("c2", 1, { templateEdit(2) }));
+    BOOST_TEST((outcome.status == ChangeStatus::Unavailable));
+    BOOST_TEST((outcome.failure.verdict == Verdict::MayHaveRun));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Outages)
+
+// Guards against "may have run" for a change that certainly was not committed.
+BOOST_AUTO_TEST_CASE(BeforeTheCommitAreNotRun)
+{
+    for (const char* operation : { "read", "list", "commit" }) {
+        tables.fault
+            = [&](std::string_view actual) { return actual == operation ? FakeFault::Unavailable : FakeFault::None; };
+        const auto outcome = apply(changeOf("c2", 0, { teamEdit("split") }));
+        BOOST_TEST((outcome.status == ChangeStatus::Unavailable), operation);
+        BOOST_TEST((outcome.failure.verdict == Verdict::NotRun), operation);
+    }
+    tables.fault = nullptr;
+    objects.isAvailable = false;
+    const auto outcome = apply(changeOf("c2", 1, { teamEdit("split") }));
+    BOOST_TEST((outcome.failure.verdict == Verdict::NotRun));
+    BOOST_TEST(head().revision == 1u);
+}
+
+// Guards against a document that was damaged or exchanged in the object store.
+BOOST_AUTO_TEST_CASE(DoNotLetAWrongDocumentIn)
+{
+    auto named = head();
+    named.revision = 9;
+    BOOST_TEST((runAwaitable(context, store.fetch(named, clock.now() + 1s)).error().code == Errc::Malformed));
+    named.digest = *runAwaitable(context, objects.put("{}", clock.now() + 1s));
+    BOOST_TEST((runAwaitable(context, store.fetch(named, clock.now() + 1s)).error().code == Errc::InvalidArgument));
+    named.digest = sha256Hex("absent");
+    BOOST_TEST((runAwaitable(context, store.fetch(named, clock.now() + 1s)).error().code == Errc::NotFound));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/libconfig/configuration_test.cpp
@@ -0,0 +1,262 @@
+#include "bulrushstack/config/configuration.h"
+#include "sample_document.h"
+
+#include <algorithm>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace bulrushstack;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::vector<ConfigurationProblem> problemsOf(const nlohmann::json& document)
+{
+    auto outcome = Configuration::parse(document);
+    BOOST_TEST((outcome.configuration == nullptr) == !outcome.problems.empty());
+    return outcome.problems;
+}
+
+std::vector<std::string> pathsOf(const nlohmann::json& document)
+{
+    std::vector<std::string> out;
+    for (const auto& it : problemsOf(document))
+        out.push_back(it.path);
+    std::sort(out.begin(), out.end());
+    return out;
+}
+
+void checkPaths(const nlohmann::json& document, const std::vector<std::string>& expected)
+{
+    const auto paths = pathsOf(document);
+    BOOST_TEST(paths == expected, boost::test_tools::per_element());
+}
+
+const Team& zagreb()
+{
+    static const auto configuration = Configuration::parse(sampleDocument()).configuration;
+    return configuration->teams().at("zagreb");
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ConfigurationDocument)
+
+// Guards against a document that is read with other values than the operator wrote.
+BOOST_AUTO_TEST_CASE(GivesTeamsWhatTheirTemplateGrants)
+{
+    const auto configuration = Configuration::parse(sampleDocument()).configuration;
+    BOOST_REQUIRE(configuration);
+    BOOST_TEST(configuration->revision() == 12u);
+    BOOST_TEST(configuration->digest() == sha256Hex(configuration->text()));
+    const auto* team = configuration->teamByToken("zagreb-token");
+    BOOST_REQUIRE(team);
+    BOOST_TEST(team->name == "zagreb");
+    BOOST_TEST(team->templateName == "opera-house");
+    BOOST_TEST((team->models == std::set<std::string, std::less<>> { "libretto-7b", "tosca-lora" }));
+    BOOST_TEST((team->permittedUrgencies == std::set { Urgency::Live, Urgency::Interactive, Urgency::Batch }));
+    BOOST_TEST((team->defaultDeadline == 10s && team->maximumDeadline == 60s));
+    BOOST_TEST(configuration->model("tosca-lora")->base == "libretto-7b");
+    BOOST_TEST(configuration->model("libretto-7b")->size == 14ull << 30);
+    BOOST_TEST(configuration->service("cue-board")->statusPath == "/status/{key}");
+    BOOST_TEST(!configuration->teamByToken("other"));
+    BOOST_TEST(!configuration->teamByToken(sha256Hex("zagreb-token")));
+    BOOST_TEST(!configuration->team("split"));
+}
+
+// Guards against a start without any configuration that cannot represent "nothing accepted yet".
+BOOST_AUTO_TEST_CASE(HasAnEmptyRevisionZero)
+{
+    BOOST_TEST(Configuration::empty()->revision() == 0u);
+    BOOST_TEST(Configuration::empty()->teams().empty());
+}
+
+// Guards against a validation that stops at the first finding, so that operators correct one error at a time.
+BOOST_AUTO_TEST_CASE(ReportsAllFindingsAtOnce)
+{
+    auto document = sampleDocument();
+    document["models"]["Bad Name"] = { { "kind", "model" }, { "version", "" }, { "size", "many" } };
+    document["models"]["tosca-lora"]["base"] = "absent";
+    document["services"]["cue-board"]["checks_fencing"] = "yes";
+    document["templates"]["opera-house"]["deadline"]["default"] = "2m";
+    document["templates"]["opera-house"]["never_repeat"][0]["method"] = "GET";
+    document["templates"]["opera-house"]["share"] = 0;
+    document["teams"]["split"] = { { "template", "theatre" } };
+    document["schema"] = 2;
+    checkPaths(document,
+        { "/models/Bad Name", "/models/Bad Name/size", "/models/Bad Name/version", "/models/tosca-lora/base", "/schema",
+            "/services/cue-board/checks_fencing", "/teams/split/template", "/templates/opera-house/deadline/default",
+            "/templates/opera-house/never_repeat/0/method", "/templates/opera-house/share" });
+}
+
+// Guards against misspelt fields, such as "never_repeats", that would be ignored without notice.
+BOOST_AUTO_TEST_CASE(RefusesUnknownFields)
+{
+    auto document = sampleDocument();
+    document["team"] = nlohmann::json::object();
+    document["models"]["libretto-7b"]["sise"] = "1GiB";
+    document["templates"]["opera-house"]["never_repeats"] = nlohmann::json::array();
+    document["templates"]["opera-house"]["urgency"]["max"] = "live";
+    document["teams"]["zagreb"]["a/b~c"] = 1;
+    checkPaths(document,
+        { "/models/libretto-7b/sise", "/team", "/teams/zagreb/a~1b~0c", "/templates/opera-house/never_repeats",
+            "/templates/opera-house/urgency/max" });
+}
+
+// Guards against exceptions or silence on values of the wrong JSON type.
+BOOST_AUTO_TEST_CASE(RefusesWrongTypes)
+{
+    for (const char* text : { "null", "[]", "7", R"({"schema":1,"revision":-1})",
+             R"({"schema":1,"revision":1,"teams":[]})", R"({"schema":1,"revision":1,"templates":{"t":7}})",
+             R"({"schema":1,"revision":1,"templates":{"t":{"models":{},"parameters":[]}}})" })
+        BOOST_TEST(!problemsOf(nlohmann::json::parse(text)).empty(), text);
+}
+
+BOOST_AUTO_TEST_SUITE(Tokens)
+
+// Guards against one token that identifies two teams (G9).
+BOOST_AUTO_TEST_CASE(AreUniqueAcrossTeamsWhateverTheCaseOfTheDigits)
+{
+    auto document = sampleDocument();
+    auto digest = sha256Hex("zagreb-token");
+    std::transform(
+        digest.begin(), digest.end(), digest.begin(), [](char c) { return static_cast<char>(std::toupper(c)); });
+    document["teams"]["split"] = { { "template", "opera-house" }, { "token_sha256", { digest } } };
+    checkPaths(document, { "/teams/zagreb/token_sha256/0" });
+}
+
+// Guards against tokens and digests in error messages and logs.
+BOOST_AUTO_TEST_CASE(AreNeverPrinted)
+{
+    auto document = sampleDocument();
+    const std::string secret = "s3cret";
+    document["teams"]["zagreb"]["token_sha256"] = { secret, sha256Hex("x"), sha256Hex("x"), { { "token", secret } } };
+    document["teams"]["zagreb"]["token"] = secret;
+    document["teams"]["split"] = { { "template", "opera-house" }, { "token_sha256", secret } };
+    document["teams"]["rijeka"] = { secret };
+    document["teams"]["pula"] = secret;
+    const auto problems = problemsOf(document);
+    BOOST_TEST(problems.size() == 7u);
+    for (const auto& it : problems) {
+        BOOST_TEST((it.value + it.permitted).find(secret) == std::string::npos);
+        BOOST_TEST((it.value + it.permitted).find(sha256Hex("x")) == std::string::npos);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Parameters)
+
+// Guards against references that stay unexpanded in a part of the template.
+BOOST_AUTO_TEST_CASE(ReplaceReferencesInEveryString)
+{
+    auto document = sampleDocument();
+    auto& body = document["templates"]["opera-house"];
+    body["parameters"]["limit"] = "60s";
+    body["deadline"]["max"] = "${limit}";
+    body["never_repeat"][0]["path"] = "/houses/${house}/${house}";
+    document["teams"]["zagreb"]["parameters"]["limit"] = "20s";
+    const auto configuration = Configuration::parse(document).configuration;
+    BOOST_REQUIRE(configuration);
+    const auto& team = configuration->teams().at("zagreb");
+    BOOST_TEST((team.maximumDeadline == 20s));
+    BOOST_TEST(team.neverRepeat.at(0).path == "/houses/zagreb/zagreb");
+}
+
+// Guards against a misspelt parameter name that would leave a default in force.
+BOOST_AUTO_TEST_CASE(AreFindingsIfTheTemplateDoesNotDeclareThem)
+{
+    auto document = sampleDocument();
+    document["templates"]["opera-house"]["models"][1] = "${extra}";
+    document["templates"]["opera-house"]["services"][0] = "${house";
+    document["teams"]["zagreb"]["parameters"]["hose"] = "x";
+    checkPaths(document,
+        { "/teams/zagreb/parameters/hose", "/templates/opera-house/models/1", "/templates/opera-house/services/0" });
+}
+
+// Guards against an expansion for one team that is accepted although it names an undefined model, and against a
+// finding on one team that hides the finding on another.
+BOOST_AUTO_TEST_CASE(AreCheckedForEachTeamAfterTheExpansion)
+{
+    auto document = sampleDocument();
+    document["teams"]["zagreb"]["parameters"]["extra_model"] = "carmen-lora";
+    document["teams"]["split"]
+        = { { "template", "opera-house" }, { "parameters", { { "extra_model", "aida-lora" } } } };
+    const auto problems = problemsOf(document);
+    BOOST_REQUIRE(problems.size() == 2u);
+    BOOST_TEST(problems[0].path == "/templates/opera-house/models/1");
+    BOOST_TEST(problems[0].value == "aida-lora");
+    BOOST_TEST(problems[0].permitted.find("team split") != std::string::npos);
+    BOOST_TEST(problems[1].value == "carmen-lora");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Calls)
+
+// Guards against a publish, order or payment that is taken for repeatable (G5). Each path reaches /cues on a service
+// that decodes escapes or resolves dot and empty segments.
+BOOST_DATA_TEST_CASE(CannotSlipPastNeverRepeat,
+    boost::unit_test::data::make({ "/cues", "/cues/7", "/cues/", "//cues", "/./cues/7", "/x/../cues/7", "/%63ues",
+        "/cu%65s/7", "/x%2F..%2Fcues", "/%2e%2e/cues", "/x/%2E%2e/cues", "/%2563ues", "/cues/../x", "/cues/%2e%2e/x",
+        "/cues?x=/", "/cues#x", "/x/../../cues", "cues", "/%cues", "/cues%00" }),
+    path)
+{
+    BOOST_TEST(!zagreb().isIdempotent("cue-board", "PUT", path));
+}
+
+// Guards against rules that match more than whole segments of the same case, and so forbid harmless repetitions.
+BOOST_DATA_TEST_CASE(
+    MatchOnlyWholeSegments, boost::unit_test::data::make({ "/", "/cuesheet", "/Cues", "/a/cues", "/search" }), path)
+{
+    BOOST_TEST(zagreb().isIdempotent("cue-board", "PUT", path));
+}
+
+// Guards against a POST that an ambiguous path makes look like one under a repeatable rule (G5).
+BOOST_AUTO_TEST_CASE(ArePostsOnlyRepeatableIfEveryReadingOfThePathIs)
+{
+    const auto& team = zagreb();
+    BOOST_TEST(team.isIdempotent("cue-board", "POST", "/search"));
+    BOOST_TEST(team.isIdempotent("cue-board", "POST", "/search/all?q=1"));
+    BOOST_TEST(!team.isIdempotent("cue-board", "PATCH", "/search"));
+    for (const char* path :
+        { "/cues", "/searching", "/search/../cues", "/search/%2e%2e/cues", "/x/../search", "/search/%252e%252e/cues" })
+        BOOST_TEST(!team.isIdempotent("cue-board", "POST", path), path);
+}
+
+// Guards against methods in another case than the rule, and against rules of other services.
+BOOST_AUTO_TEST_CASE(DependOnMethodAndService)
+{
+    const auto& team = zagreb();
+    BOOST_TEST(!team.isIdempotent("cue-board", "put", "/cues"));
+    BOOST_TEST(!team.isIdempotent("cue-board", "post", "/cues"));
+    BOOST_TEST(team.isIdempotent("cue-board", "GET", "/cues"));
+    BOOST_TEST(team.isIdempotent("cue-board", "HEAD", "/cues"));
+    BOOST_TEST(team.isIdempotent("cue-board", "DELETE", "/cues"));
+    BOOST_TEST(team.isIdempotent("other", "PUT", "/cues"));
+    BOOST_TEST(!team.isIdempotent("other", "POST", "/search"));
+}
+
+// Guards against a never_repeat rule that a repeatable rule overrides.
+BOOST_AUTO_TEST_CASE(PreferNeverRepeat)
+{
+    auto team = zagreb();
+    team.neverRepeat = { { .service = "cue-board", .method = "POST", .path = "/search/replace" } };
+    BOOST_TEST(team.isIdempotent("cue-board", "POST", "/search/find"));
+    BOOST_TEST(!team.isIdempotent("cue-board", "POST", "/search/replace/all"));
+    BOOST_TEST(team.neverRepeat[0].matches("cue-board", "POST", "/search/x/../%72eplace"));
+    BOOST_TEST(!team.neverRepeat[0].matches("cue-board", "POST", "/search/replaced"));
+}
+
+// Guards against rule paths that could never match a normalised path.
+BOOST_DATA_TEST_CASE(
+    HaveNormalRulePaths, boost::unit_test::data::make({ "cues", "/a//b", "/a/../b", "/./a", "/a?b", "/%63", "" }), path)
+{
+    auto document = sampleDocument();
+    document["templates"]["opera-house"]["never_repeat"][0]["path"] = path;
+    checkPaths(document, { "/templates/opera-house/never_repeat/0/path" });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
