Add the HTTP bindings of the platform

Answers of the wrong shape are Errc::Malformed. Reads and object puts move to a new connection once, after a loss or 500 ms of silence; commits are sent once, with the verdict of the failure. A timeout closes the idle connections of the address.

--- /dev/null
+++ b/src/libplatform/platform_call.cpp
@@ -0,0 +1,81 @@
+#include "platform_call.h"
+
+namespace bulrushstack::detail {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Silence after which a repeatable call moves to a new connection. The platform answers within milliseconds, and the
+/// callers' deadlines of a second or more leave time for the second attempt.
+constexpr std::chrono::milliseconds silenceLimit { 500 };
+
+/// Longest idle time of a connection that carries a write which is sent only once, since a connection that died while
+/// idle would turn a certain "not run" into "may have run".
+constexpr std::chrono::seconds writeMaxIdle { 1 };
+
+Failure classify(Failure failure)
+{
+    if (failure.code == Errc::TooLarge)
+        failure.code = Errc::Malformed;
+    else if (failure.code != Errc::Timeout && failure.code != Errc::Malformed)
+        failure.code = Errc::Unavailable;
+    return failure;
+}
+
+asio::awaitable<Result<HttpResponse>> attempt(
+    HttpClient& client, Address address, HttpRequest request, HttpCallOptions options)
+{
+    auto response = co_await client.call(address, std::move(request), options);
+    if (response)
+        co_return response;
+    auto failure = classify(response.error());
+    if (failure.code == Errc::Timeout)
+        client.retireIdle(address);
+    co_return failure;
+}
+
+} // namespace
+
+asio::awaitable<Result<HttpResponse>> callPlatform(
+    HttpClient& client, Address address, HttpRequest request, SteadyTime deadline, Repeat repeat)
+{
+    HttpCallOptions options;
+    options.deadline = deadline;
+    if (repeat == Repeat::Never)
+        options.maxIdle = writeMaxIdle;
+    else
+        options.progressTimeout = silenceLimit;
+    auto response = co_await attempt(client, address, request, options);
+    const bool isRepeated = repeat == Repeat::OnNewConnection && response.has_error()
+        && response.error().verdict != Verdict::NotRun && response.error().code != Errc::Malformed;
+    if (!isRepeated)
+        co_return response;
+
+    options.maxIdle = {};
+    options.progressTimeout = {};
+    auto repeated = co_await attempt(client, std::move(address), std::move(request), options);
+    if (repeated)
+        co_return repeated;
+    auto failure = repeated.error();
+    failure.verdict = join(failure.verdict, response.error().verdict);
+    co_return failure;
+}
+
+Failure unexpectedStatus(const HttpResponse& response, std::string_view operation)
+{
+    return {
+        .code = response.status / 100 == 5 ? Errc::Unavailable : Errc::Malformed,
+        .verdict = response.status == 503 ? Verdict::NotRun : Verdict::MayHaveRun,
+        .detail = std::string(operation) + ": unexpected status " + std::to_string(response.status),
+    };
+}
+
+Failure malformedAnswer(std::string_view operation, Verdict verdict)
+{
+    return {
+        .code = Errc::Malformed, .verdict = verdict, .detail = std::string(operation) + ": the answer is malformed"
+    };
+}
+
+} // namespace bulrushstack::detail
