--- /dev/null
+++ b/src/libconfig/configuration_service_test.cpp
@@ -0,0 +1,86 @@
+#include "bulrushstack/config/configuration_service.h"
+#include "bulrushstack/kernel/run_awaitable.h"
+#include "bulrushstack/net/net_services.h"
+#include "bulrushstack/platform/platform_service.h"
+#include "sample_document.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace bulrushstack;
+using namespace std::chrono_literals;
+
+namespace {
+
+Address freeAddress(boost::asio::io_context& context)
+{
+    boost::asio::ip::tcp::acceptor acceptor(context, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+    return { .host = "127.0.0.1", .port = acceptor.local_endpoint().port() };
+}
+
+/// The services of one instance up to "configuration", with a platform that cannot be reached.
+struct Instance {
+    Instance(boost::asio::io_context& context, const Clock& clock, const std::string& id)
+        : peerAddress(freeAddress(context))
+        , registry(context)
+    {
+        const auto nowhere = freeAddress(context).toString();
+        std::vector<SettingSpec> specs;
+        for (const auto& list : { runtimeSettings(), peerSettings(), platformSettings(), configurationSettings() })
+            specs.insert(specs.end(), list.begin(), list.end());
+        const auto outcome = parseSettings(specs,
+            { "--instance-id=" + id, "--zone=z", "--peer-address=" + peerAddress.toString(), "--peer-key=key",
+                "--table-service-address=" + nowhere, "--object-store-address=" + nowhere,
+                "--instance-list-address=" + nowhere },
+            {});
+        BOOST_REQUIRE_MESSAGE(outcome.settings, outcome.error);
+        const InstanceIdentity identity { .id = id, .zone = "z", .incarnation = 1 };
+        registry.add(std::make_unique<RuntimeService>(*outcome.settings, clock, identity));
+        registry.add(std::make_unique<HttpClientService>());
+        registry.add(std::make_unique<PeerMeshService>());
+        registry.add(std::make_unique<PlatformService>());
+        registry.add(std::make_unique<ConfigurationService>());
+        registry.startAll();
+    }
+
+    ConfigurationService& configuration() { return registry.find<ConfigurationService>("configuration"); }
+    bool isReady() { return registry.find<RuntimeService>("runtime").isReady(); }
+
+    Address peerAddress;
+    ServiceRegistry registry;
+};
+
+boost::asio::awaitable<void> waitForRevision(ConfigurationService& service, std::uint64_t revision)
+{
+    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
+    while (service.current()->revision() < revision) {
+        timer.expires_after(5ms);
+        co_await timer.async_wait(boost::asio::use_awaitable);
+    }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ConfigurationServices)
+
+// Guards against a peer message that one side sends and the other does not understand, and against a service whose
+// stop does not complete while the platform is unreachable. CTest ends the test if the revision never arrives.
+BOOST_AUTO_TEST_CASE(PassRevisionsOnWithoutThePlatform)
+{
+    boost::asio::io_context context;
+    SystemClock clock;
+    Instance a(context, clock, "a");
+    Instance b(context, clock, "b");
+    BOOST_TEST(!b.isReady());
+    const auto revision = Configuration::parse(sampleDocument(4)).configuration;
+    BOOST_TEST(a.configuration().offer(revision));
+    b.configuration().hearOf({ .revision = 4, .digest = revision->digest() }, a.peerAddress);
+    runAwaitable(context, waitForRevision(b.configuration(), 4));
+    BOOST_TEST(b.configuration().current()->digest() == revision->digest());
+    runAwaitable(context, a.registry.stopAll());
+    runAwaitable(context, b.registry.stopAll());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
