Add the upstream directory, routing and the session runner

The directory merges the lagging instance list, heartbeats and direct observations; a leaving mark wins until the incarnation changes. Routing chooses the shortest predicted wait among live upstreams that hold the model.

--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,9 @@
 test: build
 	ctest --test-dir $(BUILD) --output-on-failure --no-tests=error -j 2
 
+demo: build
+	testsuite/demo.py --bin $(BUILD)/bin
+
 format:
 	git ls-files '*.cpp' '*.h' | xargs clang-format -i
 
--- a/src/include/bulrushstack/config/configuration_store.h
+++ b/src/include/bulrushstack/config/configuration_store.h
@@ -81,7 +81,8 @@
     boost::asio::awaitable<ChangeOutcome> apply(ConfigurationChange change, SteadyTime deadline);
 
     /// Returns what became of a change id; an empty optional if it was not accepted.
-    boost::asio::awaitable<Result<std::optional<ConfigurationRecord>>> findChange(std::string changeId, SteadyTime deadline);
+    boost::asio::awaitable<Result<std::optional<ConfigurationRecord>>> findChange(
+        std::string changeId, SteadyTime deadline);
 
     /// Returns the newest records first.
     boost::asio::awaitable<Result<std::vector<ConfigurationRecord>>> history(std::size_t limit, SteadyTime deadline);
@@ -93,6 +94,7 @@
 };
 
 /// Returns the document with the edits applied and the revision set. Unknown kinds are reported by validation.
-nlohmann::json applyEdits(const nlohmann::json& document, const std::vector<ConfigurationEdit>& edits, std::uint64_t revision);
+nlohmann::json applyEdits(
+    const nlohmann::json& document, const std::vector<ConfigurationEdit>& edits, std::uint64_t revision);
 
 } // namespace bulrushstack
--- a/src/include/bulrushstack/execution/service_calls.h
+++ b/src/include/bulrushstack/execution/service_calls.h
@@ -37,7 +37,8 @@
 };
 
 /// Asks the instance that recorded an attempt what it knows of it: journal-query of the peer protocol.
-using JournalQuery = std::function<boost::asio::awaitable<Result<nlohmann::json>>(std::string instanceId, nlohmann::json request)>;
+using JournalQuery
+    = std::function<boost::asio::awaitable<Result<nlohmann::json>>(std::string instanceId, nlohmann::json request)>;
 
 struct ServiceCallOptions {
     std::chrono::nanoseconds progressTimeout = std::chrono::seconds(5); ///< longest silence of a service
--- a/src/include/bulrushstack/membership/directory.h
+++ b/src/include/bulrushstack/membership/directory.h
@@ -16,6 +16,7 @@
     InstanceRecord record;
     bool isReachable = true; ///< false after failed connections, until a later success
     std::uint32_t inFlight = 0; ///< requests of this instance
+    std::vector<ResidentModel> resident; ///< as last reported by this incarnation, however old the report is
     std::optional<LoadReport> load; ///< empty if unknown or expired
     std::chrono::nanoseconds loadAge {};
 
@@ -52,11 +53,15 @@
     /// Marks an instance as leaving for the given incarnation.
     void markLeaving(std::string_view id, std::uint64_t incarnation);
 
+    /// Returns the leaving members with their incarnations, in the order of their ids.
+    std::vector<std::pair<std::string, std::uint64_t>> leaving() const;
+
     /// Notes a failed or successful connection to an upstream.
     void noteConnection(std::string_view id, bool isSuccess);
 
     void noteLoad(std::string_view id, LoadReport report);
-    void noteHeartbeat(std::string_view id, std::uint64_t incarnation, InstanceState state, std::uint64_t revision, std::string digest);
+    void noteHeartbeat(std::string_view id, std::uint64_t incarnation, InstanceState state, std::uint64_t revision,
+        std::string digest);
 
     /// Counts a request of this instance on an upstream; each begin is followed by one end.
     void beginRequest(std::string_view id);
@@ -81,6 +86,8 @@
     };
 
     Member* findMember(std::string_view id);
+    bool isLeaving(const InstanceRecord& record) const;
+    InstanceRecord effectiveRecord(const Member& member) const;
 
     const Clock& m_clock;
     DirectoryOptions m_options;
--- a/src/include/bulrushstack/net/peer_mesh.h
+++ b/src/include/bulrushstack/net/peer_mesh.h
@@ -49,7 +49,7 @@
     PeerMesh(const PeerMesh&) = delete;
     PeerMesh& operator=(const PeerMesh&) = delete;
 
-    /// Registers the handler for a message type; call before start().
+    /// Registers the handler for a message type; call before the io_context runs.
     void handle(std::string type, Handler handler);
 
     /// Listens for peers. Returns the error if the address cannot be bound.
--- a/src/include/bulrushstack/routing/router.h
+++ b/src/include/bulrushstack/routing/router.h
@@ -56,6 +56,7 @@
 };
 
 /// Chooses an upstream. A pure function of its arguments.
-RouteDecision chooseUpstream(const UpstreamSnapshot& upstreams, const RouteRequest& request, const RoutingOptions& options);
+RouteDecision chooseUpstream(
+    const UpstreamSnapshot& upstreams, const RouteRequest& request, const RoutingOptions& options);
 
 } // namespace bulrushstack
--- a/src/libexecution/problem.cpp
+++ b/src/libexecution/problem.cpp
@@ -72,15 +72,9 @@
 
 } // namespace
 
-std::string_view toString(ProblemCode code)
-{
-    return kindOf(code).spelling;
-}
+std::string_view toString(ProblemCode code) { return kindOf(code).spelling; }
 
-unsigned statusOf(ProblemCode code)
-{
-    return kindOf(code).status;
-}
+unsigned statusOf(ProblemCode code) { return kindOf(code).status; }
 
 std::string problemText(const Problem& problem, std::string_view requestId)
 {
--- a/src/libexecution/retry_budget.cpp
+++ b/src/libexecution/retry_budget.cpp
@@ -10,10 +10,7 @@
 {
 }
 
-void RetryBudget::noteRequest()
-{
-    m_balance = std::min(m_options.burst, m_balance + m_options.ratio);
-}
+void RetryBudget::noteRequest() { m_balance = std::min(m_options.burst, m_balance + m_options.ratio); }
 
 bool RetryBudget::tryTake()
 {
--- a/src/libkernel/runtime.cpp
+++ b/src/libkernel/runtime.cpp
@@ -13,21 +13,20 @@
 
 void RuntimeService::start(ServiceRegistry&)
 {
-    LOG(INFO) << "event=start instance=" << m_identity.id << " zone=" << m_identity.zone << " incarnation=" << m_identity.incarnation;
+    LOG(INFO) << "event=start instance=" << m_identity.id << " zone=" << m_identity.zone
+              << " incarnation=" << m_identity.incarnation;
 }
 
 void RuntimeService::setReady(const std::string& condition, bool isReady, std::string reason)
 {
     auto [it, isNew] = m_conditions.try_emplace(condition);
     if (isNew || it->second.isReady != isReady)
-        LOG(INFO) << "event=readiness condition=" << condition << " ready=" << isReady << " reason=\"" << reason << "\"";
+        LOG(INFO) << "event=readiness condition=" << condition << " ready=" << isReady << " reason=\"" << reason
+                  << "\"";
     it->second = Condition { .isReady = isReady, .reason = std::move(reason) };
 }
 
-bool RuntimeService::isReady() const
-{
-    return unmetConditions().empty();
-}
+bool RuntimeService::isReady() const { return unmetConditions().empty(); }
 
 std::vector<std::string> RuntimeService::unmetConditions() const
 {
--- /dev/null
+++ b/src/libmembership/membership_service.cpp
@@ -0,0 +1,269 @@
+#include "bulrushstack/membership/membership_service.h"
+
+#include "bulrushstack/config/configuration_service.h"
+#include "bulrushstack/engine/engine_service.h"
+#include "bulrushstack/net/net_services.h"
+#include "bulrushstack/platform/platform_service.h"
+#include "heartbeat.h"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <glog/logging.h>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <random>
+#include <set>
+
+namespace bulrushstack {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Metrics of the membership service.
+struct Metrics {
+    explicit Metrics(prometheus::Registry& registry)
+        : polls(prometheus::BuildCounter().Name("bulrush_membership_polls_total").Help("Readings of lists, load reports and heartbeats").Register(registry))
+        , members(prometheus::BuildGauge().Name("bulrush_members").Help("Known instances by role and state").Register(registry))
+    {
+    }
+
+    void count(const char* kind, bool isSuccess)
+    {
+        polls.Add({ { "kind", kind }, { "result", isSuccess ? "success" : "failure" } }).Increment();
+    }
+
+    prometheus::Family<prometheus::Counter>& polls;
+    prometheus::Family<prometheus::Gauge>& members;
+};
+
+} // namespace
+
+struct MembershipService::State : std::enable_shared_from_this<MembershipService::State> {
+    using Loop = asio::awaitable<void> (State::*)();
+
+    State(ServiceRegistry& services, RuntimeService& runtimeService)
+        : runtime(runtimeService)
+        , platform(services.find<PlatformService>("platform"))
+        , engines(services.find<UpstreamProtocolService>("upstream-protocols").engines())
+        , mesh(services.find<PeerMeshService>("peers").mesh())
+        , configuration(services.find<ConfigurationService>("configuration"))
+        , context(services.context())
+        , directory(runtime.clock(), DirectoryOptions())
+        , metrics(runtime.metrics())
+    {
+    }
+
+    void spawn(Loop loop, const char* interval);
+    asio::awaitable<void> repeat(Loop loop, std::chrono::nanoseconds interval);
+    asio::awaitable<void> readRoster();
+    asio::awaitable<void> readLoads();
+    asio::awaitable<void> readLoad(InstanceRecord record);
+    asio::awaitable<void> sendHeartbeats();
+    asio::awaitable<void> sendHeartbeat(PeerView peer);
+    Heartbeat ownHeartbeat() const;
+    void take(const Heartbeat& heartbeat);
+    void noteMembers();
+
+    RuntimeService& runtime;
+    PlatformService& platform;
+    ModelEngine& engines;
+    PeerMesh& mesh;
+    ConfigurationService& configuration;
+    asio::io_context& context;
+    Directory directory;
+    Metrics metrics;
+    std::set<asio::steady_timer*> timers;
+    std::set<std::string> pending; ///< ids of members with a question that is not answered yet
+    std::set<std::pair<std::string, std::uint64_t>> loggedLeaving;
+    std::minstd_rand random { std::random_device()() };
+    bool isLeaving = false;
+    bool isStopped = false;
+};
+
+void MembershipService::State::spawn(Loop loop, const char* interval)
+{
+    asio::co_spawn(context, repeat(loop, runtime.settings().duration(interval)), asio::detached);
+}
+
+asio::awaitable<void> MembershipService::State::repeat(Loop loop, std::chrono::nanoseconds interval)
+{
+    auto self = shared_from_this();
+    asio::steady_timer timer(context);
+    timers.insert(&timer);
+    // Jitter keeps instances that started together from polling at the same moments.
+    std::uniform_real_distribution<double> jitter(0.9, 1.1);
+    while (!isStopped) {
+        co_await (this->*loop)();
+        if (isStopped)
+            break;
+        timer.expires_after(std::chrono::duration_cast<std::chrono::nanoseconds>(interval * jitter(random)));
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    timers.erase(&timer);
+}
+
+asio::awaitable<void> MembershipService::State::readRoster()
+{
+    static constexpr std::chrono::seconds rosterTimeout { 2 };
+    auto records = co_await platform.instances().list(runtime.clock().now() + rosterTimeout);
+    metrics.count("roster", records.has_value());
+    if (!records) {
+        LOG_EVERY_N(WARNING, 20) << "event=roster-failed error=\"" << records.error().detail << "\"";
+        if (directory.rosterAge() == std::chrono::nanoseconds::max())
+            runtime.setReady("membership", false, "the instance list was not read yet");
+        co_return;
+    }
+    directory.updateRoster(*records);
+    runtime.setReady("membership", true);
+    noteMembers();
+}
+
+void MembershipService::State::noteMembers()
+{
+    for (const auto& it : directory.leaving()) {
+        if (loggedLeaving.insert(it).second)
+            LOG(INFO) << "event=leaving member=" << it.first << " incarnation=" << it.second;
+    }
+    const auto upstreams = directory.upstreams();
+    for (auto role : { InstanceRole::Engine, InstanceRole::Service }) {
+        for (auto state : { InstanceState::Live, InstanceState::Leaving }) {
+            const auto n = std::count_if(upstreams.begin(), upstreams.end(),
+                [&](const UpstreamView& view) { return view.record.role == role && view.record.state == state; });
+            metrics.members.Add({ { "role", std::string(toString(role)) }, { "state", std::string(toString(state)) } }).Set(static_cast<double>(n));
+        }
+    }
+}
+
+asio::awaitable<void> MembershipService::State::readLoads()
+{
+    for (const auto& it : directory.upstreams()) {
+        if (it.record.role == InstanceRole::Engine && !pending.contains(it.record.id))
+            asio::co_spawn(context, readLoad(it.record), asio::detached);
+    }
+    co_return;
+}
+
+asio::awaitable<void> MembershipService::State::readLoad(InstanceRecord record)
+{
+    static constexpr std::chrono::seconds loadTimeout { 1 };
+    auto self = shared_from_this();
+    pending.insert(record.id);
+    auto report = co_await engines.loadReport(record.address, runtime.clock().now() + loadTimeout);
+    pending.erase(record.id);
+    metrics.count("load", report.has_value());
+    directory.noteConnection(record.id, report.has_value());
+    if (report)
+        directory.noteLoad(record.id, std::move(*report));
+}
+
+Heartbeat MembershipService::State::ownHeartbeat() const
+{
+    const auto current = configuration.current();
+    Heartbeat heartbeat;
+    heartbeat.from = runtime.identity().id;
+    heartbeat.incarnation = runtime.identity().incarnation;
+    heartbeat.zone = runtime.identity().zone;
+    heartbeat.state = isLeaving ? InstanceState::Leaving : InstanceState::Live;
+    heartbeat.revision = current->revision();
+    heartbeat.digest = current->digest();
+    heartbeat.leaving = directory.leaving();
+    return heartbeat;
+}
+
+asio::awaitable<void> MembershipService::State::sendHeartbeats()
+{
+    const auto selected = selectHeartbeatPeers(directory.peers(), runtime.identity().id);
+    for (const auto& it : selected) {
+        if (!pending.contains(it.record.id))
+            asio::co_spawn(context, sendHeartbeat(it), asio::detached);
+    }
+    co_return;
+}
+
+asio::awaitable<void> MembershipService::State::sendHeartbeat(PeerView peer)
+{
+    static constexpr std::chrono::milliseconds heartbeatTimeout { 1000 };
+    auto self = shared_from_this();
+    pending.insert(peer.record.id);
+    const Address address { .host = peer.record.address.host, .port = peer.record.peerPort };
+    auto reply = co_await mesh.request(address, toJson(ownHeartbeat()), heartbeatTimeout);
+    pending.erase(peer.record.id);
+    if (isStopped)
+        co_return;
+    auto heartbeat = reply ? parseHeartbeat(*reply) : std::nullopt;
+    metrics.count("heartbeat", heartbeat.has_value());
+    if (heartbeat)
+        take(*heartbeat);
+}
+
+void MembershipService::State::take(const Heartbeat& heartbeat)
+{
+    directory.noteHeartbeat(heartbeat.from, heartbeat.incarnation, heartbeat.state, heartbeat.revision, heartbeat.digest);
+    for (const auto& [id, incarnation] : heartbeat.leaving)
+        directory.markLeaving(id, incarnation);
+    if (heartbeat.revision <= configuration.current()->revision())
+        return;
+    for (const auto& peer : directory.peers()) {
+        if (peer.record.id != heartbeat.from)
+            continue;
+        const Address address { .host = peer.record.address.host, .port = peer.record.peerPort };
+        configuration.hearOf({ .revision = heartbeat.revision, .digest = heartbeat.digest }, address);
+    }
+}
+
+MembershipService::MembershipService() = default;
+MembershipService::~MembershipService() = default;
+
+void MembershipService::start(ServiceRegistry& registry)
+{
+    auto& runtime = registry.find<RuntimeService>("runtime");
+    m_state = std::make_shared<State>(registry, runtime);
+    runtime.setReady("membership", false, "the instance list was not read yet");
+    m_state->mesh.handle("heartbeat", [weak = std::weak_ptr(m_state)](const nlohmann::json& request) -> nlohmann::json {
+        auto state = weak.lock();
+        auto heartbeat = parseHeartbeat(request);
+        if (!state || !heartbeat)
+            return { { "error", "malformed heartbeat" } };
+        state->take(*heartbeat);
+        return toJson(state->ownHeartbeat());
+    });
+    m_state->spawn(&State::readRoster, "roster-poll-interval");
+    m_state->spawn(&State::readLoads, "load-poll-interval");
+    m_state->spawn(&State::sendHeartbeats, "heartbeat-interval");
+}
+
+asio::awaitable<void> MembershipService::stop()
+{
+    m_state->isStopped = true;
+    for (auto* it : m_state->timers)
+        it->cancel();
+    co_return;
+}
+
+Directory& MembershipService::directory()
+{
+    return m_state->directory;
+}
+
+void MembershipService::announceLeaving()
+{
+    m_state->isLeaving = true;
+    LOG(INFO) << "event=announce-leaving instance=" << m_state->runtime.identity().id;
+    asio::co_spawn(m_state->context, m_state->sendHeartbeats(), asio::detached);
+}
+
+std::vector<SettingSpec> membershipSettings()
+{
+    return {
+        { .name = "roster-poll-interval", .kind = SettingKind::Duration, .defaultValue = "500ms", .help = "time between readings of the instance list", .minimum = "10ms", .maximum = "1m" },
+        { .name = "load-poll-interval", .kind = SettingKind::Duration, .defaultValue = "500ms", .help = "time between readings of an engine's load report", .minimum = "10ms", .maximum = "1m" },
+        { .name = "heartbeat-interval", .kind = SettingKind::Duration, .defaultValue = "500ms", .help = "time between heartbeats to a peer", .minimum = "10ms", .maximum = "1m" },
+    };
+}
+
+} // namespace bulrushstack
--- a/src/libnet/net_services.cpp
+++ b/src/libnet/net_services.cpp
@@ -24,7 +24,8 @@
         options.keys.push_back(settings.text("peer-key-previous"));
     m_mesh = std::make_unique<PeerMesh>(registry.context(), std::move(options));
     if (auto ec = m_mesh->start())
-        throw std::runtime_error("cannot listen on --peer-address " + settings.address("peer-address").toString() + ": " + ec.message());
+        throw std::runtime_error(
+            "cannot listen on --peer-address " + settings.address("peer-address").toString() + ": " + ec.message());
     LOG(INFO) << "event=listen port=peers address=" << settings.address("peer-address").toString();
 }
 
@@ -37,9 +38,19 @@
 std::vector<SettingSpec> peerSettings()
 {
     return {
-        { .name = "peer-address", .kind = SettingKind::Address, .help = "where other instances reach this one", .required = true },
-        { .name = "peer-key", .kind = SettingKind::Text, .help = "secret shared by all instances", .required = true, .secret = true },
-        { .name = "peer-key-previous", .kind = SettingKind::Text, .help = "second accepted secret during a key rotation", .secret = true },
+        { .name = "peer-address",
+            .kind = SettingKind::Address,
+            .help = "where other instances reach this one",
+            .required = true },
+        { .name = "peer-key",
+            .kind = SettingKind::Text,
+            .help = "secret shared by all instances",
+            .required = true,
+            .secret = true },
+        { .name = "peer-key-previous",
+            .kind = SettingKind::Text,
+            .help = "second accepted secret during a key rotation",
+            .secret = true },
     };
 }
 
--- a/src/libplatform/testing/memory_platform.h
+++ b/src/libplatform/testing/memory_platform.h
@@ -48,7 +48,9 @@
         if (kind == FakeFault::LostAnswer)
             co_return failureOf(kind);
         if (!version)
-            co_return Failure { .code = Errc::Conflict, .verdict = Verdict::NotRun, .detail = "a condition does not hold" };
+            co_return Failure {
+                .code = Errc::Conflict, .verdict = Verdict::NotRun, .detail = "a condition does not hold"
+            };
         co_return *version;
     }
 
@@ -58,10 +60,12 @@
         return it == m_rows.end() ? std::nullopt : std::optional(it->second);
     }
 
-    std::vector<Row> range(const std::string& table, const std::string& prefix, const std::string& after, std::size_t limit) const
+    std::vector<Row> range(
+        const std::string& table, const std::string& prefix, const std::string& after, std::size_t limit) const
     {
         std::vector<Row> out;
-        for (auto it = m_rows.lower_bound({ table, std::max(prefix, after) }); it != m_rows.end() && out.size() < limit; ++it) {
+        for (auto it = m_rows.lower_bound({ table, std::max(prefix, after) }); it != m_rows.end() && out.size() < limit;
+             ++it) {
             if (it->first.table != table || !it->first.key.starts_with(prefix))
                 break;
             if (it->first.key > after || after.empty())
--- /dev/null
+++ b/src/librouting/router.cpp
@@ -0,0 +1,104 @@
+#include "bulrushstack/routing/router.h"
+
+#include <algorithm>
+#include <optional>
+#include <xxhash.h>
+
+namespace bulrushstack {
+
+namespace {
+
+/// Typical length of an answer; converts a number of requests ahead into seconds.
+constexpr double tokensPerRequest = 64;
+
+/// Assumed speed of an engine that reports none.
+constexpr double assumedTokensPerSecond = 1000;
+
+/// Time of one call of a plain service ahead of this one, in seconds.
+constexpr double secondsPerServiceCall = 0.005;
+
+/// What a request gains on the upstream that probably holds its prompt prefix, in seconds.
+constexpr double affinityBonus = 0.05;
+
+bool serves(const UpstreamView& view, const RouteRequest& request)
+{
+    if (view.record.role != request.role || view.record.state != InstanceState::Live)
+        return false;
+    if (request.role == InstanceRole::Service)
+        return view.record.service == request.service;
+    return std::any_of(view.resident.begin(), view.resident.end(),
+        [&](const ResidentModel& it) { return it.model == request.model && it.state == ResidentState::Ready; });
+}
+
+std::uint32_t limitFor(const RouteRequest& request, const RoutingOptions& options)
+{
+    const bool isReduced = request.urgency == Urgency::Batch && options.concurrencyLimit > options.batchReserve;
+    return isReduced ? options.concurrencyLimit - options.batchReserve : options.concurrencyLimit;
+}
+
+std::uint64_t affinityRank(const UpstreamView& view, const RouteRequest& request)
+{
+    const std::string pair = request.affinityKey + "/" + view.record.id;
+    return XXH3_64bits(pair.data(), pair.size());
+}
+
+double predictedSeconds(const UpstreamView& view, const RouteRequest& request, const RoutingOptions& options)
+{
+    const double zone = view.record.zone == request.zone ? 0 : std::chrono::duration<double>(options.zonePenalty).count();
+    if (request.role == InstanceRole::Service)
+        return zone + view.inFlight * secondsPerServiceCall;
+    // A report lags, so it may not show this instance's own requests yet.
+    const double reported = view.load ? static_cast<double>(view.load->queued + view.load->running) : 0;
+    const double ahead = std::max<double>(reported, view.inFlight);
+    const double speed = view.load && view.load->tokensPerSecond > 0 ? view.load->tokensPerSecond : assumedTokensPerSecond;
+    return zone + ahead * tokensPerRequest / speed;
+}
+
+struct Candidate {
+    const UpstreamView* view = nullptr;
+    double score = 0;
+    std::uint64_t rank = 0;
+};
+
+bool isBetter(const Candidate& a, const Candidate& b)
+{
+    return a.score != b.score ? a.score < b.score : a.rank > b.rank;
+}
+
+} // namespace
+
+RouteDecision chooseUpstream(const UpstreamSnapshot& upstreams, const RouteRequest& request, const RoutingOptions& options)
+{
+    NoRoute none;
+    std::vector<Candidate> candidates;
+    // The reason for no route is that of the candidate that came furthest, in the order of the enumeration.
+    auto reject = [&](NoRouteReason reason) { none.reason = std::max(none.reason, reason); };
+    for (const auto& view : upstreams) {
+        if (!serves(view, request))
+            continue;
+        if (request.excluded.contains(view.record.id))
+            reject(NoRouteReason::AllExcluded);
+        else if (!view.isReachable)
+            reject(NoRouteReason::AllUnreachable);
+        else if (view.inFlight >= limitFor(request, options))
+            reject(NoRouteReason::AllFull);
+        else
+            candidates.push_back({ .view = &view, .score = predictedSeconds(view, request, options), .rank = affinityRank(view, request) });
+    }
+    if (candidates.empty())
+        return none;
+    if (!request.affinityKey.empty()) {
+        auto preferred = std::max_element(candidates.begin(), candidates.end(),
+            [](const Candidate& a, const Candidate& b) { return a.rank < b.rank; });
+        preferred->score -= affinityBonus;
+    }
+    const auto best = std::min_element(candidates.begin(), candidates.end(), isBetter);
+    return Route {
+        .upstreamId = best->view->record.id,
+        .address = best->view->record.address,
+        .incarnation = best->view->record.incarnation,
+        .score = best->score,
+    };
+}
+
+} // namespace bulrushstack
--- /dev/null
+++ b/testsuite/demo.py
@@ -0,0 +1,80 @@
+#!/usr/bin/env python3
+"""Starts a platform, engines, a plain service and three instances, runs a few requests and shows who did what."""
+
+import argparse
+import os
+import pathlib
+import sys
+import tempfile
+
+ROOT = pathlib.Path(__file__).resolve().parent
+sys.path.insert(0, str(ROOT / "lib"))
+
+from deployment import Deployment  # noqa: E402
+from transcript import Transcript  # noqa: E402
+
+ZONES = ["zg-1", "st-1", "ri-1"]
+MODELS = ["libretto-7b:1:14", "tosca-lora:1:1", "aida-lora:1:1"]
+
+
+class Printer(Transcript):
+    """Prints each line when it is said."""
+
+    def say(self, text):
+        before = len(self.lines)
+        super().say(text)
+        print("\n".join(self.lines[before:]), flush=True)
+
+
+def show_logs(script, members):
+    script.section("what each process did")
+    for name, member in members.items():
+        if not member.fault_address:
+            continue
+        entries = member.log()
+        script.say(f"{name}: {len(entries)} log entries")
+        for entry in entries[-4:]:
+            script.say("  " + ", ".join(f"{key}={entry[key]}" for key in ("event", "model", "method", "path", "key") if key in entry))
+
+
+def run(folder):
+    script = Printer()
+    with Deployment(folder) as deployment:
+        script.section("start: platform, three engines, a plain service, three instances")
+        deployment.start_platform()
+        for number, zone in enumerate(ZONES):
+            deployment.start_engine(f"engine-{number}", zone, MODELS, tokens_per_second=500)
+            deployment.start_instance(f"entry-{number}", zone)
+        deployment.start_service("cues", "cue-board", ZONES)
+        names = [f"entry-{n}" for n in range(3)]
+        deployment.wait_ready(*names)
+        script.control(deployment, "entry-0", "config", "apply", str(ROOT / "opera-evening" / "deployment.json"), "--wait")
+        deployment.wait_routable("libretto-7b", "tosca-lora", "aida-lora")
+        script.control(deployment, "entry-2", "status")
+        entries = [deployment.members[name].address for name in names]
+
+        script.section("a chat through the first instance")
+        chat = {"model": "tosca-lora", "max_tokens": 12, "seed": 7, "messages": [{"role": "user", "content": "Act two, line 12"}]}
+        script.call("caller", entries[0], "POST", "/v1/chat/completions", "zagreb-token", chat)
+        script.section("a stream through the second")
+        stream = {"model": "tosca-lora", "max_tokens": 12, "seed": 7, "stream": True, "prompt": "Shorter, please"}
+        script.stream("caller", entries[1], "/v1/completions", "zagreb-token", stream, Bulrush_Urgency="live")
+        script.section("a call that may run only once, and its resend through another instance")
+        for entry in entries[:2]:
+            script.call("caller", entry, "POST", "/services/cue-board/cues/12", "zagreb-token", {"line": "I lived for art"}, Idempotency_Key="act2-12")
+        show_logs(script, deployment.members)
+        script.section("graceful stop")
+        for name in names:
+            script.say(f"{name}: exit status {deployment.members[name].process.terminate()}")
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--bin", required=True, help="folder of the built programs")
+    arguments = parser.parse_args()
+    os.environ["BULRUSH_TEST_BIN"] = arguments.bin
+    with tempfile.TemporaryDirectory(prefix="bulrush-demo-") as folder:
+        run(folder)
+
+
+main()
--- /dev/null
+++ b/testsuite/lib/deployment.py
@@ -0,0 +1,158 @@
+"""A deployment of stand-ins and instances on the loopback address, as a session sees it."""
+
+import json
+import pathlib
+import subprocess
+import time
+
+import http_client as http
+from processes import HOST, Process, binary, free_port, wait_until
+
+OPERATOR_TOKEN = "operator-secret"
+PEER_KEY = "peer-secret"
+
+
+class Member:
+    """A process with its ports."""
+
+    def __init__(self, process, listen_port, fault_port=None, operator_port=None, peer_port=None):
+        self.process = process
+        self.address = (HOST, listen_port)
+        self.fault_address = (HOST, fault_port) if fault_port else None
+        self.operator_address = (HOST, operator_port) if operator_port else None
+        self.peer_port = peer_port
+
+    def fault(self, point, action, count=1, delay_ms=0, match=""):
+        """Arms a fault of a stand-in."""
+        document = {"point": point, "action": action, "count": count, "delay_ms": delay_ms, "match": match}
+        answer = http.call(self.fault_address, "POST", "/faults", document)
+        if answer.status != 200:
+            raise RuntimeError(f"fault refused: {answer.body}")
+
+    def clear_faults(self):
+        http.call(self.fault_address, "DELETE", "/faults")
+
+    def log(self):
+        """Returns the execution log of a stand-in."""
+        answer = http.call(self.fault_address, "GET", "/log")
+        return [json.loads(line) for line in answer.body.splitlines()]
+
+
+class Deployment:
+    """Starts and stops everything; use it as a context manager."""
+
+    def __init__(self, folder):
+        self.folder = pathlib.Path(folder)
+        self.folder.mkdir(parents=True, exist_ok=True)
+        for it in self.folder.glob("*.log"):
+            it.unlink()
+        self.platform = None
+        self.members = {}
+        self.records = {}
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        for it in reversed(list(self.members.values())):
+            if it.process.is_running():
+                it.process.kill()
+
+    def _start(self, name, program, listen_port, **flags):
+        flags = {"listen_address": f"{HOST}:{listen_port}", **flags}
+        return Process(name, program, flags, self.folder)
+
+    def _start_standin(self, name, program, **flags):
+        listen, fault = free_port(), free_port()
+        process = self._start(name, program, listen, fault_address=f"{HOST}:{fault}", **flags)
+        member = Member(process, listen, fault_port=fault)
+        self.members[name] = member
+        wait_until(lambda: http.call(member.fault_address, "GET", "/log").status == 200, f"start of {name}")
+        return member
+
+    def start_platform(self, **flags):
+        self.platform = self._start_standin("platform", "standin_platform", **flags)
+        return self.platform
+
+    def register(self, name, **changes):
+        """Adds or changes a record of the platform's instance list."""
+        record = self.records.setdefault(name, {"id": name, "state": "live", "incarnation": 1, "checks_fencing": False})
+        record.update(changes)
+        answer = http.call(self.platform.fault_address, "PUT", f"/instances/{name}", record)
+        if answer.status != 200:
+            raise RuntimeError(f"registration refused: {answer.status} {answer.body}")
+
+    def unregister(self, name):
+        http.call(self.platform.fault_address, "DELETE", f"/instances/{name}")
+
+    def start_engine(self, name, zone, models, incarnation=1, **flags):
+        """`models` are id:version:bytes."""
+        member = self._start_standin(
+            name, "standin_engine", model=",".join(models), incarnation=incarnation, report_lag="10ms", **flags)
+        self.register(name, role="engine", host=HOST, port=member.address[1], zone=zone, incarnation=incarnation)
+        return member
+
+    def start_service(self, name, service, zones, **flags):
+        """Starts one process and registers it once for each availability zone, like workers that share a database."""
+        member = self._start_standin(name, "standin_service", service=service, **flags)
+        for number, zone in enumerate(zones):
+            self.register(f"{name}-{number}", role="service", service=service, host=HOST, port=member.address[1], zone=zone)
+        return member
+
+    def start_instance(self, name, zone, **flags):
+        """Starts bulrushd; does not wait until it is ready."""
+        old = self.members.get(name)
+        if old:
+            listen, operator, peer = old.address[1], old.operator_address[1], old.peer_port
+        else:
+            listen, operator, peer = free_port(), free_port(), free_port()
+        platform = f"{HOST}:{self.platform.address[1]}"
+        settings = {
+            "instance_id": name, "zone": zone,
+            "operator_address": f"{HOST}:{operator}", "operator_token": OPERATOR_TOKEN,
+            "peer_address": f"{HOST}:{peer}", "peer_key": PEER_KEY,
+            "table_service_address": platform, "object_store_address": platform, "instance_list_address": platform,
+            "roster_poll_interval": "50ms", "load_poll_interval": "50ms", "heartbeat_interval": "50ms",
+            "configuration_poll_interval": "50ms", "drain_delay": "100ms",
+        }
+        settings.update(flags)
+        process = self._start(name, "bulrushd", listen, **settings)
+        member = Member(process, listen, operator_port=operator, peer_port=peer)
+        self.members[name] = member
+        self.register(name, role="entry", host=HOST, port=listen, peer_port=peer, zone=zone)
+        return member
+
+    def wait_ready(self, *names):
+        for name in names:
+            address = self.members[name].address
+            wait_until(lambda: http.call(address, "GET", "/readyz").status == 200, f"{name} ready")
+
+    def wait_routable(self, *models):
+        """Waits until every running instance has heard that each model is ready on some upstream."""
+        def knows():
+            for member in self.members.values():
+                if not member.operator_address or not member.process.is_running():
+                    continue
+                held = set()
+                for upstream in self.status(member).get("upstreams", []):
+                    held.update(upstream["models"])
+                if not set(models) <= held:
+                    return False
+            return True
+        wait_until(knows, f"models {models} routable")
+
+    def status(self, member):
+        headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+        answer = http.call(member.operator_address, "GET", "/operator/v1/status", headers=headers)
+        return answer.json() if answer.status == 200 else {}
+
+    def control(self, instance, *words, stdin=None):
+        """Runs bulrushctl against an instance; returns exit status, output and errors."""
+        host, port = self.members[instance].operator_address
+        command = [binary("bulrushctl"), f"--address={host}:{port}", f"--token={OPERATOR_TOKEN}", *words]
+        done = subprocess.run(command, input=stdin, capture_output=True, text=True, timeout=60, check=False)
+        return done.returncode, done.stdout, done.stderr
+
+    def pause_for(self, seconds):
+        """Lets real time pass where a session is about real time."""
+        time.sleep(seconds)
--- /dev/null
+++ b/testsuite/lib/processes.py
@@ -0,0 +1,103 @@
+"""Starts and stops the processes of a session and hands out free ports on the loopback address."""
+
+import fcntl
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+
+HOST = "127.0.0.1"
+# Below the range of ephemeral ports, so that no outgoing connection takes a port between choice and use.
+FIRST_PORT = 20000
+LAST_PORT = 29999
+START_TIMEOUT = 30.0  # seconds
+STOP_TIMEOUT = 60.0  # seconds
+
+
+def free_port():
+    """Returns a port that no other session of this machine was given lately."""
+    path = pathlib.Path(tempfile.gettempdir()) / "bulrushstack-test-ports"
+    with open(path, "a+") as file:
+        fcntl.flock(file, fcntl.LOCK_EX)
+        file.seek(0)
+        text = file.read().strip()
+        port = int(text) if text.isdigit() else FIRST_PORT
+        while True:
+            port = port + 1 if port < LAST_PORT else FIRST_PORT
+            with socket.socket() as probe:
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                try:
+                    probe.bind((HOST, port))
+                except OSError:
+                    continue
+            file.seek(0)
+            file.truncate()
+            file.write(str(port))
+            return port
+
+
+def binary(name):
+    """Returns the path of a built program; BULRUSH_TEST_BIN names the folder."""
+    return str(pathlib.Path(os.environ["BULRUSH_TEST_BIN"]) / name)
+
+
+class Process:
+    """One running program with its log file."""
+
+    def __init__(self, name, program, flags, folder):
+        self.name = name
+        self.log_path = pathlib.Path(folder) / f"{name}.log"
+        words = [binary(program)] + [f"--{key.replace('_', '-')}={value}" for key, value in flags.items()]
+        environment = {k: v for k, v in os.environ.items() if not k.startswith("BULRUSH_")}
+        with open(self.log_path, "ab") as log:
+            self.child = subprocess.Popen(words, stdout=log, stderr=log, stdin=subprocess.DEVNULL, env=environment)
+
+    @property
+    def pid(self):
+        return self.child.pid
+
+    def is_running(self):
+        return self.child.poll() is None
+
+    def send(self, number):
+        """Sends a signal if the process still runs."""
+        if self.is_running():
+            self.child.send_signal(number)
+
+    def pause(self):
+        self.send(signal.SIGSTOP)
+
+    def resume(self):
+        self.send(signal.SIGCONT)
+
+    def kill(self):
+        """Ends the process at once."""
+        self.send(signal.SIGKILL)
+        self.child.wait()
+
+    def terminate(self):
+        """Asks the process to stop and returns its exit status."""
+        self.send(signal.SIGTERM)
+        self.resume()
+        return self.wait()
+
+    def wait(self):
+        """Returns the exit status; kills a process that does not stop in time."""
+        try:
+            return self.child.wait(STOP_TIMEOUT)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            raise RuntimeError(f"{self.name} did not stop; see {self.log_path}") from None
+
+
+def wait_until(condition, what, timeout=START_TIMEOUT, interval=0.02):
+    """Polls until the condition is true; raises RuntimeError that says what was awaited."""
+    end = time.monotonic() + timeout
+    while time.monotonic() < end:
+        if condition():
+            return
+        time.sleep(interval)
+    raise RuntimeError(f"timed out: {what}")
--- /dev/null
+++ b/testsuite/lib/transcript.py
@@ -0,0 +1,103 @@
+"""Prints the transcript of a session, with ids, digests and clock readings replaced by fixed words."""
+
+import hashlib
+import json
+import re
+
+import http_client as http
+
+REPLACEMENTS = [
+    (re.compile(r"\b[0-9a-f]{64}\b"), "<digest>"),
+    (re.compile(r"\b[0-9a-f]{32}\b"), "<id>"),
+    (re.compile(r"\b\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d(\.\d+)?Z"), "<time>"),
+]
+
+
+def normalise(text):
+    for pattern, word in REPLACEMENTS:
+        text = pattern.sub(word, text)
+    return text
+
+
+class Transcript:
+    """Calls of callers and operators, printed in order."""
+
+    def __init__(self):
+        self.lines = []
+
+    def say(self, text):
+        self.lines.extend(normalise(text).rstrip("\n").split("\n"))
+
+    def section(self, title):
+        self.say(("\n" if self.lines else "") + f"== {title}")
+
+    def call(self, who, address, method, target, token=None, body=None, **headers):
+        """Sends a request and prints it with its answer."""
+        fields = {name.replace("_", "-"): value for name, value in headers.items()}
+        if token:
+            fields["Authorization"] = f"Bearer {token}"
+        answer = http.call(address, method, target, body, fields)
+        shown = "".join(f" {name}={value}" for name, value in sorted(fields.items()) if name != "Authorization")
+        self.say(f"{who}> {method} {target}{shown}")
+        verdict = answer.headers.get("bulrush-verdict")
+        retry = answer.headers.get("retry-after")
+        suffix = (f" verdict={verdict}" if verdict else "") + (f" retry-after={retry}" if retry else "")
+        self.say(f"  {answer.status}{suffix} {self.shorten(answer)}")
+        return answer
+
+    @staticmethod
+    def shorten(answer):
+        """Shows the message of a completion by its length and digest, anything else as it is."""
+        try:
+            document = json.loads(answer.body)
+        except ValueError:
+            return answer.body.strip()
+        if isinstance(document, dict) and document.get("choices"):
+            text = json.dumps(document["choices"], sort_keys=True)
+            return f"model={document.get('model')} choices={len(document['choices'])} text={fingerprint(text)}"
+        return json.dumps(document, sort_keys=True)
+
+    def stream(self, who, address, target, token, body, **headers):
+        """Reads a whole stream and prints what came; returns the concatenated data."""
+        fields = {name.replace("_", "-"): value for name, value in headers.items()}
+        fields["Authorization"] = f"Bearer {token}"
+        stream = http.Stream(address, target, body, fields)
+        events = list(stream.events())
+        stream.close()
+        self.say(f"{who}> POST {target} (stream)")
+        ids = [it.id for it in events if it.id]
+        is_ordered = ids == [str(n) for n in range(len(ids))]
+        end = events[-1].data if events and not events[-1].id else "none"
+        text = "".join(content(it.data) for it in events if it.id)
+        self.say(f"  {stream.status} events={len(ids)} ordered={is_ordered} end={end} text={fingerprint(text)}")
+        return text
+
+    def control(self, deployment, instance, *words, stdin=None):
+        """Runs bulrushctl and prints its output."""
+        status, output, errors = deployment.control(instance, *words, stdin=stdin)
+        self.say(f"operator> bulrushctl {' '.join(words)}")
+        for line in (output + errors).splitlines():
+            self.say(f"  {line}")
+        self.say(f"  exit status {status}")
+        return status
+
+    def executions(self, title, members, fields):
+        """Prints the merged execution logs of stand-ins, without which of them did what."""
+        rows = [{k: entry[k] for k in fields if k in entry} for member in members for entry in member.log()]
+        self.section(title)
+        for row in sorted(json.dumps(it, sort_keys=True) for it in rows):
+            self.say(row)
+
+    def text(self):
+        return "\n".join(self.lines) + "\n"
+
+
+def fingerprint(text):
+    """Names a text by its length and the beginning of its digest."""
+    return f"{len(text)}:{hashlib.sha256(text.encode()).hexdigest()[:8]}"
+
+
+def content(data):
+    """Returns the text of one event of a completion stream."""
+    choice = json.loads(data)["choices"][0]
+    return choice.get("text") or choice.get("delta", {}).get("content") or ""
--- /dev/null
+++ b/testsuite/opera-evening/run.py
@@ -0,0 +1,88 @@
+"""A rehearsal, an overnight batch and a performance of two houses on one platform of three availability zones.
+
+Guards against: an answer, model or cue of one house that reaches another; a cue that is published twice by a resend;
+a stream with missing, repeated or unmarked events.
+"""
+
+import pathlib
+
+from deployment import Deployment
+from transcript import Transcript
+
+ZONES = ["zg-1", "st-1", "ri-1"]
+MODELS = ["libretto-7b:1:14", "tosca-lora:1:1", "aida-lora:1:1"]
+HERE = pathlib.Path(__file__).parent
+
+
+def start(deployment):
+    deployment.start_platform()
+    for number, zone in enumerate(ZONES):
+        deployment.start_engine(f"drafting-{number}", zone, MODELS, tokens_per_second=5000)
+        deployment.start_instance(f"entry-{number}", zone)
+    deployment.start_service("cues", "cue-board", ZONES)
+    deployment.wait_ready("entry-0", "entry-1", "entry-2")
+
+
+def configure(script, deployment):
+    script.section("the operator applies the configuration and sees it in force")
+    script.control(deployment, "entry-0", "config", "apply", str(HERE / "deployment.json"), "--wait", "--output=json")
+    script.control(deployment, "entry-1", "team", "list", "--output=json")
+    deployment.wait_routable("libretto-7b", "tosca-lora", "aida-lora")
+
+
+def rehearse(script, entries):
+    script.section("rehearsal in Zagreb")
+    script.call("zagreb", entries[0], "GET", "/v1/models", "zagreb-token")
+    draft = {"model": "tosca-lora", "max_tokens": 12, "seed": 7, "messages": [{"role": "user", "content": "Vissi d'arte, line 1"}]}
+    script.call("zagreb", entries[0], "POST", "/v1/chat/completions", "zagreb-token", draft)
+    script.call("zagreb", entries[1], "POST", "/v1/chat/completions", "zagreb-token", draft)
+    script.section("overnight batch in Split")
+    batch = {"model": "aida-lora", "max_tokens": 20, "seed": 7, "prompt": "Ritorna vincitor, all lines"}
+    script.call("split", entries[2], "POST", "/v1/completions", "split-token", batch, Bulrush_Urgency="batch")
+    script.section("performance in Zagreb: a short rephrasing as a stream")
+    phrase = {"model": "tosca-lora", "max_tokens": 6, "seed": 7, "stream": True, "prompt": "Shorter, please"}
+    script.stream("zagreb", entries[0], "/v1/completions", "zagreb-token", phrase, Bulrush_Urgency="live", Bulrush_Deadline="15s")
+
+
+def publish(script, entries):
+    script.section("a cue is published once, whatever is sent again")
+    cue = {"line": "I lived for art"}
+    for entry in entries:
+        script.call("zagreb", entry, "POST", "/services/cue-board/cues/12", "zagreb-token", cue, Idempotency_Key="act2-12")
+    script.call("zagreb", entries[0], "POST", "/services/cue-board/cues/12", "zagreb-token", {"line": "other"}, Idempotency_Key="act2-12")
+    script.call("zagreb", entries[0], "POST", "/services/cue-board/cues/13", "zagreb-token", cue)
+    script.call("zagreb", entries[0], "PUT", "/services/cue-board/cues/13", "zagreb-token", cue)
+    script.section("the same key of another house is another request")
+    script.call("split", entries[1], "POST", "/services/cue-board/cues/40", "split-token", {"line": "Return a victor"}, Idempotency_Key="act2-12")
+
+
+def intrude(script, entries):
+    script.section("what is not permitted is refused and did not run")
+    foreign = {"model": "aida-lora", "prompt": "x"}
+    script.call("zagreb", entries[0], "POST", "/v1/completions", "zagreb-token", foreign)
+    script.call("zagreb", entries[0], "POST", "/v1/completions", "zagreb-token", {"model": "no-such-model", "prompt": "x"})
+    script.call("nobody", entries[0], "POST", "/v1/completions", "wrong-token", foreign)
+    script.call("nobody", entries[0], "GET", "/v1/models")
+    script.call("zagreb", entries[0], "POST", "/v1/completions", "zagreb-token", "{\"model\":")
+    script.call("zagreb", entries[0], "POST", "/v1/completions", "zagreb-token", {"model": "tosca-lora", "prompt": 4})
+    script.call("zagreb", entries[0], "GET", "/services/till/x", "zagreb-token")
+    script.call("zagreb", entries[0], "DELETE", "/v1/models", "zagreb-token")
+    script.call("zagreb", entries[0], "GET", "/v1/models", "zagreb-token", Bulrush_Deadlin="1s")
+
+
+def run(folder):
+    script = Transcript()
+    with Deployment(folder) as deployment:
+        start(deployment)
+        configure(script, deployment)
+        members = deployment.members
+        entries = [members[f"entry-{n}"].address for n in range(3)]
+        rehearse(script, entries)
+        publish(script, entries)
+        intrude(script, entries)
+        script.executions("what the engines ran", [members[f"drafting-{n}"] for n in range(3)], ["event", "model", "tokens"])
+        script.executions("what the cue board ran", [members["cues"]], ["method", "path", "key"])
+        script.section("graceful shutdown")
+        for n in range(3):
+            script.say(f"entry-{n} exit status {members[f'entry-{n}'].process.terminate()}")
+    return script.text()
--- /dev/null
+++ b/testsuite/shop-till/run.py
@@ -0,0 +1,78 @@
+"""A day of the shop: a campaign note, a gift card at the counter, an order and a payment with lost answers.
+
+Guards against: an order or payment that runs twice because its answer was lost, and a result that is reported as not
+run although it ran.
+"""
+
+import pathlib
+
+from deployment import Deployment
+from transcript import Transcript
+
+ZONES = ["quay-a", "quay-b", "turlough"]
+MODELS = ["lore-13b:1:26", "card-lora:1:1"]
+HERE = pathlib.Path(__file__).parent
+
+
+def start(deployment):
+    deployment.start_platform()
+    for number, zone in enumerate(ZONES):
+        deployment.start_engine(f"writing-{number}", zone, MODELS, tokens_per_second=5000)
+        deployment.start_instance(f"entry-{number}", zone)
+    deployment.start_service("orders", "shop", ZONES)
+    deployment.wait_ready("entry-0", "entry-1", "entry-2")
+
+
+def write(script, entries):
+    script.section("a long campaign note, then a gift card while the customer waits")
+    note = {"model": "lore-13b", "max_tokens": 40, "seed": 1, "prompt": "The tower stands in the bog. " * 40}
+    script.call("westport", entries[0], "POST", "/v1/completions", "westport-token", note)
+    card = {"model": "card-lora", "max_tokens": 8, "seed": 1, "stream": True, "messages": [{"role": "user", "content": "For Aoife"}]}
+    script.stream("westport", entries[1], "/v1/chat/completions", "westport-token", card, Bulrush_Urgency="live")
+
+
+def order(script, entries, shop):
+    script.section("an order, and its resend through another instance")
+    body = {"item": "dice tower", "engraving": "For Aoife"}
+    for entry in entries[:2]:
+        script.call("westport", entry, "POST", "/services/shop/orders/1", "westport-token", body, Idempotency_Key="order-1")
+    script.section("a payment whose answer is lost on the way from the service")
+    shop.fault("answer", "lose-answer", match="/payments/1")
+    pay = {"amount": "48.00"}
+    script.call("westport", entries[0], "POST", "/services/shop/payments/1", "westport-token", pay, Idempotency_Key="pay-1")
+    shop.clear_faults()
+    script.call("westport", entries[2], "POST", "/services/shop/payments/1", "westport-token", pay, Idempotency_Key="pay-1")
+    script.section("a payment that the service refuses to start")
+    shop.fault("accept", "refuse", match="/payments/2")
+    script.call("westport", entries[0], "POST", "/services/shop/payments/2", "westport-token", pay, Idempotency_Key="pay-2")
+
+
+def lose_store(script, deployment, entries):
+    script.section("the table service is down: nothing is sent that cannot be recorded")
+    deployment.platform.fault("table-read", "refuse", count=1000000)
+    deployment.platform.fault("table-commit", "refuse", count=1000000)
+    pay = {"amount": "12.00"}
+    script.call("westport", entries[1], "POST", "/services/shop/payments/3", "westport-token", pay, Idempotency_Key="pay-3")
+    script.call("westport", entries[1], "GET", "/services/shop/orders/1", "westport-token")
+    deployment.platform.clear_faults()
+    script.call("westport", entries[1], "POST", "/services/shop/payments/3", "westport-token", pay, Idempotency_Key="pay-3")
+
+
+def run(folder):
+    script = Transcript()
+    with Deployment(folder) as deployment:
+        start(deployment)
+        script.section("the operator applies the configuration")
+        script.control(deployment, "entry-0", "config", "apply", str(HERE / "deployment.json"), "--wait", "--output=json")
+        deployment.wait_routable("lore-13b", "card-lora")
+        members = deployment.members
+        entries = [members[f"entry-{n}"].address for n in range(3)]
+        write(script, entries)
+        order(script, entries, members["orders"])
+        lose_store(script, deployment, entries)
+        script.executions("what the engines ran", [members[f"writing-{n}"] for n in range(3)], ["event", "model", "tokens"])
+        script.executions("what the shop service ran", [members["orders"]], ["method", "path", "key"])
+        script.section("graceful shutdown")
+        for n in range(3):
+            script.say(f"entry-{n} exit status {members[f'entry-{n}'].process.terminate()}")
+    return script.text()
--- a/testsuite/standins/common/standin.cpp
+++ b/testsuite/standins/common/standin.cpp
@@ -35,7 +35,8 @@
     if (!document.is_object() || !document.value("point", json()).is_string())
         return std::nullopt;
     const std::string action = document.value("action", "");
-    const auto* it = std::find_if(actionNames.begin(), actionNames.end(), [&](const auto& entry) { return entry.first == action; });
+    const auto* it = std::find_if(
+        actionNames.begin(), actionNames.end(), [&](const auto& entry) { return entry.first == action; });
     if (it == actionNames.end())
         return std::nullopt;
     return Fault {
@@ -72,15 +73,9 @@
     return std::nullopt;
 }
 
-void StandinState::arm(Fault fault)
-{
-    m_faults.push_back(std::move(fault));
-}
+void StandinState::arm(Fault fault) { m_faults.push_back(std::move(fault)); }
 
-void StandinState::disarmAll()
-{
-    m_faults.clear();
-}
+void StandinState::disarmAll() { m_faults.clear(); }
 
 asio::awaitable<std::optional<FaultAction>> strike(std::optional<Fault> fault)
 {
@@ -130,16 +125,16 @@
     return handleControl(request);
 }
 
-HttpResponse FaultPort::handleControl(const HttpRequest&)
-{
-    return jsonResponse(404, R"({"error":"not found"})");
-}
+HttpResponse FaultPort::handleControl(const HttpRequest&) { return jsonResponse(404, R"({"error":"not found"})"); }
 
 std::vector<SettingSpec> standinSettings()
 {
     return {
         { .name = "listen-address", .kind = SettingKind::Address, .help = "where requests go", .required = true },
-        { .name = "fault-address", .kind = SettingKind::Address, .help = "where faults are armed and the log is read", .required = true },
+        { .name = "fault-address",
+            .kind = SettingKind::Address,
+            .help = "where faults are armed and the log is read",
+            .required = true },
     };
 }
 
