--- /dev/null
+++ b/src/libexecution/service_calls.cpp
@@ -0,0 +1,134 @@
+#include "bulrushstack/execution/service_calls.h"
+
+#include "service_calls_core.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <glog/logging.h>
+
+namespace bulrushstack {
+
+namespace {
+
+namespace asio = boost::asio;
+
+// How long an answer may come after the deadline before the caller is told that the outcome is open. The call ends by
+// itself at its deadline, with a more exact verdict.
+constexpr std::chrono::nanoseconds AnswerGrace = std::chrono::milliseconds(250);
+
+constexpr std::chrono::seconds ShortRetry { 1 };
+
+/// Answers a call whose coroutine failed with an exception.
+void takeException(JournaledCall& call, ServiceCallCore& core, std::exception_ptr exception)
+{
+    if (!exception)
+        return;
+    LOG(ERROR) << "event=call-failed request=" << call.context.requestId << " team=" << call.context.team->name;
+    auto it = core.running.find(call.rowId.key);
+    if (it != core.running.end() && it->second.get() == &call)
+        core.running.erase(it);
+    if (!call.outcome)
+        call.outcome = refusal(ProblemCode::InternalError, Verdict::MayHaveRun, "the call failed");
+    call.changed.notify();
+}
+
+std::shared_ptr<JournaledCall> startCall(const ServiceCallCorePtr& core, RequestContext context, ServiceRequest request)
+{
+    auto call = std::make_shared<JournaledCall>(core->deps.context, std::move(context), std::move(request));
+    core->running.insert_or_assign(call->rowId.key, call);
+    asio::co_spawn(core->deps.context, runJournaled(core, call),
+        [core, call](std::exception_ptr exception) { takeException(*call, *core, exception); });
+    return call;
+}
+
+/// Waits for a call that may have been started by another send of the same key.
+asio::awaitable<ServiceOutcome> awaitCall(
+    ServiceCallCorePtr core, std::shared_ptr<JournaledCall> call, SteadyTime deadline, bool isJoined)
+{
+    const auto grace = isJoined ? std::chrono::nanoseconds(0) : AnswerGrace;
+    while (!call->outcome) {
+        const bool isNotified = co_await call->changed.wait(deadline - core->deps.clock.now() + grace);
+        if (!call->outcome && !isNotified)
+            co_return refusal(
+                ProblemCode::DeadlineExceeded, Verdict::MayHaveRun, "the request is still running", ShortRetry);
+    }
+    auto out = *call->outcome;
+    out.isReplay = out.isReplay || (isJoined && out.verdict == Verdict::Ran);
+    co_return out;
+}
+
+asio::awaitable<ServiceOutcome> executeJournaled(
+    ServiceCallCorePtr core, RequestContext context, ServiceRequest request)
+{
+    if (request.idempotencyKey.empty())
+        co_return refusal(
+            ProblemCode::IdempotencyKeyRequired, Verdict::NotRun, "the header Idempotency-Key is missing");
+    const auto deadline = context.deadline;
+    auto it = core->running.find(journalRowId(context.team->name, request.idempotencyKey).key);
+    if (it != core->running.end()) {
+        auto call = it->second;
+        if (call->digest != requestDigest(request))
+            co_return refusal(ProblemCode::KeyConflict, Verdict::NotRun, "another request runs with this key");
+        co_return co_await awaitCall(core, call, deadline, true);
+    }
+    // Without a limit, unrecorded outcomes would fill the memory while the table service is down.
+    if (core->journaled >= core->options.outstandingLimit)
+        co_return refusal(ProblemCode::Overloaded, Verdict::NotRun, "too many calls are not settled yet", ShortRetry);
+    auto call = startCall(core, std::move(context), std::move(request));
+    co_return co_await awaitCall(core, call, deadline, false);
+}
+
+asio::awaitable<ServiceOutcome> executeRepeatable(
+    ServiceCallCorePtr core, RequestContext context, ServiceRequest request)
+{
+    const OutstandingCall outstanding(core);
+    auto end = co_await dispatch(core, std::move(context), std::move(request), true);
+    co_return end.outcome;
+}
+
+} // namespace
+
+struct ServiceCallExecutor::State : ServiceCallCore {
+    using ServiceCallCore::ServiceCallCore;
+};
+
+ServiceCallExecutor::ServiceCallExecutor(ServiceCallDependencies dependencies, ServiceCallOptions options)
+    : m_state(std::make_shared<State>(std::move(dependencies), options))
+{
+}
+
+ServiceCallExecutor::~ServiceCallExecutor()
+{
+    m_state->isStopped = true;
+    m_state->stopped.notify();
+}
+
+asio::awaitable<ServiceOutcome> ServiceCallExecutor::execute(RequestContext context, ServiceRequest request)
+{
+    const auto path = request.request.path();
+    if (context.team->isIdempotent(request.service, request.request.method, path))
+        return executeRepeatable(m_state, std::move(context), std::move(request));
+    return executeJournaled(m_state, std::move(context), std::move(request));
+}
+
+nlohmann::json ServiceCallExecutor::answerQuery(const nlohmann::json& request)
+{
+    auto state = AttemptState::Unknown;
+    const auto attempt = request.is_object() ? request.find("attempt") : request.end();
+    const auto incarnation = request.is_object() ? request.find("target_incarnation") : request.end();
+    const bool isWellFormed = attempt != request.end() && attempt->is_string() && incarnation != request.end()
+        && incarnation->is_number_unsigned();
+    if (isWellFormed && incarnation->get<std::uint64_t>() == m_state->deps.identity.incarnation)
+        state = m_state->attempts.query(attempt->get<std::string>());
+    return { { "state", toString(state) } };
+}
+
+asio::awaitable<void> ServiceCallExecutor::drain(SteadyTime deadline)
+{
+    auto core = m_state;
+    while (core->outstanding > 0 && core->deps.clock.now() < deadline) {
+        if (!co_await core->changed.wait(deadline - core->deps.clock.now()))
+            break;
+    }
+}
+
+} // namespace bulrushstack
--- /dev/null
+++ b/src/libexecution/service_calls_core.cpp
@@ -0,0 +1,100 @@
+#include "service_calls_core.h"
+
+#include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace bulrushstack {
+
+namespace {
+
+namespace asio = boost::asio;
+
+// Longest single wait of a timer; a duration near the maximum would overflow the clock of the timer.
+constexpr std::chrono::nanoseconds LongestWait = std::chrono::hours(24);
+
+/// Registers a timer while it lives, also when its coroutine is destroyed in the wait.
+class Registration {
+public:
+    Registration(std::vector<asio::steady_timer*>& timers, asio::steady_timer& timer)
+        : m_timers(timers)
+        , m_timer(&timer)
+    {
+        m_timers.push_back(m_timer);
+    }
+    ~Registration() { std::erase(m_timers, m_timer); }
+    Registration(const Registration&) = delete;
+    Registration& operator=(const Registration&) = delete;
+
+private:
+    std::vector<asio::steady_timer*>& m_timers;
+    asio::steady_timer* m_timer;
+};
+
+} // namespace
+
+asio::awaitable<bool> Signal::wait(std::chrono::nanoseconds limit)
+{
+    asio::steady_timer timer(m_context);
+    timer.expires_after(std::clamp(limit, std::chrono::nanoseconds(0), LongestWait));
+    const Registration registration(m_waiters, timer);
+    boost::system::error_code ec;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    co_return ec == asio::error::operation_aborted;
+}
+
+void Signal::notify()
+{
+    for (auto* timer : m_waiters)
+        timer->cancel();
+}
+
+ServiceCallCore::ServiceCallCore(ServiceCallDependencies dependencies, ServiceCallOptions callOptions)
+    : deps(std::move(dependencies))
+    , options(callOptions)
+    , attempts(callOptions.rememberedAttempts)
+    , changed(deps.context)
+    , stopped(deps.context)
+    , random(std::random_device {}())
+{
+}
+
+SteadyTime ServiceCallCore::storeDeadline(SteadyTime deadline) const
+{
+    return std::min(deadline, deps.clock.now() + options.storeTimeout);
+}
+
+std::chrono::nanoseconds ServiceCallCore::jitteredDelay(std::chrono::nanoseconds base, unsigned round)
+{
+    const auto longest = (base * (1U << std::min(round, 6U))).count();
+    std::uniform_int_distribution<std::chrono::nanoseconds::rep> distribution(longest / 2, longest);
+    return std::chrono::nanoseconds(distribution(random));
+}
+
+OutstandingCall::OutstandingCall(ServiceCallCorePtr core)
+    : m_core(std::move(core))
+{
+    ++m_core->outstanding;
+}
+
+OutstandingCall::~OutstandingCall()
+{
+    --m_core->outstanding;
+    m_core->changed.notify();
+}
+
+std::string upstreamKey(const RequestContext& context, const ServiceRequest& request)
+{
+    // A team's name holds no colon, so the pair can be told apart.
+    return request.idempotencyKey.empty() ? std::string() : context.team->name + ":" + request.idempotencyKey;
+}
+
+ServiceOutcome refusal(ProblemCode code, Verdict verdict, std::string detail, std::chrono::seconds retryAfter)
+{
+    Problem problem { .code = code, .detail = std::move(detail), .verdict = verdict, .retryAfter = std::nullopt };
+    if (retryAfter.count() > 0)
+        problem.retryAfter = retryAfter;
+    return { .answer = std::move(problem), .verdict = verdict, .isReplay = false };
+}
+
+} // namespace bulrushstack
