--- /dev/null
+++ b/src/libexecution/journal_test.cpp
@@ -0,0 +1,225 @@
+#include "journal.h"
+#include "journal_attempts.h"
+
+#include "bulrushstack/kernel/ids.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace bulrushstack;
+using namespace std::chrono_literals;
+
+namespace {
+
+const WallTime Now { 1000h };
+
+JournalEntry entryOf(JournalState state, std::string attempt = "x1")
+{
+    JournalEntry out {
+        .digest = "d", .attempt = std::move(attempt), .instance = "a", .incarnation = 3, .time = Now, .state = state
+    };
+    if (state == JournalState::Finished)
+        out.outcome = JournalOutcome { .verdict = Verdict::Ran, .response = { .status = 201, .body = "done" } };
+    return out;
+}
+
+std::optional<Row> rowOf(const JournalEntry& entry, RowVersion version = 7)
+{
+    return Row { .id = journalRowId("t", "k"), .version = version, .value = toJson(entry) };
+}
+
+JournalQuestion questionOf(std::string digest = "d", std::chrono::nanoseconds age = 0h)
+{
+    return { .digest = std::move(digest), .now = Now + age, .retention = 24h };
+}
+
+JournalDecision decide(const JournalEntry& entry) { return decideOnRow(rowOf(entry), questionOf()); }
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Journal)
+
+BOOST_AUTO_TEST_SUITE(Rows)
+
+// Guards against teams that share a row: a slash or a percent sign in a key must not reach into another team's keys.
+BOOST_AUTO_TEST_CASE(KeepTeamAndKeyApart)
+{
+    BOOST_TEST(journalRowId("t", "a/b").key == "t/a%2Fb");
+    BOOST_TEST(journalRowId("t/a", "b").key != journalRowId("t", "a/b").key);
+}
+
+// Guards against an outcome that changes on its way through the store, bytes that are no UTF-8 included.
+BOOST_AUTO_TEST_CASE(KeepAnyBytesOfAnAnswer)
+{
+    for (std::string body : { std::string(), std::string("a"), std::string("ab="), std::string("\xff\0\x80", 3) }) {
+        auto entry = entryOf(JournalState::Finished);
+        entry.outcome->response.body = body;
+        entry.outcome->response.headers = { { "X-Note", "\xe9t\xe9" } };
+        const auto text = toJson(entry).dump();
+        BOOST_TEST((parseJournalEntry(nlohmann::json::parse(text)) == entry));
+    }
+}
+
+// Guards against a short answer that is passed off as the whole one.
+BOOST_AUTO_TEST_CASE(KeepOnlyTheDigestOfALongAnswer)
+{
+    const JournalOutcome outcome { .verdict = Verdict::Ran, .response = { .status = 200, .body = "0123456789" } };
+    BOOST_TEST((limitOutcome(outcome, 10) == outcome));
+    const auto limited = limitOutcome(outcome, 9);
+    BOOST_TEST(limited.response.body.empty());
+    BOOST_TEST(limited.bodyDigest == sha256Hex("0123456789"));
+}
+
+// Guards against a malformed row that is taken for an absent one.
+BOOST_AUTO_TEST_CASE(MalformedRowsHaveNoKnownOutcome)
+{
+    for (auto text : { "{}", "[]", R"({"state":"finished"})", "7" }) {
+        const Row row { .version = 1, .value = nlohmann::json::parse(text) };
+        BOOST_TEST(std::holds_alternative<ResolveUnknown>(decideOnRow(row, questionOf())));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Digests)
+
+// Guards against two different requests that pass as one, and against a resend that passes as a different request.
+BOOST_AUTO_TEST_CASE(TellRequestsApartButNotResends)
+{
+    ServiceRequest request { .service = "s", .request = { .method = "POST", .target = "/a", .body = "b" } };
+    request.request.headers = { { "Content-Type", "text/plain" }, { "X-Order", "1" } };
+    auto resend = request;
+    resend.request.headers
+        = { { "x-order", "1" }, { "Host", "h" }, { "Bulrush-Deadline", "1s" }, { "content-type", "text/plain" } };
+    BOOST_TEST(requestDigest(resend) == requestDigest(request));
+    auto other = request;
+    other.request.target = "/ab";
+    other.request.body = "";
+    BOOST_TEST(requestDigest(other) != requestDigest(request));
+    other = request;
+    other.request.headers.set("X-Order", "2");
+    BOOST_TEST(requestDigest(other) != requestDigest(request));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(FoundRows)
+
+// Guards against a second execution of a key whose row says that it was or may have been run.
+BOOST_AUTO_TEST_CASE(OnlyAbsentAndAbandonedRowsAreClaimed)
+{
+    BOOST_TEST((decideOnRow(std::nullopt, questionOf()) == JournalDecision(ClaimRow { 0 })));
+    BOOST_TEST((decide(entryOf(JournalState::Abandoned)) == JournalDecision(ClaimRow { 7 })));
+    BOOST_TEST((decide(entryOf(JournalState::Recorded)) == JournalDecision(AskWriter { "a", 3, "x1" })));
+    const auto finished = entryOf(JournalState::Finished);
+    BOOST_TEST((decide(finished) == JournalDecision(ReplayOutcome { *finished.outcome })));
+    auto unknown = finished;
+    unknown.outcome->verdict = Verdict::MayHaveRun;
+    BOOST_TEST((decide(unknown) == JournalDecision(ResolveUnknown {})));
+}
+
+// Guards against a key that runs another request than the one it was first sent with.
+BOOST_AUTO_TEST_CASE(AnotherDigestIsAConflictInEveryState)
+{
+    for (auto state : { JournalState::Recorded, JournalState::Abandoned, JournalState::Finished }) {
+        const auto decision = decideOnRow(rowOf(entryOf(state)), questionOf("other"));
+        BOOST_TEST((decision == JournalDecision(RefuseKey { ProblemCode::KeyConflict, Verdict::NotRun })));
+    }
+}
+
+// Guards against a key that is run again after its retention, and against a refusal that claims a run key as not run.
+BOOST_AUTO_TEST_CASE(OldRowsRefuseTheirKeyWithWhatIsKnown)
+{
+    const std::vector<std::pair<JournalState, Verdict>> cases { { JournalState::Recorded, Verdict::MayHaveRun },
+        { JournalState::Abandoned, Verdict::NotRun }, { JournalState::Finished, Verdict::Ran } };
+    for (const auto& [state, verdict] : cases) {
+        const auto decision = decideOnRow(rowOf(entryOf(state)), questionOf("d", 24h + 1ms));
+        BOOST_TEST((decision == JournalDecision(RefuseKey { ProblemCode::KeyExpired, verdict })));
+        BOOST_TEST(!std::holds_alternative<RefuseKey>(decideOnRow(rowOf(entryOf(state)), questionOf("d", 24h))));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Replies)
+
+// Guards against a take-over without the writer's refusal: silence and forgotten attempts prove nothing.
+BOOST_AUTO_TEST_CASE(OnlyARefusalPermitsATakeOver)
+{
+    BOOST_TEST((decideOnReply(7, AttemptState::Refused, false) == JournalDecision(ClaimRow { 7 })));
+    BOOST_TEST((decideOnReply(7, AttemptState::Running, true) == JournalDecision(WaitForWriter {})));
+    for (std::optional<AttemptState> reply : { std::optional<AttemptState>(), std::optional(AttemptState::Unknown),
+             std::optional(AttemptState::Finished) }) {
+        BOOST_TEST((decideOnReply(7, reply, false) == JournalDecision(ReadAgain {})));
+        BOOST_TEST((decideOnReply(7, reply, true) == JournalDecision(ResolveUnknown {})));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(LostAnswersToClaims)
+
+// Guards against the conclusion that an absent row proves that the claim failed, or that it succeeded.
+BOOST_AUTO_TEST_CASE(AnUnchangedRowLeavesTheClaimInDoubt)
+{
+    BOOST_TEST((decideOnReadBack(std::nullopt, "x2", 0) == ClaimState::InDoubt));
+    BOOST_TEST((decideOnReadBack(rowOf(entryOf(JournalState::Abandoned)), "x2", 7) == ClaimState::InDoubt));
+    BOOST_TEST((decideOnSettlement(std::nullopt, "x2", 0) == RowVersion(0)));
+    BOOST_TEST((decideOnSettlement(rowOf(entryOf(JournalState::Abandoned)), "x2", 7) == RowVersion(7)));
+}
+
+BOOST_AUTO_TEST_CASE(TheWriterRecognisesItsOwnClaim)
+{
+    const auto row = rowOf(entryOf(JournalState::Recorded, "x2"), 8);
+    BOOST_TEST((decideOnReadBack(row, "x2", 0) == ClaimState::Own));
+    BOOST_TEST((decideOnReadBack(row, "x3", 0) == ClaimState::Superseded));
+    BOOST_TEST((decideOnSettlement(row, "x2", 0) == RowVersion(8)));
+}
+
+// Guards against a settlement that overwrites another attempt, or that never ends.
+BOOST_AUTO_TEST_CASE(ASettledClaimIsLeftAlone)
+{
+    BOOST_TEST(!decideOnSettlement(rowOf(entryOf(JournalState::Recorded, "x3"), 8), "x2", 0).has_value());
+    BOOST_TEST(!decideOnSettlement(rowOf(entryOf(JournalState::Abandoned, "x2"), 8), "x2", 0).has_value());
+    BOOST_TEST(!decideOnSettlement(std::nullopt, "x2", 7).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Attempts)
+
+// Guards against an attempt that is dispatched after its refusal was promised to another instance.
+BOOST_AUTO_TEST_CASE(AQueryDuringTheClaimRefusesTheAttemptForGood)
+{
+    AttemptRegistry attempts(10);
+    attempts.begin("x1");
+    BOOST_TEST((attempts.query("x1") == AttemptState::Refused));
+    BOOST_TEST(!attempts.tryDispatch("x1"));
+    attempts.end("x1", AttemptState::Refused);
+    BOOST_TEST(!attempts.tryDispatch("x1"));
+    BOOST_TEST((attempts.query("x1") == AttemptState::Refused));
+}
+
+BOOST_AUTO_TEST_CASE(ADispatchedAttemptIsNotRefused)
+{
+    AttemptRegistry attempts(10);
+    attempts.begin("x1");
+    BOOST_TEST(attempts.tryDispatch("x1"));
+    BOOST_TEST((attempts.query("x1") == AttemptState::Running));
+    attempts.end("x1", AttemptState::Finished);
+    BOOST_TEST((attempts.query("x1") == AttemptState::Finished));
+}
+
+// Guards against a full memory that turns into a permission: a forgotten attempt is unknown, never refused.
+BOOST_AUTO_TEST_CASE(TheOldestEndedAttemptIsForgottenAtTheLimit)
+{
+    AttemptRegistry attempts(2);
+    for (std::string id : { "x1", "x2", "x3" })
+        attempts.end(id, AttemptState::Refused);
+    BOOST_TEST((attempts.query("x1") == AttemptState::Unknown));
+    BOOST_TEST((attempts.query("x2") == AttemptState::Refused));
+    BOOST_TEST((attempts.query("x3") == AttemptState::Refused));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/libexecution/service_calls_core.cpp
+++ b/src/libexecution/service_calls_core.cpp
@@ -35,8 +35,10 @@
 
 asio::awaitable<bool> Signal::wait(std::chrono::nanoseconds limit)
 {
+    if (limit <= std::chrono::nanoseconds(0))
+        co_return false;
     asio::steady_timer timer(m_context);
-    timer.expires_after(std::clamp(limit, std::chrono::nanoseconds(0), LongestWait));
+    timer.expires_after(std::min(limit, LongestWait));
     const Registration registration(m_waiters, timer);
     boost::system::error_code ec;
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
--- /dev/null
+++ b/src/libexecution/service_calls_test.cpp
@@ -0,0 +1,486 @@
+#include "service_calls_core.h"
+#include "service_calls_fixture.h"
+
+#include "memory_platform.h"
+
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/cancellation_signal.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <glog/logging.h>
+
+using namespace bulrushstack;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Failure Refused { .code = Errc::Refused, .verdict = Verdict::NotRun, .detail = "refused" };
+const Failure Unreachable { .code = Errc::ConnectionClosed, .verdict = Verdict::NotRun, .detail = "unreachable" };
+const Failure Lost { .code = Errc::ConnectionClosed, .verdict = Verdict::MayHaveRun, .detail = "lost" };
+
+/// Answers calls as scripted, and with status 200 behind the end of the script. Logs what it was sent.
+class ScriptedService final : public PlainService {
+public:
+    std::deque<Result<HttpResponse>> script;
+    std::map<std::string, HttpResponse> executed; ///< by key; what a status read shows
+    std::vector<std::pair<Address, ServiceCall>> calls;
+    std::vector<AttemptLimits> limits;
+    std::function<boost::asio::awaitable<void>()> beforeAnswer;
+
+    boost::asio::awaitable<Result<HttpResponse>> call(Address service, ServiceCall call, AttemptLimits limit) override
+    {
+        calls.emplace_back(std::move(service), std::move(call));
+        limits.push_back(limit);
+        if (beforeAnswer)
+            co_await beforeAnswer();
+        Result<HttpResponse> out = HttpResponse { .status = 200, .body = "done" };
+        if (!script.empty()) {
+            out = std::move(script.front());
+            script.pop_front();
+        }
+        co_return out;
+    }
+
+    boost::asio::awaitable<Result<ServiceCallStatus>> status(Address, std::string, std::string key, SteadyTime) override
+    {
+        auto it = executed.find(key);
+        ServiceCallStatus out { .wasExecuted = it != executed.end() };
+        if (out.wasExecuted)
+            out.response = it->second;
+        co_return out;
+    }
+};
+
+/// Two instances, a and b, with one table service and one fake of the services.
+struct Fixture {
+    Fixture() { directory.updateRoster(serviceRoster()); }
+
+    ServiceCallDependencies dependenciesOf(std::string id, ServiceCallExecutor** peer)
+    {
+        auto query
+            = [this, peer](std::string, nlohmann::json request) -> boost::asio::awaitable<Result<nlohmann::json>> {
+            ++queries;
+            if (!arePeersReachable)
+                co_return Failure { .code = Errc::Timeout, .verdict = Verdict::MayHaveRun, .detail = "no reply" };
+            co_return (*peer)->answerQuery(request);
+        };
+        return { .context = context,
+            .clock = clock,
+            .identity = { .id = std::move(id), .zone = "quay-a", .incarnation = 1 },
+            .tables = tables,
+            .services = services,
+            .selector = selector,
+            .retries = retries,
+            .queryPeer = query };
+    }
+
+    ServiceOutcome run(ServiceCallExecutor& executor, ServiceRequest request, std::chrono::nanoseconds limit = 10s)
+    {
+        return runAwaitable(context, executor.execute(serviceCallContext(clock, limit), std::move(request)));
+    }
+
+    void drain() { runAwaitable(context, executorA.drain(clock.now() + 10s)); }
+
+    std::string stateOf(std::string_view key)
+    {
+        const auto row = tables.find(journalRowId("zagreb", key));
+        return row ? row->value.at("state").get<std::string>() : "absent";
+    }
+
+    /// Lets the table service fail the next commits.
+    void failCommits(std::deque<FakeFault> faults)
+    {
+        tables.fault = [faults](std::string_view operation) mutable {
+            if (operation != "commit" || faults.empty())
+                return FakeFault::None;
+            const auto out = faults.front();
+            faults.pop_front();
+            return out;
+        };
+    }
+
+    boost::asio::io_context context;
+    ManualClock clock;
+    MemoryTableService tables;
+    ScriptedService services;
+    Directory directory { clock, {} };
+    UpstreamSelector selector { directory, {} };
+    RetryBudget retries;
+    bool arePeersReachable = true;
+    int queries = 0;
+    ServiceCallOptions options = optionsWithoutWaits();
+    ServiceCallExecutor* peerOfA = &executorB;
+    ServiceCallExecutor* peerOfB = &executorA;
+    ServiceCallExecutor executorA { dependenciesOf("a", &peerOfA), options };
+    ServiceCallExecutor executorB { dependenciesOf("b", &peerOfB), options };
+};
+
+const Problem& problemOf(const ServiceOutcome& outcome) { return std::get<Problem>(outcome.answer); }
+
+std::string bodyOf(const ServiceOutcome& outcome) { return std::get<HttpResponse>(outcome.answer).body; }
+
+void checkRefusal(const ServiceOutcome& outcome, ProblemCode code, Verdict verdict, bool hasRetryAfter)
+{
+    BOOST_REQUIRE(std::holds_alternative<Problem>(outcome.answer));
+    BOOST_TEST(toString(problemOf(outcome).code) == toString(code));
+    BOOST_TEST(toString(outcome.verdict) == toString(verdict));
+    BOOST_TEST(problemOf(outcome).retryAfter.has_value() == hasRetryAfter);
+}
+
+const ServiceRequest Read = serviceRequest("shop", "GET", "");
+const ServiceRequest Order = serviceRequest("shop", "POST", "k1");
+const ServiceRequest Publish = serviceRequest("board", "POST", "k1");
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ServiceCalls)
+
+BOOST_FIXTURE_TEST_SUITE(IdempotentCalls, Fixture)
+
+// Guards against a retry on the upstream that just failed, and against a verdict that forgets earlier attempts.
+BOOST_AUTO_TEST_CASE(AreRetriedOnAnotherUpstream)
+{
+    services.script = { Lost };
+    const auto outcome = run(executorA, Read);
+    BOOST_TEST(toString(outcome.verdict) == "ran");
+    BOOST_REQUIRE(services.calls.size() == 2U);
+    BOOST_TEST(services.calls[0].first.port != services.calls[1].first.port);
+    BOOST_TEST(services.calls[0].second.attemptId != services.calls[1].second.attemptId);
+    services.script = { Lost, Unreachable };
+    checkRefusal(run(executorA, Read), ProblemCode::UpstreamFailed, Verdict::MayHaveRun, true);
+}
+
+// Guards against retries that multiply the load of a failing service.
+BOOST_AUTO_TEST_CASE(StayWithinTheRetryBudget)
+{
+    while (retries.tryTake()) { }
+    services.script = { Refused };
+    checkRefusal(run(executorA, Read), ProblemCode::Overloaded, Verdict::NotRun, true);
+    BOOST_TEST(services.calls.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AreNotSentAfterTheDeadline)
+{
+    checkRefusal(run(executorA, Read, 0s), ProblemCode::DeadlineExceeded, Verdict::NotRun, true);
+    BOOST_TEST(services.calls.empty());
+}
+
+// Guards against a table service that becomes a dependency of calls that may be repeated.
+BOOST_AUTO_TEST_CASE(NeedNoJournalEvenWithAKey)
+{
+    failCommits({ FakeFault::Unavailable });
+    auto request = Read;
+    request.idempotencyKey = "k1";
+    BOOST_TEST(toString(run(executorA, request).verdict) == "ran");
+    BOOST_TEST(stateOf("k1") == "absent");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(NonIdempotentCalls, Fixture)
+
+BOOST_AUTO_TEST_CASE(NeedAKey)
+{
+    checkRefusal(run(executorA, serviceRequest("shop", "POST", "")), ProblemCode::IdempotencyKeyRequired,
+        Verdict::NotRun, false);
+}
+
+// Guards against a second execution, and against another request under the same key.
+BOOST_AUTO_TEST_CASE(RunOnceAndAreReplayedOnEveryInstance)
+{
+    BOOST_TEST(!run(executorA, Order).isReplay);
+    drain();
+    for (auto* executor : { &executorA, &executorB }) {
+        const auto outcome = run(*executor, Order);
+        BOOST_TEST(outcome.isReplay);
+        BOOST_TEST(bodyOf(outcome) == "done");
+    }
+    checkRefusal(run(executorB, serviceRequest("shop", "POST", "k1", "other")), ProblemCode::KeyConflict,
+        Verdict::NotRun, false);
+    BOOST_TEST(services.calls.size() == 1U);
+}
+
+// Guards against a stale pooled connection, which would turn a certain not-run into may-have-run.
+BOOST_AUTO_TEST_CASE(UseNoConnectionThatWasIdleForLong)
+{
+    run(executorA, Order);
+    run(executorA, Read);
+    BOOST_TEST((services.limits[0].maxIdle == options.maxIdleForNonIdempotent));
+    BOOST_TEST((services.limits[1].maxIdle > options.maxIdleForNonIdempotent));
+}
+
+// Guards against a key of one team that shows or blocks the call of another team at a shared service.
+BOOST_AUTO_TEST_CASE(KeepTheKeysOfTeamsApart)
+{
+    run(executorA, Order);
+    drain();
+    services.script = { Lost };
+    auto context = serviceCallContext(clock, 10s, "split");
+    services.executed["zagreb:k1"] = { .status = 200, .body = "of zagreb" };
+    const auto outcome = runAwaitable(this->context, executorA.execute(context, Order));
+    checkRefusal(outcome, ProblemCode::OutcomeUnknown, Verdict::MayHaveRun, true);
+    BOOST_TEST(services.calls[1].second.idempotencyKey == "split:k1");
+}
+
+// Guards against a refusal that ends the request although nothing was run, and one that is passed off as a run.
+BOOST_AUTO_TEST_CASE(GoToAnotherUpstreamOnlyIfTheyWereNotRun)
+{
+    services.script = { Refused };
+    BOOST_TEST(toString(run(executorA, Publish).verdict) == "ran");
+    BOOST_TEST(services.calls.size() == 2U);
+    services.script = { Lost };
+    checkRefusal(
+        run(executorA, serviceRequest("board", "POST", "k2")), ProblemCode::OutcomeUnknown, Verdict::MayHaveRun, false);
+    BOOST_TEST(services.calls.size() == 3U);
+    drain();
+    checkRefusal(
+        run(executorB, serviceRequest("board", "POST", "k2")), ProblemCode::OutcomeUnknown, Verdict::MayHaveRun, false);
+    BOOST_TEST(services.calls.size() == 3U);
+}
+
+// Guards against a key that stays blocked after an answer that said not-run.
+BOOST_AUTO_TEST_CASE(AreTakenOverAfterNotRun)
+{
+    services.script = { Unreachable, Unreachable };
+    checkRefusal(run(executorA, Order), ProblemCode::NoUpstream, Verdict::NotRun, true);
+    drain();
+    BOOST_TEST(stateOf("k1") == "abandoned");
+    directory.noteConnection("shop1", true);
+    directory.noteConnection("shop2", true);
+    BOOST_TEST(toString(run(executorB, Order).verdict) == "ran");
+    BOOST_TEST(stateOf("k1") == "finished");
+}
+
+// Guards against a rerun of an old key.
+BOOST_AUTO_TEST_CASE(AreRefusedAfterTheRetention)
+{
+    run(executorA, Order);
+    drain();
+    clock.advance(options.retention + 1s);
+    checkRefusal(run(executorB, Order), ProblemCode::KeyExpired, Verdict::Ran, false);
+}
+
+BOOST_AUTO_TEST_CASE(SayThatALongAnswerCannotBeReplayed)
+{
+    services.script = { HttpResponse { .status = 200, .body = std::string(options.replayLimit + 1, 'x') } };
+    BOOST_TEST(bodyOf(run(executorA, Order)).size() == options.replayLimit + 1);
+    drain();
+    const auto outcome = run(executorB, Order);
+    checkRefusal(outcome, ProblemCode::OutcomeUnknown, Verdict::Ran, false);
+    BOOST_TEST(services.calls.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(LostAnswersOfTheService, Fixture)
+
+// Guards against an outcome that stays open although the service knows it.
+BOOST_AUTO_TEST_CASE(AreLookedUpByTheStatusRead)
+{
+    services.script = { Lost };
+    services.executed["zagreb:k1"] = { .status = 201, .body = "executed" };
+    const auto outcome = run(executorA, Order);
+    BOOST_TEST(toString(outcome.verdict) == "ran");
+    BOOST_TEST(bodyOf(outcome) == "executed");
+    drain();
+    BOOST_TEST(bodyOf(run(executorB, Order)) == "executed");
+}
+
+// Guards against a status read that is taken as proof that the request will never arrive.
+BOOST_AUTO_TEST_CASE(StayOpenWhileTheServiceHasNotExecutedTheCall)
+{
+    services.script = { Lost };
+    checkRefusal(run(executorA, Order), ProblemCode::OutcomeUnknown, Verdict::MayHaveRun, true);
+    drain();
+    checkRefusal(run(executorB, Order), ProblemCode::OutcomeUnknown, Verdict::MayHaveRun, true);
+    services.executed["zagreb:k1"] = { .status = 201, .body = "arrived late" };
+    BOOST_TEST(bodyOf(run(executorB, Order)) == "arrived late");
+    services.executed.clear();
+    BOOST_TEST(bodyOf(run(executorA, Order)) == "arrived late");
+    BOOST_TEST(services.calls.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(FaultsOfTheTableService, Fixture)
+
+// Guards against a call that waits for, or is sent without, its record.
+BOOST_AUTO_TEST_CASE(RefuseTheCallWhileTheServiceIsDown)
+{
+    tables.fault = [](std::string_view) { return FakeFault::Unavailable; };
+    checkRefusal(run(executorA, Order), ProblemCode::StoreUnavailable, Verdict::NotRun, true);
+    BOOST_TEST(services.calls.empty());
+    tables.fault = nullptr;
+    drain();
+    BOOST_TEST(stateOf("k1") == "absent");
+}
+
+// Guards against a claim that took effect and blocks its own writer.
+BOOST_AUTO_TEST_CASE(AClaimWithoutAnAnswerIsRecognisedOnReadBack)
+{
+    failCommits({ FakeFault::LostAnswer });
+    BOOST_TEST(toString(run(executorA, Order).verdict) == "ran");
+}
+
+// Guards against a dispatch after an absent read-back, and against a late insert that blocks the key for good.
+BOOST_AUTO_TEST_CASE(AClaimInDoubtIsAbandonedInTheBackground)
+{
+    failCommits({ FakeFault::LostRequest, FakeFault::LostRequest, FakeFault::LostAnswer });
+    checkRefusal(run(executorA, Order), ProblemCode::StoreUnavailable, Verdict::NotRun, true);
+    BOOST_TEST(services.calls.empty());
+    drain();
+    BOOST_TEST(stateOf("k1") == "abandoned");
+    BOOST_TEST(toString(run(executorB, Order).verdict) == "ran");
+}
+
+// Guards against not-run for a key that another attempt may have run: after a conflict the row is known to exist.
+BOOST_AUTO_TEST_CASE(AFoundRowThatCannotBeReadMayHaveRun)
+{
+    run(executorA, Order);
+    drain();
+    tables.fault
+        = [](std::string_view operation) { return operation == "read" ? FakeFault::Unavailable : FakeFault::None; };
+    checkRefusal(run(executorB, Order), ProblemCode::StoreUnavailable, Verdict::MayHaveRun, true);
+}
+
+// Guards against an answer that waits for the record, and against an outcome that is never recorded.
+BOOST_AUTO_TEST_CASE(TheOutcomeIsRecordedWhenTheServiceIsBack)
+{
+    failCommits({ FakeFault::None, FakeFault::Unavailable, FakeFault::LostRequest, FakeFault::LostAnswer });
+    BOOST_TEST(toString(run(executorA, Order).verdict) == "ran");
+    drain();
+    BOOST_TEST(stateOf("k1") == "finished");
+}
+
+// Guards against memory that grows without bound while outcomes cannot be recorded.
+BOOST_AUTO_TEST_CASE(TooManyUnsettledCallsRefuseFurtherOnes)
+{
+    options.outstandingLimit = 1;
+    options.settleInterval = 1h;
+    ServiceCallExecutor executor(dependenciesOf("c", &peerOfA), options);
+    failCommits({ FakeFault::None, FakeFault::Unavailable });
+    BOOST_TEST(toString(run(executor, Order).verdict) == "ran");
+    checkRefusal(run(executor, serviceRequest("shop", "POST", "k2")), ProblemCode::Overloaded, Verdict::NotRun, true);
+    BOOST_TEST(run(executor, Order).isReplay);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(SeveralSends, Fixture)
+
+/// Holds the first call at the service and lets another send happen meanwhile.
+struct HeldCall {
+    explicit HeldCall(Fixture& fixture)
+        : fixture(fixture)
+        , release(fixture.context)
+    {
+        fixture.services.beforeAnswer = [this]() -> boost::asio::awaitable<void> { co_await release.wait(1h); };
+    }
+
+    static boost::asio::awaitable<void> sendTask(
+        ServiceCallExecutor& executor, RequestContext context, std::optional<ServiceOutcome>& outcome)
+    {
+        outcome = co_await executor.execute(std::move(context), Order);
+    }
+
+    void send(ServiceCallExecutor& executor, std::optional<ServiceOutcome>& outcome)
+    {
+        auto task = sendTask(executor, serviceCallContext(fixture.clock, 10s), outcome);
+        boost::asio::co_spawn(fixture.context, std::move(task), boost::asio::detached);
+        poll();
+    }
+
+    void poll()
+    {
+        fixture.context.restart();
+        fixture.context.poll();
+    }
+
+    Fixture& fixture;
+    Signal release;
+    std::optional<ServiceOutcome> first;
+    std::optional<ServiceOutcome> second;
+};
+
+// Guards against two executions when a caller resends before the first answer.
+BOOST_AUTO_TEST_CASE(OnTheSameInstanceShareOneRun)
+{
+    HeldCall held(*this);
+    held.send(executorA, held.first);
+    held.send(executorA, held.second);
+    BOOST_TEST(!held.second.has_value());
+    const auto conflict = run(executorA, serviceRequest("shop", "POST", "k1", "other"));
+    checkRefusal(conflict, ProblemCode::KeyConflict, Verdict::NotRun, false);
+    held.release.notify();
+    held.poll();
+    BOOST_REQUIRE(held.first.has_value());
+    BOOST_REQUIRE(held.second.has_value());
+    BOOST_TEST(!held.first->isReplay);
+    BOOST_TEST(held.second->isReplay);
+    BOOST_TEST(services.calls.size() == 1U);
+}
+
+// Guards against an instance that answers or runs the request itself while the writer still runs it.
+BOOST_AUTO_TEST_CASE(OnAnotherInstanceWaitForTheWriter)
+{
+    HeldCall held(*this);
+    held.send(executorA, held.first);
+    options.pollInterval = 1ms;
+    ServiceCallExecutor waiting(dependenciesOf("c", &peerOfB), options);
+    held.send(waiting, held.second);
+    BOOST_TEST(queries == 1);
+    BOOST_TEST(!held.second.has_value());
+    held.release.notify();
+    while (!held.second && context.run_one() > 0) { }
+    BOOST_TEST(held.second->isReplay);
+    BOOST_TEST(services.calls.size() == 1U);
+}
+
+// Guards against a take-over from a writer that does not reply.
+BOOST_AUTO_TEST_CASE(OfASilentWriterMayHaveRun)
+{
+    HeldCall held(*this);
+    held.send(executorA, held.first);
+    arePeersReachable = false;
+    checkRefusal(run(executorB, Order), ProblemCode::OutcomeUnknown, Verdict::MayHaveRun, true);
+    services.executed["zagreb:k1"] = { .status = 200, .body = "executed" };
+    BOOST_TEST(bodyOf(run(executorB, Order)) == "executed");
+    BOOST_TEST(services.calls.size() == 1U);
+}
+
+// Guards against a call that ends half-way because its caller has left.
+BOOST_AUTO_TEST_CASE(GoOnWhenTheCallerIsGone)
+{
+    HeldCall held(*this);
+    boost::asio::cancellation_signal caller;
+    auto task = HeldCall::sendTask(executorA, serviceCallContext(clock, 10s), held.first);
+    boost::asio::co_spawn(
+        context, std::move(task), boost::asio::bind_cancellation_slot(caller.slot(), boost::asio::detached));
+    held.poll();
+    caller.emit(boost::asio::cancellation_type::terminal);
+    held.poll();
+    BOOST_REQUIRE(services.calls.size() == 1U);
+    held.release.notify();
+    held.poll();
+    BOOST_TEST(stateOf("k1") == "finished");
+    BOOST_TEST(!held.first.has_value());
+}
+
+// Guards against an instance that answers for another process with its id.
+BOOST_AUTO_TEST_CASE(QueriesOfAnEarlierIncarnationOrMalformedOnesAreUnknown)
+{
+    HeldCall held(*this);
+    held.send(executorA, held.first);
+    const auto attempt = tables.find(journalRowId("zagreb", "k1"))->value.at("attempt");
+    const auto ask
+        = [&](nlohmann::json request) { return executorA.answerQuery(request).at("state").get<std::string>(); };
+    BOOST_TEST(ask({ { "attempt", attempt }, { "target_incarnation", 1U } }) == "running");
+    BOOST_TEST(ask({ { "attempt", attempt }, { "target_incarnation", 2U } }) == "unknown");
+    BOOST_TEST(ask({ { "attempt", attempt } }) == "unknown");
+    BOOST_TEST(ask("text") == "unknown");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
