Run model requests with retries, resumes and repetitions

A caller must get the whole answer to its own request or an explicit error, also when an engine crashes, goes silent, forgets a stream or answers otherwise on a repetition.

Whole answers are retried on other engines within the attempt limit, the deadline and the retry budget. A broken or silent stream is resumed behind its last event; if the engine lost it, a deterministic request is repeated elsewhere, and the events that the caller has are compared with the new ones. Resumes that follow a connection without a new event are charged to the retry budget as well. Decisions are in chooseRecovery(), without I/O.

--- a/src/libexecution/caller_test_stubs.cpp
+++ b/src/libexecution/caller_test_stubs.cpp
@@ -1,7 +1,7 @@
-// Stand-ins for the packages config, membership and routing until their libraries are on the main branch.
+// Stand-in for the package config until its library is on the main branch.
 #include "bulrushstack/config/configuration.h"
 #include "bulrushstack/kernel/ids.h"
-#include "bulrushstack/routing/router.h"
+#include "bulrushstack/kernel/settings.h"
 
 namespace bulrushstack {
 
@@ -77,52 +77,4 @@
     return it == m_services.end() ? nullptr : &it->second;
 }
 
-Directory::Directory(const Clock& clock, DirectoryOptions options)
-    : m_clock(clock)
-    , m_options(options)
-{
-}
-
-void Directory::updateRoster(const std::vector<InstanceRecord>& records)
-{
-    for (const auto& it : records)
-        m_members[it.id].record = it;
-}
-
-void Directory::noteConnection(std::string_view, bool) { }
-
-void Directory::noteLoad(std::string_view id, LoadReport report)
-{
-    m_members.find(id)->second.load = std::move(report);
-}
-
-void Directory::beginRequest(std::string_view id) { ++m_members.find(id)->second.inFlight; }
-
-void Directory::endRequest(std::string_view id) { --m_members.find(id)->second.inFlight; }
-
-UpstreamSnapshot Directory::upstreams() const
-{
-    UpstreamSnapshot out;
-    for (const auto& [id, member] : m_members)
-        out.push_back({ .record = member.record, .inFlight = member.inFlight, .load = member.load });
-    return out;
-}
-
-RouteDecision chooseUpstream(
-    const UpstreamSnapshot& upstreams, const RouteRequest& request, const RoutingOptions& options)
-{
-    NoRoute reason;
-    for (const auto& it : upstreams) {
-        if (!it.load || it.load->resident.empty() || it.load->resident.front().model != request.model)
-            continue;
-        if (request.excluded.contains(it.record.id))
-            reason.reason = NoRouteReason::AllExcluded;
-        else if (it.inFlight >= options.concurrencyLimit)
-            reason.reason = NoRouteReason::AllFull;
-        else
-            return Route { .upstreamId = it.record.id, .address = it.record.address };
-    }
-    return reason;
-}
-
 } // namespace bulrushstack
--- a/src/libexecution/caller_test_support.h
+++ b/src/libexecution/caller_test_support.h
@@ -194,6 +194,8 @@
         resumes.push_back(last);
         if (fault.kind == EngineFault::Unreachable)
             co_return Failure { .code = Errc::ConnectionClosed, .verdict = Verdict::NotRun, .detail = {} };
+        if (fault.kind == EngineFault::LostOpen)
+            co_return broken(Errc::ConnectionClosed);
         if (m_forgotten.contains(id) || !variants.contains(id))
             co_return Failure { .code = Errc::NotFound, .verdict = Verdict::MayHaveRun, .detail = {} };
         co_return std::unique_ptr<EngineStream>(
--- /dev/null
+++ b/src/libexecution/model_recovery.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "bulrushstack/kernel/result.h"
+
+#include <cstdint>
+
+namespace bulrushstack::detail {
+
+/// What to do about a stream that broke or went silent.
+enum class Recovery {
+    Resume, ///< continue it on the same upstream over a new connection
+    Repeat, ///< send the request to another upstream and skip what was delivered
+    GiveUp, ///< end it with an error event
+};
+
+/// A broken stream at the moment of the decision.
+struct BrokenStream {
+    Failure failure; ///< of the operation that failed last
+    bool isResuming = false; ///< the operation was a resume
+    unsigned fruitlessResumes = 0; ///< resumes in a row without a new event
+    unsigned resumeLimit = 0;
+    std::uint64_t delivered = 0; ///< events that the caller has
+    bool isDeterministic = false;
+};
+
+/// Chooses the recovery. A repetition is sound only if nothing was delivered or the same events come again.
+Recovery chooseRecovery(const BrokenStream& stream);
+
+} // namespace bulrushstack::detail
