--- a/src/libexecution/caller_test_support.h
+++ b/src/libexecution/caller_test_support.h
@@ -366,8 +366,8 @@
     const nlohmann::json document { { "schema", 1 }, { "revision", 1 },
         { "models", { { "shared", modelOf() }, { "own", modelOf() }, { "foreign", modelOf() } } },
         { "services",
-            { { "cue-board", { { "status_path", "" }, { "checks_fencing", false } } },
-                { "orders", { { "status_path", "" }, { "checks_fencing", false } } } } },
+            { { "cue-board", { { "checks_fencing", false } } },
+                { "orders", { { "checks_fencing", false } } } } },
         { "templates", { { "a", templateWith("own") }, { "b", templateWith("foreign") } } },
         { "teams", { { "zagreb", teamOf("a", "token-a") }, { "split", teamOf("b", "token-b") } } } };
     auto outcome = Configuration::parse(document);
