Add the operator API and the metrics endpoint

Operators need to change the configuration, see its history and the status of an instance, and scrapers need the metrics.

Add the service "operator": bearer token compared in constant time, changes with findings and conflicts, answers that state whether a change may have run while the store is down. An accepted change is in force on the instance before the answer is sent. Bodies nested more than 32 levels are refused, since copies of a document recurse.

--- a/src/libconfig/configuration_records.cpp
+++ b/src/libconfig/configuration_records.cpp
@@ -1,5 +1,6 @@
 #include "configuration_records.h"
 
+#include "bulrushstack/config/configuration_json.h"
 #include "bulrushstack/kernel/ids.h"
 #include "document_reader.h"
 
@@ -12,14 +13,6 @@
 
 namespace {
 
-constexpr std::string_view kinds[] = { "template", "team", "model", "service" };
-
-std::string sectionOf(std::string_view kind)
-{
-    return std::find(std::begin(kinds), std::end(kinds), kind) == std::end(kinds) ? std::string()
-                                                                                  : std::string(kind) + "s";
-}
-
 bool isIdCharacter(char c)
 {
     return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '.' || c == '_'
@@ -65,38 +58,10 @@
     }
 }
 
-nlohmann::json recordToJson(const ConfigurationRecord& record)
-{
-    auto objects = nlohmann::json::array();
-    for (const auto& [kind, name] : record.objects)
-        objects.push_back({ { "kind", kind }, { "name", name } });
-    return { { "revision", record.revision }, { "change_id", record.changeId }, { "author", record.author },
-        { "accepted_at", record.acceptedAt }, { "digest", record.digest }, { "objects", std::move(objects) } };
-}
-
-std::optional<ConfigurationRecord> recordFromJson(const nlohmann::json& value)
-{
-    try {
-        ConfigurationRecord out;
-        out.revision = value.at("revision").get<std::uint64_t>();
-        out.changeId = value.at("change_id").get<std::string>();
-        out.author = value.at("author").get<std::string>();
-        out.acceptedAt = value.at("accepted_at").get<std::string>();
-        out.digest = value.at("digest").get<std::string>();
-        for (const auto& it : value.at("objects"))
-            out.objects.emplace_back(it.at("kind").get<std::string>(), it.at("name").get<std::string>());
-        return out;
-    } catch (const nlohmann::json::exception&) {
-        return std::nullopt;
-    }
-}
-
 std::string contentDigest(const ConfigurationChange& change)
 {
-    auto edits = nlohmann::json::array();
-    for (const auto& edit : change.edits)
-        edits.push_back({ edit.kind, edit.name, edit.value.has_value(), edit.value.value_or(nullptr) });
-    const nlohmann::json content { change.author, change.baseRevision, std::move(edits) };
+    auto content = toJson(change);
+    content.erase("change_id");
     return sha256Hex(content.dump(-1, ' ', true, nlohmann::json::error_handler_t::replace));
 }
 
@@ -113,7 +78,7 @@
     for (std::size_t i = 0; i < change.edits.size(); ++i) {
         const auto& edit = change.edits[i];
         const auto path = childPointer("/edits", std::to_string(i));
-        if (sectionOf(edit.kind).empty())
+        if (sectionOfKind(edit.kind).empty())
             findings.add(path + "/kind", edit.kind, "template, team, model or service");
         if (!isObjectName(edit.name))
             findings.add(path + "/name", edit.name, std::string(objectNameRule));
@@ -176,7 +141,7 @@
     auto out = document;
     out["revision"] = revision;
     for (const auto& edit : edits) {
-        const auto section = sectionOf(edit.kind);
+        const auto section = sectionOfKind(edit.kind);
         // The validation reports "edits" as an unknown field.
         auto& objects = section.empty() ? out["edits"][edit.kind] : out[section];
         if (edit.value)
--- a/src/libconfig/configuration_records.h
+++ b/src/libconfig/configuration_records.h
@@ -11,11 +11,9 @@
 std::string revisionKey(std::uint64_t revision);
 std::string changeKey(std::string_view changeId);
 
-/// Conversions between rows and values; the parsers return an empty optional for malformed rows.
+/// Conversion of the row config/head; an empty optional for a malformed row.
 nlohmann::json headToJson(const ConfigurationHead& head);
 std::optional<ConfigurationHead> headFromJson(const nlohmann::json& value);
-nlohmann::json recordToJson(const ConfigurationRecord& record);
-std::optional<ConfigurationRecord> recordFromJson(const nlohmann::json& value);
 
 /// Returns a digest of everything in a change but its id; tells a repeated change from another one with the same id.
 std::string contentDigest(const ConfigurationChange& change);
--- a/src/libconfig/configuration_store.cpp
+++ b/src/libconfig/configuration_store.cpp
@@ -1,5 +1,6 @@
 #include "bulrushstack/config/configuration_store.h"
 
+#include "bulrushstack/config/configuration_json.h"
 #include "configuration_records.h"
 
 #include <algorithm>
@@ -89,7 +90,7 @@
 {
     std::vector<ConfigurationProblem> out;
     for (std::size_t i = 0; i < edits.size(); ++i) {
-        const auto section = document.find(edits[i].kind + "s");
+        const auto section = document.find(sectionOfKind(edits[i].kind));
         const bool exists = section != document.end() && section->contains(edits[i].name);
         if (!edits[i].value && !exists)
             out.push_back(missingObject(i, edits[i]));
@@ -243,7 +244,7 @@
         };
         for (const auto& edit : m_change.edits)
             record.objects.emplace_back(edit.kind, edit.name);
-        auto changeRow = recordToJson(record);
+        auto changeRow = toJson(record);
         changeRow["content"] = m_content;
         const RowId headId { .table = configurationTable, .key = headKey };
         const RowId revisionId { .table = configurationTable, .key = revisionKey(next.revision()) };
@@ -253,7 +254,7 @@
             { .id = changeId, .version = 0 } };
         out.writes = {
             { .id = headId, .value = headToJson({ .revision = next.revision(), .digest = next.digest() }) },
-            { .id = revisionId, .value = recordToJson(record) },
+            { .id = revisionId, .value = toJson(record) },
             { .id = changeId, .value = std::move(changeRow) },
         };
         return out;
@@ -319,7 +320,7 @@
     auto record = recordFromJson((*row)->value);
     if (!record)
         co_return malformed("row config/" + id.key + " is malformed");
-    co_return record;
+    co_return std::optional(std::move(*record));
 }
 
 asio::awaitable<Result<std::vector<ConfigurationRecord>>> ConfigurationStore::history(
--- /dev/null
+++ b/src/libreport/operator_api.cpp
@@ -0,0 +1,270 @@
+#include "operator_api.h"
+
+#include "bulrushstack/config/configuration_json.h"
+#include "bulrushstack/kernel/ids.h"
+#include "status_document.h"
+
+#include <charconv>
+#include <glog/logging.h>
+#include <prometheus/text_serializer.h>
+
+namespace bulrushstack {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::chrono::seconds changeTimeout = 10s;
+constexpr std::chrono::seconds readTimeout = 5s;
+/// A change that was accepted is answered at most this much later when the document cannot be read back; the follower
+/// takes it later.
+constexpr std::chrono::seconds takeTimeout = 1s;
+constexpr std::string_view changesPath = "/operator/v1/changes";
+
+HttpResponse refuse(ProblemCode code, std::string detail, const std::string& requestId)
+{
+    return problemResponse(
+        { .code = code, .detail = std::move(detail), .verdict = Verdict::NotRun, .retryAfter = {} }, requestId);
+}
+
+HttpResponse storeUnavailable(const Failure& failure, const std::string& requestId)
+{
+    const Problem problem {
+        .code = ProblemCode::StoreUnavailable, .detail = failure.detail, .verdict = failure.verdict, .retryAfter = 1s
+    };
+    return problemResponse(problem, requestId);
+}
+
+/// Parses a body and refuses deep nesting, since copies and dumps of a document recurse once for each level.
+Result<nlohmann::json> parseBody(const std::string& body)
+{
+    static constexpr int depthLimit = 32;
+    bool isTooDeep = false;
+    const auto watchDepth = [&](int depth, nlohmann::json::parse_event_t, nlohmann::json&) {
+        isTooDeep = isTooDeep || depth > depthLimit;
+        return depth <= depthLimit;
+    };
+    Failure failure { .code = Errc::Malformed, .verdict = Verdict::NotRun, .detail = {} };
+    try {
+        auto out = nlohmann::json::parse(body, watchDepth);
+        if (!isTooDeep)
+            return out;
+        failure.detail = "the body is nested more than " + std::to_string(depthLimit) + " levels deep";
+    } catch (const nlohmann::json::exception& e) {
+        failure.detail = std::string("the body is not JSON: ") + e.what();
+    }
+    return failure;
+}
+
+std::string describe(const std::vector<ConfigurationRecord>& records)
+{
+    std::string out;
+    for (const auto& record : records) {
+        out += (out.empty() ? "revision " : "; revision ") + std::to_string(record.revision) + " by " + record.author
+            + " changed";
+        for (const auto& [kind, name] : record.objects)
+            out += " " + kind + " " + name;
+    }
+    return out;
+}
+
+HttpResponse conflictResponse(const std::vector<ConfigurationRecord>& competing, const std::string& requestId)
+{
+    auto records = nlohmann::json::array();
+    for (const auto& it : competing)
+        records.push_back(toJson(it));
+    const nlohmann::json document { { "type", "urn:bulrushstack:problem:conflict" },
+        { "title", "The object was changed since the base revision" }, { "status", 409 },
+        { "detail", describe(competing) }, { "verdict", toString(Verdict::NotRun) }, { "request_id", requestId },
+        { "competing", std::move(records) } };
+    auto response = jsonResponse(409, document.dump());
+    response.headers.set("Content-Type", "application/problem+json");
+    return response;
+}
+
+HttpResponse methodNotAllowed(std::string permitted, const std::string& requestId)
+{
+    auto response = refuse(ProblemCode::MethodNotAllowed, "permitted: " + permitted, requestId);
+    response.headers.set("Allow", std::move(permitted));
+    return response;
+}
+
+HttpResponse json(const nlohmann::json& document)
+{
+    return jsonResponse(200, document.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+}
+
+/// Returns the number of records to show; empty if the parameter is wrong.
+std::optional<std::size_t> historyLimit(std::string_view query)
+{
+    static constexpr std::size_t defaultLimit = 100;
+    static constexpr std::size_t maximumLimit = 1000;
+    if (query.empty())
+        return defaultLimit;
+    const auto text = queryParameter(query, "limit");
+    std::size_t limit = 0;
+    if (!text)
+        return std::nullopt;
+    const auto [end, ec] = std::from_chars(text->data(), text->data() + text->size(), limit);
+    const bool isNumber = ec == std::errc() && end == text->data() + text->size();
+    return isNumber && limit >= 1 && limit <= maximumLimit ? std::optional(limit) : std::nullopt;
+}
+
+} // namespace
+
+OperatorApi::OperatorApi(RuntimeService& runtime, OperatorBackend& backend, std::string_view token)
+    : m_runtime(runtime)
+    , m_backend(backend)
+    , m_tokenDigest(sha256Hex(token))
+{
+}
+
+asio::awaitable<void> OperatorApi::handle(HttpExchange& exchange)
+{
+    const Call call { .request = exchange.request(), .requestId = randomId() };
+    auto response = co_await answer(call);
+    co_await exchange.respond(std::move(response));
+}
+
+HttpResponse OperatorApi::protocolError(unsigned status, std::string_view detail)
+{
+    auto code = ProblemCode::InternalError;
+    for (auto it : { ProblemCode::MalformedRequest, ProblemCode::BodyTooLarge, ProblemCode::HeadersTooLarge,
+             ProblemCode::Overloaded }) {
+        if (statusOf(it) == status)
+            code = it;
+    }
+    const auto verdict = code == ProblemCode::InternalError ? Verdict::MayHaveRun : Verdict::NotRun;
+    return problemResponse(
+        { .code = code, .detail = std::string(detail), .verdict = verdict, .retryAfter = {} }, randomId());
+}
+
+std::optional<HttpResponse> OperatorApi::refuseUnlessAuthorised(const Call& call) const
+{
+    static constexpr std::string_view scheme = "Bearer ";
+    const auto header = call.request.headers.find("Authorization");
+    if (!header || !header->starts_with(scheme))
+        return refuse(ProblemCode::MissingToken, "the header Authorization: Bearer TOKEN is required", call.requestId);
+    // Digests have one length, so that the comparison does not reveal the length of the token either.
+    const auto digest = sha256Hex(std::string_view(*header).substr(scheme.size()));
+    if (call.request.headers.count("Authorization") != 1 || !equalInConstantTime(digest, m_tokenDigest))
+        return refuse(ProblemCode::InvalidToken, "the token is not the one of the operators", call.requestId);
+    return std::nullopt;
+}
+
+asio::awaitable<HttpResponse> OperatorApi::answer(Call call)
+{
+    const auto path = call.request.path();
+    if (path == "/metrics")
+        co_return call.request.method == "GET" ? getMetrics() : methodNotAllowed("GET", call.requestId);
+    if (auto refusal = refuseUnlessAuthorised(call))
+        co_return std::move(*refusal);
+    const bool isGet = call.request.method == "GET";
+    if (path == changesPath) {
+        if (call.request.method != "POST")
+            co_return methodNotAllowed("POST", call.requestId);
+        co_return co_await postChange(call);
+    }
+    const bool isChange = path.starts_with(std::string(changesPath) + "/");
+    const bool isKnown
+        = isChange || path == "/operator/v1/status" || path == "/operator/v1/config" || path == "/operator/v1/history";
+    if (!isKnown)
+        co_return refuse(ProblemCode::NotFound,
+            "permitted: /metrics and status, config, changes and history under /operator/v1/", call.requestId);
+    if (!isGet)
+        co_return methodNotAllowed("GET", call.requestId);
+    if (isChange)
+        co_return co_await answerChange(call);
+    if (path == "/operator/v1/status")
+        co_return json(statusDocument(m_runtime, m_backend));
+    if (path == "/operator/v1/config")
+        co_return json(redactTokens(m_backend.configuration()->document()));
+    co_return co_await getHistory(call);
+}
+
+HttpResponse OperatorApi::getMetrics()
+{
+    HttpResponse response;
+    response.headers.set("Content-Type", "text/plain; version=0.0.4; charset=utf-8");
+    response.body = prometheus::TextSerializer().Serialize(m_runtime.metrics().Collect());
+    return response;
+}
+
+asio::awaitable<HttpResponse> OperatorApi::answerChange(Call call)
+{
+    auto changeId = percentDecode(call.request.path().substr(changesPath.size() + 1));
+    if (!changeId)
+        co_return refuse(ProblemCode::MalformedRequest, "the change id has a broken escape", call.requestId);
+    auto record = co_await m_backend.store().findChange(std::move(*changeId), m_runtime.clock().now() + readTimeout);
+    if (!record)
+        co_return storeUnavailable(record.error(), call.requestId);
+    if (!*record)
+        co_return refuse(ProblemCode::NotFound, "no change with this id was accepted", call.requestId);
+    co_return json(toJson(**record));
+}
+
+asio::awaitable<HttpResponse> OperatorApi::getHistory(Call call)
+{
+    const auto limit = historyLimit(call.request.query());
+    if (!limit)
+        co_return refuse(ProblemCode::MalformedRequest, "limit must be a whole number from 1 to 1000", call.requestId);
+    auto records = co_await m_backend.store().history(*limit, m_runtime.clock().now() + readTimeout);
+    if (!records)
+        co_return storeUnavailable(records.error(), call.requestId);
+    auto out = nlohmann::json::array();
+    for (const auto& it : *records)
+        out.push_back(toJson(it));
+    co_return json(out);
+}
+
+asio::awaitable<HttpResponse> OperatorApi::postChange(Call call)
+{
+    const auto body = parseBody(call.request.body);
+    if (!body)
+        co_return refuse(ProblemCode::MalformedRequest, body.error().detail, call.requestId);
+    const auto change = changeFromJson(*body);
+    if (!change)
+        co_return refuse(ProblemCode::MalformedRequest, change.error().detail, call.requestId);
+    auto outcome = co_await m_backend.store().apply(*change, m_runtime.clock().now() + changeTimeout);
+    if (outcome.status == ChangeStatus::Accepted)
+        co_await takeFromStore();
+    co_return answerOutcome(call, *change, std::move(outcome));
+}
+
+/// Puts an accepted change in force on this instance without waiting for the next poll.
+asio::awaitable<void> OperatorApi::takeFromStore()
+{
+    const auto deadline = m_runtime.clock().now() + takeTimeout;
+    auto head = co_await m_backend.store().head(deadline);
+    if (!head || head->revision <= m_backend.configuration()->revision())
+        co_return;
+    auto configuration = co_await m_backend.store().fetch(*head, deadline);
+    if (configuration)
+        m_backend.offer(std::move(*configuration));
+}
+
+HttpResponse OperatorApi::answerOutcome(
+    const Call& call, const ConfigurationChange& change, ChangeOutcome outcome) const
+{
+    switch (outcome.status) {
+    case ChangeStatus::Accepted:
+        LOG(INFO) << "event=change-accepted request=" << call.requestId << " revision=" << outcome.revision
+                  << " change=" << change.changeId << " author=\"" << change.author
+                  << "\" edits=" << change.edits.size();
+        return json({ { "revision", outcome.revision }, { "change_id", change.changeId } });
+    case ChangeStatus::Conflict:
+        return conflictResponse(outcome.competing, call.requestId);
+    case ChangeStatus::Invalid:
+        return jsonResponse(
+            422, toJson(outcome.problems).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+    case ChangeStatus::Unavailable:
+        break;
+    }
+    LOG(WARNING) << "event=change-failed request=" << call.requestId << " verdict=" << toString(outcome.failure.verdict)
+                 << " detail=\"" << outcome.failure.detail << "\"";
+    outcome.failure.detail += "; the change may be sent again with the same change id";
+    return storeUnavailable(outcome.failure, call.requestId);
+}
+
+} // namespace bulrushstack
--- /dev/null
+++ b/src/libreport/operator_backend.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "bulrushstack/config/configuration_store.h"
+#include "bulrushstack/membership/directory.h"
+
+namespace bulrushstack {
+
+/// What the operator API reads and changes.
+class OperatorBackend {
+public:
+    virtual ~OperatorBackend() = default;
+
+    virtual ConfigurationPtr configuration() const = 0;
+    virtual bool offer(ConfigurationPtr configuration) = 0;
+    virtual ConfigurationStore& store() = 0;
+    virtual std::vector<PeerView> peers() const = 0;
+    virtual UpstreamSnapshot upstreams() const = 0;
+};
+
+} // namespace bulrushstack
