--- a/src/bulrushd/main.cpp
+++ b/src/bulrushd/main.cpp
@@ -33,7 +33,8 @@
     identity.id = settings.text("instance-id");
     identity.zone = settings.text("zone");
     // An instance has no disk, so the time of the start tells a new process from the one before it.
-    identity.incarnation = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(clock.wallNow().time_since_epoch()).count());
+    identity.incarnation = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(clock.wallNow().time_since_epoch()).count());
     registry.add(std::make_unique<RuntimeService>(settings, clock, std::move(identity)));
     registry.add(std::make_unique<HttpClientService>());
     registry.add(std::make_unique<PeerMeshService>());
@@ -85,7 +86,8 @@
     const auto specs = daemonSettings();
     const auto outcome = parseSettings(specs, arguments, environment);
     if (!outcome.settings || !outcome.settings->arguments().empty()) {
-        const std::string error = outcome.settings ? "unexpected argument '" + outcome.settings->arguments().front() + "'" : outcome.error;
+        const std::string error
+            = outcome.settings ? "unexpected argument '" + outcome.settings->arguments().front() + "'" : outcome.error;
         std::cerr << "bulrushd: " << error << "\n";
         return 2;
     }
--- a/src/include/bulrushstack/execution/service_calls.h
+++ b/src/include/bulrushstack/execution/service_calls.h
@@ -46,9 +46,11 @@
     std::chrono::nanoseconds storeTimeout = std::chrono::seconds(1); ///< for one access to the table service
     std::chrono::nanoseconds retention = std::chrono::hours(24); ///< of journal rows
     unsigned attemptLimit = 3; ///< attempts of one request
-    std::chrono::nanoseconds retryBackoff = std::chrono::milliseconds(25); ///< before the first retry; doubles, with jitter
+    std::chrono::nanoseconds retryBackoff
+        = std::chrono::milliseconds(25); ///< before the first retry; doubles, with jitter
     std::chrono::nanoseconds pollInterval = std::chrono::milliseconds(50); ///< between two queries of a running attempt
-    std::chrono::nanoseconds settleInterval = std::chrono::milliseconds(250); ///< before the first retry; as retryBackoff
+    std::chrono::nanoseconds settleInterval
+        = std::chrono::milliseconds(250); ///< before the first retry; as retryBackoff
     std::size_t outstandingLimit = 1024; ///< non-idempotent calls, those included whose row is not settled yet
     std::size_t rememberedAttempts = 8192; ///< ended attempts that peers may ask about
     std::size_t replayLimit = 64 * 1024; ///< bytes of an answer that is kept for a replay
--- a/src/libexecution/caller_test_support.h
+++ b/src/libexecution/caller_test_support.h
@@ -356,23 +356,23 @@
             { "services", { "cue-board" } },
             { "urgency", { { "default", "interactive" }, { "permitted", { "live", "interactive" } } } },
             { "deadline", { { "default", "10s" }, { "max", "60s" } } }, { "never_repeat", nlohmann::json::array() },
-            { "repeatable", nlohmann::json::array() }, { "share", 1 } };
+            { "repeatable", nlohmann::json::array() }, { "share", 1U } };
     };
     auto modelOf = [] { return nlohmann::json { { "kind", "model" }, { "version", "1" }, { "size", "1GiB" } }; };
     auto teamOf = [](const char* name, const char* token) {
         return nlohmann::json { { "template", name }, { "parameters", nlohmann::json::object() },
             { "token_sha256", { sha256Hex(token) } } };
     };
-    const nlohmann::json document { { "schema", 1 }, { "revision", 1 },
+    const nlohmann::json document { { "schema", 1U }, { "revision", 1U },
         { "models", { { "shared", modelOf() }, { "own", modelOf() }, { "foreign", modelOf() } } },
         { "services",
-            { { "cue-board", { { "checks_fencing", false } } },
-                { "orders", { { "checks_fencing", false } } } } },
+            { { "cue-board", { { "checks_fencing", false } } }, { "orders", { { "checks_fencing", false } } } } },
         { "templates", { { "a", templateWith("own") }, { "b", templateWith("foreign") } } },
         { "teams", { { "zagreb", teamOf("a", "token-a") }, { "split", teamOf("b", "token-b") } } } };
     auto outcome = Configuration::parse(document);
     if (!outcome.configuration)
-        throw std::runtime_error("the test configuration is not valid");
+        throw std::runtime_error("the test configuration is not valid at " + outcome.problems.front().path + ": "
+            + outcome.problems.front().permitted);
     return outcome.configuration;
 }
 
--- a/src/libmembership/directory.cpp
+++ b/src/libmembership/directory.cpp
@@ -68,7 +68,8 @@
     member->loadTime = m_clock.now();
 }
 
-void Directory::noteHeartbeat(std::string_view id, std::uint64_t incarnation, InstanceState state, std::uint64_t revision, std::string digest)
+void Directory::noteHeartbeat(
+    std::string_view id, std::uint64_t incarnation, InstanceState state, std::uint64_t revision, std::string digest)
 {
     if (state == InstanceState::Leaving)
         markLeaving(id, incarnation);
--- a/src/libmembership/directory_test.cpp
+++ b/src/libmembership/directory_test.cpp
@@ -9,7 +9,9 @@
 
 InstanceRecord engine(std::string id, std::uint64_t incarnation = 1, InstanceState state = InstanceState::Live)
 {
-    return { .id = std::move(id), .role = InstanceRole::Engine, .zone = "z", .state = state, .incarnation = incarnation };
+    return {
+        .id = std::move(id), .role = InstanceRole::Engine, .zone = "z", .state = state, .incarnation = incarnation
+    };
 }
 
 struct Fixture {
@@ -63,7 +65,10 @@
 BOOST_AUTO_TEST_CASE(ExpireButResidencyIsRemembered)
 {
     directory.updateRoster({ engine("e") });
-    directory.noteLoad("e", { .incarnation = 1, .running = 4, .resident = { { .model = "m", .version = "1", .state = ResidentState::Ready } } });
+    directory.noteLoad("e",
+        { .incarnation = 1,
+            .running = 4,
+            .resident = { { .model = "m", .version = "1", .state = ResidentState::Ready } } });
     BOOST_TEST(only().load->running == 4u);
     clock.advance(5s);
     BOOST_TEST(!only().load.has_value());
--- a/src/libmembership/heartbeat_test.cpp
+++ b/src/libmembership/heartbeat_test.cpp
@@ -22,7 +22,13 @@
 
 BOOST_AUTO_TEST_CASE(SurviveTheirEncoding)
 {
-    const Heartbeat heartbeat { .from = "a", .incarnation = 3, .zone = "z", .state = InstanceState::Leaving, .revision = 9, .digest = "d", .leaving = { { "e", 4 } } };
+    const Heartbeat heartbeat { .from = "a",
+        .incarnation = 3,
+        .zone = "z",
+        .state = InstanceState::Leaving,
+        .revision = 9,
+        .digest = "d",
+        .leaving = { { "e", 4 } } };
     auto message = toJson(heartbeat);
     message["from"] = "a";
     message["incarnation"] = 3;
--- a/src/libmembership/membership_service.cpp
+++ b/src/libmembership/membership_service.cpp
@@ -27,8 +27,14 @@
 /// Metrics of the membership service.
 struct Metrics {
     explicit Metrics(prometheus::Registry& registry)
-        : polls(prometheus::BuildCounter().Name("bulrush_membership_polls_total").Help("Readings of lists, load reports and heartbeats").Register(registry))
-        , members(prometheus::BuildGauge().Name("bulrush_members").Help("Known instances by role and state").Register(registry))
+        : polls(prometheus::BuildCounter()
+                    .Name("bulrush_membership_polls_total")
+                    .Help("Readings of lists, load reports and heartbeats")
+                    .Register(registry))
+        , members(prometheus::BuildGauge()
+                      .Name("bulrush_members")
+                      .Help("Known instances by role and state")
+                      .Register(registry))
     {
     }
 
@@ -134,7 +140,8 @@
         for (auto state : { InstanceState::Live, InstanceState::Leaving }) {
             const auto n = std::count_if(upstreams.begin(), upstreams.end(),
                 [&](const UpstreamView& view) { return view.record.role == role && view.record.state == state; });
-            metrics.members.Add({ { "role", std::string(toString(role)) }, { "state", std::string(toString(state)) } }).Set(static_cast<double>(n));
+            metrics.members.Add({ { "role", std::string(toString(role)) }, { "state", std::string(toString(state)) } })
+                .Set(static_cast<double>(n));
         }
     }
 }
@@ -203,7 +210,8 @@
 
 void MembershipService::State::take(const Heartbeat& heartbeat)
 {
-    directory.noteHeartbeat(heartbeat.from, heartbeat.incarnation, heartbeat.state, heartbeat.revision, heartbeat.digest);
+    directory.noteHeartbeat(
+        heartbeat.from, heartbeat.incarnation, heartbeat.state, heartbeat.revision, heartbeat.digest);
     for (const auto& [id, incarnation] : heartbeat.leaving)
         directory.markLeaving(id, incarnation);
     if (heartbeat.revision <= configuration.current()->revision())
@@ -245,10 +253,7 @@
     co_return;
 }
 
-Directory& MembershipService::directory()
-{
-    return m_state->directory;
-}
+Directory& MembershipService::directory() { return m_state->directory; }
 
 void MembershipService::announceLeaving()
 {
@@ -260,9 +265,24 @@
 std::vector<SettingSpec> membershipSettings()
 {
     return {
-        { .name = "roster-poll-interval", .kind = SettingKind::Duration, .defaultValue = "500ms", .help = "time between readings of the instance list", .minimum = "10ms", .maximum = "1m" },
-        { .name = "load-poll-interval", .kind = SettingKind::Duration, .defaultValue = "500ms", .help = "time between readings of an engine's load report", .minimum = "10ms", .maximum = "1m" },
-        { .name = "heartbeat-interval", .kind = SettingKind::Duration, .defaultValue = "500ms", .help = "time between heartbeats to a peer", .minimum = "10ms", .maximum = "1m" },
+        { .name = "roster-poll-interval",
+            .kind = SettingKind::Duration,
+            .defaultValue = "500ms",
+            .help = "time between readings of the instance list",
+            .minimum = "10ms",
+            .maximum = "1m" },
+        { .name = "load-poll-interval",
+            .kind = SettingKind::Duration,
+            .defaultValue = "500ms",
+            .help = "time between readings of an engine's load report",
+            .minimum = "10ms",
+            .maximum = "1m" },
+        { .name = "heartbeat-interval",
+            .kind = SettingKind::Duration,
+            .defaultValue = "500ms",
+            .help = "time between heartbeats to a peer",
+            .minimum = "10ms",
+            .maximum = "1m" },
     };
 }
 
--- a/src/librouting/router.cpp
+++ b/src/librouting/router.cpp
@@ -44,13 +44,15 @@
 
 double predictedSeconds(const UpstreamView& view, const RouteRequest& request, const RoutingOptions& options)
 {
-    const double zone = view.record.zone == request.zone ? 0 : std::chrono::duration<double>(options.zonePenalty).count();
+    const double zone
+        = view.record.zone == request.zone ? 0 : std::chrono::duration<double>(options.zonePenalty).count();
     if (request.role == InstanceRole::Service)
         return zone + view.inFlight * secondsPerServiceCall;
     // A report lags, so it may not show this instance's own requests yet.
     const double reported = view.load ? static_cast<double>(view.load->queued + view.load->running) : 0;
     const double ahead = std::max<double>(reported, view.inFlight);
-    const double speed = view.load && view.load->tokensPerSecond > 0 ? view.load->tokensPerSecond : assumedTokensPerSecond;
+    const double speed
+        = view.load && view.load->tokensPerSecond > 0 ? view.load->tokensPerSecond : assumedTokensPerSecond;
     return zone + ahead * tokensPerRequest / speed;
 }
 
@@ -67,7 +69,8 @@
 
 } // namespace
 
-RouteDecision chooseUpstream(const UpstreamSnapshot& upstreams, const RouteRequest& request, const RoutingOptions& options)
+RouteDecision chooseUpstream(
+    const UpstreamSnapshot& upstreams, const RouteRequest& request, const RoutingOptions& options)
 {
     NoRoute none;
     std::vector<Candidate> candidates;
@@ -83,7 +86,9 @@
         else if (view.inFlight >= limitFor(request, options))
             reject(NoRouteReason::AllFull);
         else
-            candidates.push_back({ .view = &view, .score = predictedSeconds(view, request, options), .rank = affinityRank(view, request) });
+            candidates.push_back({ .view = &view,
+                .score = predictedSeconds(view, request, options),
+                .rank = affinityRank(view, request) });
     }
     if (candidates.empty())
         return none;
--- a/src/librouting/router_test.cpp
+++ b/src/librouting/router_test.cpp
@@ -22,10 +22,7 @@
     return view;
 }
 
-RouteRequest modelRequest()
-{
-    return { .role = InstanceRole::Engine, .model = "m", .zone = "z1" };
-}
+RouteRequest modelRequest() { return { .role = InstanceRole::Engine, .model = "m", .zone = "z1" }; }
 
 std::string chosen(const UpstreamSnapshot& upstreams, const RouteRequest& request, const RoutingOptions& options = {})
 {
