--- a/src/bulrushd/main.cpp
+++ b/src/bulrushd/main.cpp
@@ -52,7 +52,6 @@
     boost::asio::signal_set signals(registry.context(), SIGTERM, SIGINT);
     const int signal = co_await signals.async_wait(boost::asio::use_awaitable);
     LOG(INFO) << "event=shutdown signal=" << signal;
-    registry.find<MembershipService>("membership").announceLeaving();
     co_await registry.stopAll();
     registry.context().stop();
 }
