--- a/src/cmake/BulrushMacros.cmake
+++ b/src/cmake/BulrushMacros.cmake
@@ -4,7 +4,7 @@
 target_include_directories(bulrush_options INTERFACE ${CMAKE_SOURCE_DIR}/src/include)
 target_compile_options(bulrush_options INTERFACE -Wall -Wextra -Wpedantic -Werror -Wno-missing-field-initializers)
 # GCC 12 reports false positives from inlined coroutine frames and std::string.
-target_compile_options(bulrush_options INTERFACE -Wno-restrict -Wno-maybe-uninitialized -Wno-array-bounds -Wno-stringop-overread -Wno-stringop-overflow)
+target_compile_options(bulrush_options INTERFACE -Wno-restrict -Wno-maybe-uninitialized -Wno-array-bounds -Wno-stringop-overread -Wno-stringop-overflow -Wno-mismatched-new-delete)
 target_compile_definitions(bulrush_options INTERFACE XXH_INLINE_ALL BOOST_ASIO_NO_DEPRECATED)
 if(BULRUSH_SANITIZE)
     target_compile_options(bulrush_options INTERFACE -fsanitize=address,undefined -fno-sanitize-recover=undefined -fno-omit-frame-pointer)
