Add the stand-in of the platform

Tests of the daemon need a table service, an object store, an instance list and a weight store with outages, lost answers and silence.

Add standin_platform with the fault points table-read, table-commit, object-get, object-put, instances and weights. Refused, dropped and muted requests have no effect; lost and cut answers do the work first.

--- /dev/null
+++ b/testsuite/standins/platform/main.cpp
@@ -0,0 +1,48 @@
+#include "platform_handler.h"
+
+using namespace bulrushstack;
+using namespace bulrushstack::standins;
+
+namespace {
+
+std::vector<SettingSpec> platformStandinSettings()
+{
+    return {
+        { .name = "list-lag",
+            .kind = SettingKind::Duration,
+            .defaultValue = "0ms",
+            .help = "how far the public instance list lags behind" },
+        { .name = "weight-rate-milli",
+            .kind = SettingKind::Count,
+            .defaultValue = "1500",
+            .help = "weight loads that may start per 1000 s; 0: no limit" },
+        { .name = "weight-concurrency",
+            .kind = SettingKind::Count,
+            .defaultValue = "9",
+            .help = "weight loads in flight at full speed",
+            .minimum = "1" },
+        { .name = "weight-time",
+            .kind = SettingKind::Duration,
+            .defaultValue = "500ms",
+            .help = "time of one weight load at full speed" },
+    };
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const auto settings = standinMain("standin_platform", platformStandinSettings(), argc, argv);
+    PlatformOptions options;
+    options.listLag = settings.duration("list-lag");
+    options.weights.rateMilli = settings.count("weight-rate-milli");
+    options.weights.concurrency = settings.count("weight-concurrency");
+    options.weights.loadTime = settings.duration("weight-time");
+    const SystemClock clock;
+    PlatformState state(clock, options);
+    PlatformHandler handler(state);
+    PlatformFaultPort faultPort(state);
+    // Declared last, so that pending handlers end before the state that they use.
+    boost::asio::io_context context;
+    return serve(context, settings, handler, faultPort);
+}
--- /dev/null
+++ b/testsuite/standins/platform/weight_store_test.cpp
@@ -0,0 +1,62 @@
+#include "weight_store.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace bulrushstack;
+using namespace bulrushstack::standins;
+using namespace std::chrono_literals;
+
+namespace {
+
+const SteadyTime start { 1h };
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(WeightLoads)
+
+// Guards against loads that start faster than the rate, and against a rate that saves up while nothing is loaded.
+BOOST_AUTO_TEST_CASE(StartAtTheRate)
+{
+    WeightSchedule schedule({ .rateMilli = 2000 });
+    BOOST_TEST((schedule.reserveStart(start) == start));
+    BOOST_TEST((schedule.reserveStart(start) == start + 500ms));
+    BOOST_TEST((schedule.reserveStart(start) == start + 1s));
+    BOOST_TEST((schedule.reserveStart(start + 10s) == start + 10s));
+    BOOST_TEST((schedule.reserveStart(start + 10s) == start + 10500ms));
+}
+
+BOOST_AUTO_TEST_CASE(StartAtOnceWithoutARate)
+{
+    WeightSchedule schedule({ .rateMilli = 0 });
+    BOOST_TEST((schedule.reserveStart(start) == start));
+    BOOST_TEST((schedule.reserveStart(start) == start));
+}
+
+BOOST_AUTO_TEST_CASE(ProceedAtFullSpeedUpToTheConcurrency)
+{
+    WeightSchedule schedule({ .concurrency = 2, .loadTime = 100ms });
+    const auto a = schedule.begin(start);
+    const auto b = schedule.begin(start + 40ms);
+    BOOST_TEST((schedule.remaining(a, start + 40ms) == 60ms));
+    BOOST_TEST((schedule.remaining(a, start + 100ms) == 0ns));
+    BOOST_TEST((schedule.remaining(b, start + 100ms) == 40ms));
+}
+
+// Guards against a store that gives full speed to more loads than its concurrency.
+BOOST_AUTO_TEST_CASE(ShareTheSpeedAboveTheConcurrency)
+{
+    WeightSchedule schedule({ .concurrency = 2, .loadTime = 100ms });
+    const auto a = schedule.begin(start);
+    schedule.begin(start);
+    const auto c = schedule.begin(start + 50ms);
+    const auto d = schedule.begin(start + 50ms);
+    BOOST_TEST((schedule.remaining(a, start + 50ms) == 100ms));
+    BOOST_TEST((schedule.remaining(c, start + 50ms) == 200ms));
+    BOOST_TEST((schedule.remaining(a, start + 150ms) == 0ns));
+    schedule.end(start + 150ms);
+    schedule.end(start + 150ms);
+    BOOST_TEST(schedule.inFlight() == 2U);
+    BOOST_TEST((schedule.remaining(d, start + 150ms) == 50ms));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
