Add the load generator and the comparison of two addresses

Measurements need the same load again and again, and latencies that include the time a request waits for a busy generator.

Add bulrush_load, which sends the requests of an experiment file at their times (open loop, seeded) and measures from the intended send time, and bench_http, which calls two addresses in turns.

--- /dev/null
+++ b/testsuite/load/bench_http.cpp
@@ -0,0 +1,173 @@
+#include "bulrushstack/kernel/ids.h"
+#include "bulrushstack/kernel/run_awaitable.h"
+#include "bulrushstack/net/http_client.h"
+#include "samples.h"
+
+#include <array>
+#include <boost/asio/ip/address.hpp>
+#include <iostream>
+
+using namespace bulrushstack;
+using namespace bulrushstack::load;
+
+namespace {
+
+std::vector<SettingSpec> benchSettings()
+{
+    return {
+        { .name = "direct-address", .kind = SettingKind::Address, .help = "called directly", .required = true },
+        { .name = "through-address", .kind = SettingKind::Address, .help = "called for comparison", .required = true },
+        { .name = "direct-target", .defaultValue = "/", .help = "path and query of direct calls" },
+        { .name = "through-target", .defaultValue = "/", .help = "path and query of calls through the other address" },
+        { .name = "method", .defaultValue = "GET", .help = "method of all calls" },
+        { .name = "body", .help = "body of all calls, as application/json" },
+        { .name = "token", .help = "bearer token of calls through the other address", .secret = true },
+        { .name = "fresh-key",
+            .kind = SettingKind::Flag,
+            .defaultValue = "false",
+            .help = "send a new Idempotency-Key with each call" },
+        { .name = "rounds",
+            .kind = SettingKind::Count,
+            .defaultValue = "1000",
+            .help = "calls of each kind",
+            .minimum = "1",
+            .maximum = "100000" },
+        { .name = "warm-up",
+            .kind = SettingKind::Count,
+            .defaultValue = "50",
+            .help = "first rounds that are not measured",
+            .maximum = "10000" },
+        { .name = "call-timeout",
+            .kind = SettingKind::Duration,
+            .defaultValue = "5s",
+            .help = "for one call",
+            .maximum = "60s" },
+        { .name = "time-limit",
+            .kind = SettingKind::Duration,
+            .defaultValue = "60s",
+            .help = "for the whole run",
+            .maximum = "1h" },
+    };
+}
+
+/// One side of the comparison.
+struct Side {
+    std::string name;
+    Address address;
+    HttpRequest request;
+    Samples samples;
+    std::uint64_t failures = 0; ///< failed calls and statuses other than 2xx; not among the samples
+};
+
+class Bench {
+public:
+    explicit Bench(const Settings& settings)
+        : m_settings(settings)
+    {
+        m_sides[0] = makeSide("direct");
+        m_sides[1] = makeSide("through");
+        if (settings.isSet("token"))
+            m_sides[1].request.headers.set("Authorization", "Bearer " + settings.text("token"));
+    }
+
+    /// Calls both sides in turns and swaps their order in each round, so that neither always follows the other.
+    boost::asio::awaitable<void> run()
+    {
+        const auto warmUp = m_settings.count("warm-up");
+        const auto rounds = warmUp + m_settings.count("rounds");
+        const auto end = m_clock.now() + m_settings.duration("time-limit");
+        for (std::uint64_t i = 0; i < rounds && m_clock.now() < end; ++i) {
+            co_await call(m_sides[i % 2], i >= warmUp);
+            co_await call(m_sides[(i + 1) % 2], i >= warmUp);
+        }
+    }
+
+    void print() const
+    {
+        for (const auto& it : m_sides) {
+            std::cout << it.name << ": calls=" << it.samples.count() << " failures=" << it.failures
+                      << " median_ms=" << toMilliseconds(it.samples.percentile(50))
+                      << " p99_ms=" << toMilliseconds(it.samples.percentile(99)) << "\n";
+        }
+        std::cout << "difference: median_ms=" << difference(50) << " p99_ms=" << difference(99) << "\n";
+    }
+
+    /// Returns whether both sides have samples and no call failed.
+    bool isComplete() const
+    {
+        return std::all_of(m_sides.begin(), m_sides.end(),
+            [](const Side& side) { return side.samples.count() > 0 && side.failures == 0; });
+    }
+
+    boost::asio::io_context& context() { return m_context; }
+
+private:
+    Side makeSide(const std::string& name) const
+    {
+        Side side;
+        side.name = name;
+        side.address = m_settings.address(name + "-address");
+        if (!boost::asio::ip::make_address(side.address.host).is_loopback())
+            throw std::runtime_error("--" + name + "-address must be on the loopback interface");
+        side.request.method = m_settings.text("method");
+        side.request.target = m_settings.text(name + "-target");
+        side.request.body = m_settings.text("body");
+        if (!side.request.body.empty())
+            side.request.headers.set("Content-Type", "application/json");
+        return side;
+    }
+
+    boost::asio::awaitable<void> call(Side& side, bool isMeasured)
+    {
+        auto request = side.request;
+        if (m_settings.text("fresh-key") == "true")
+            request.headers.set("Idempotency-Key", randomId());
+        const auto begin = m_clock.now();
+        HttpCallOptions options;
+        options.deadline = begin + m_settings.duration("call-timeout");
+        auto response = co_await m_client.call(side.address, std::move(request), options);
+        const auto duration = m_clock.now() - begin;
+        if (!isMeasured)
+            co_return;
+        if (response && response->status / 100 == 2)
+            side.samples.add(duration);
+        else
+            ++side.failures;
+    }
+
+    double difference(unsigned percent) const
+    {
+        return toMilliseconds(m_sides[1].samples.percentile(percent) - m_sides[0].samples.percentile(percent));
+    }
+
+    const Settings& m_settings;
+    SystemClock m_clock;
+    boost::asio::io_context m_context;
+    HttpClient m_client { m_context, m_clock };
+    std::array<Side, 2> m_sides;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const auto specs = benchSettings();
+    const auto outcome = parseSettings(specs, { argv + 1, argv + argc }, {});
+    if (!outcome.settings) {
+        std::cerr << "bench_http: " << outcome.error << "\n";
+        return 2;
+    }
+    if (outcome.settings->action() != SettingsAction::Run) {
+        std::cout << formatHelp("bench_http", "Compares direct calls with calls through another address.", specs);
+        return 0;
+    }
+    try {
+        Bench bench(*outcome.settings);
+        runAwaitable(bench.context(), bench.run());
+        bench.print();
+        return bench.isComplete() ? 0 : 1;
+    } catch (const std::exception& error) {
+        std::cerr << "bench_http: " << error.what() << "\n";
+        return 1;
+    }
+}
--- /dev/null
+++ b/testsuite/load/load_runner.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "bulrushstack/net/http_client.h"
+#include "load_summary.h"
+
+#include <functional>
+
+namespace bulrushstack::load {
+
+/// Sends planned requests at their times, whether or not earlier ones were answered (open loop).
+class LoadRunner {
+public:
+    /// Receives one line of text about the progress.
+    using ProgressHandler = std::function<void(const std::string& line)>;
+
+    /// The arguments must outlive the runner.
+    LoadRunner(boost::asio::io_context& context, const Clock& clock, const Experiment& experiment);
+
+    /// Sends all requests and waits for their ends. The timeout of the experiment bounds the wait.
+    boost::asio::awaitable<void> run(
+        std::vector<PlannedRequest> planned, std::chrono::nanoseconds progressInterval, ProgressHandler progress);
+
+    const LoadSummary& summary() const { return m_summary; }
+
+    /// Returns the time from the start of the run to its last answer.
+    std::chrono::nanoseconds elapsed() const { return m_end - m_start; }
+
+private:
+    boost::asio::awaitable<void> send(PlannedRequest planned);
+    boost::asio::awaitable<RequestOutcome> execute(PlannedRequest planned, HttpCallOptions options);
+    boost::asio::awaitable<void> sleepUntil(SteadyTime time);
+    std::string progressLine() const;
+
+    boost::asio::io_context& m_context;
+    const Clock& m_clock;
+    const Experiment& m_experiment;
+    HttpClient m_client;
+    LoadSummary m_summary;
+    std::string m_runId;
+    SteadyTime m_start {};
+    SteadyTime m_end {};
+    std::uint64_t m_sent = 0;
+    std::size_t m_inFlight = 0;
+};
+
+} // namespace bulrushstack::load
--- /dev/null
+++ b/testsuite/load/request_builder.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "bulrushstack/net/http.h"
+#include "schedule.h"
+
+namespace bulrushstack::load {
+
+/// Returns the request on the wire. `runId` makes idempotency keys differ from those of earlier runs.
+HttpRequest buildRequest(const Experiment& experiment, const PlannedRequest& planned, const std::string& runId);
+
+} // namespace bulrushstack::load
