Add bulrushctl

Operators change and read the configuration of a deployment from scripts and by hand, and an answer may be lost on the way.

Files carry the revision that they are based on, so that edits made between reading and applying show as a conflict. Tokens are made here and only their digest is sent.

--- /dev/null
+++ b/src/bulrushctl/command.cpp
@@ -0,0 +1,142 @@
+#include "command.h"
+
+#include <algorithm>
+
+namespace bulrushstack {
+
+namespace {
+
+struct CommandForm {
+    std::string_view noun;
+    std::string_view verb;
+    std::size_t minimum; ///< operands
+    std::size_t maximum;
+    std::string_view operands;
+};
+
+constexpr CommandForm forms[] = {
+    { "status", "", 0, 0, "" },
+    { "config", "apply", 1, 1, "FILE" },
+    { "config", "show", 0, 0, "" },
+    { "config", "history", 0, 0, "" },
+    { "template", "list", 0, 0, "" },
+    { "template", "show", 1, 1, "NAME" },
+    { "template", "diff", 2, 2, "NAME FILE" },
+    { "template", "apply", 1, 1, "FILE" },
+    { "template", "history", 0, 1, "[NAME]" },
+    { "team", "create", 1, 1, "FILE, or NAME --template T [--parameter KEY=VALUE]..." },
+    { "team", "list", 0, 0, "" },
+    { "team", "show", 1, 1, "NAME" },
+    { "team", "delete", 1, 1, "NAME" },
+    { "model", "apply", 1, 1, "FILE" },
+    { "model", "list", 0, 0, "" },
+    { "service", "apply", 1, 1, "FILE" },
+    { "service", "list", 0, 0, "" },
+};
+
+std::string describe(const CommandForm& form)
+{
+    std::string out(form.noun);
+    for (auto part : { form.verb, form.operands })
+        out += part.empty() ? "" : " " + std::string(part);
+    return out;
+}
+
+CommandOutcome refuse(std::string error) { return { .command = std::nullopt, .error = std::move(error) }; }
+
+/// Returns what may stand after a noun, or all nouns if it is not known.
+std::string permittedAfter(std::string_view noun)
+{
+    std::string verbs;
+    std::string nouns;
+    for (const auto& form : forms) {
+        if (form.noun == noun)
+            verbs += " " + std::string(form.verb);
+        if ((nouns + " ").find(" " + std::string(form.noun) + " ") == std::string::npos)
+            nouns += " " + std::string(form.noun);
+    }
+    return verbs.empty() ? nouns : verbs;
+}
+
+} // namespace
+
+CommandOutcome parseCommand(const std::vector<std::string>& words)
+{
+    if (words.empty())
+        return refuse("no command; expected one of" + permittedAfter(""));
+    for (const auto& form : forms) {
+        const std::size_t head = form.verb.empty() ? 1 : 2;
+        if (form.noun != words[0] || (head == 2 && (words.size() < 2 || form.verb != words[1])))
+            continue;
+        const std::size_t n = words.size() - head;
+        if (n < form.minimum || n > form.maximum)
+            return refuse("wrong number of operands; expected " + describe(form));
+        Command command { .noun = words[0], .verb = std::string(form.verb), .operands = {} };
+        command.operands.assign(words.begin() + static_cast<std::ptrdiff_t>(head), words.end());
+        return { .command = std::move(command), .error = {} };
+    }
+    const auto text = words[0] + (words.size() > 1 ? " " + words[1] : "");
+    return refuse("unknown command '" + text + "'; expected one of" + permittedAfter(words[0]));
+}
+
+std::string commandSummary()
+{
+    std::string out
+        = "Reads and changes the configuration of a deployment.\n\nCommands; FILE may be - for standard input:\n";
+    for (const auto& form : forms)
+        out += "  " + describe(form) + "\n";
+    return out
+        + "\nA file holds {\"templates\":{NAME:...},\"models\":{...},\"services\":{...},\"teams\":{...}}, with null "
+          "for\n"
+          "an object to delete and \"revision\" for the revision that it was based on.\n\n"
+          "Exit status: 0 success, 1 refused or failed, 2 usage, 3 conflict, 4 unreachable, 5 --wait timed out.";
+}
+
+std::vector<SettingSpec> controlSettings()
+{
+    return {
+        { .name = "address",
+            .kind = SettingKind::Address,
+            .help = "operator address of an instance",
+            .required = true },
+        { .name = "token",
+            .kind = SettingKind::Text,
+            .help = "bearer token of the operators",
+            .required = true,
+            .secret = true },
+        { .name = "output",
+            .kind = SettingKind::Choice,
+            .defaultValue = "table",
+            .help = "form of the output",
+            .choices = { "table", "json" } },
+        { .name = "wait", .kind = SettingKind::Flag, .help = "wait until all live instances report the revision" },
+        { .name = "wait-timeout",
+            .kind = SettingKind::Duration,
+            .defaultValue = "30s",
+            .help = "longest time to wait",
+            .minimum = "1ms",
+            .maximum = "1h" },
+        { .name = "author", .kind = SettingKind::Text, .help = "name to record with a change, instead of the user's" },
+        { .name = "template", .kind = SettingKind::Text, .help = "template of the team to create" },
+        { .name = "parameter", .kind = SettingKind::Text, .help = "KEY=VALUE of the team to create; may be repeated" },
+    };
+}
+
+std::vector<std::string> takeParameters(std::vector<std::string>& arguments)
+{
+    static constexpr std::string_view flag = "--parameter";
+    std::vector<std::string> out;
+    for (auto it = arguments.begin(); it != arguments.end() && *it != "--";) {
+        const bool hasValue = it->starts_with(std::string(flag) + "=");
+        if (!hasValue && (*it != flag || it + 1 == arguments.end())) {
+            ++it;
+            continue;
+        }
+        const auto end = hasValue ? it + 1 : it + 2;
+        out.push_back(hasValue ? it->substr(flag.size() + 1) : *(it + 1));
+        it = arguments.erase(it, end);
+    }
+    return out;
+}
+
+} // namespace bulrushstack
--- /dev/null
+++ b/src/bulrushctl/program.cpp
@@ -0,0 +1,342 @@
+#include "program.h"
+
+#include "bulrushstack/config/configuration_json.h"
+#include "bulrushstack/kernel/ids.h"
+#include "edits.h"
+#include "views.h"
+
+#include <fstream>
+#include <istream>
+#include <ostream>
+
+namespace bulrushstack {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr int indent = 2;
+constexpr unsigned statusOk = 200;
+constexpr unsigned statusConflict = 409;
+constexpr unsigned statusInvalid = 422;
+
+std::vector<ConfigurationRecord> recordsOf(const nlohmann::json& array)
+{
+    std::vector<ConfigurationRecord> out;
+    for (const auto& it : array) {
+        if (auto record = recordFromJson(it))
+            out.push_back(std::move(*record));
+    }
+    return out;
+}
+
+nlohmann::json objectOf(const nlohmann::json& document, const std::string& section, const std::string& name)
+{
+    const auto objects
+        = document.is_object() ? document.value(section, nlohmann::json::object()) : nlohmann::json::object();
+    return objects.is_object() ? objects.value(name, nlohmann::json()) : nlohmann::json();
+}
+
+std::uint64_t revisionOf(const nlohmann::json& document)
+{
+    const auto revision = document.is_object() ? document.value("revision", nlohmann::json()) : nlohmann::json();
+    return revision.is_number_unsigned() ? revision.get<std::uint64_t>() : 0;
+}
+
+std::string textOf(const nlohmann::json& body, const char* member)
+{
+    const auto value = body.is_object() ? body.value(member, nlohmann::json()) : nlohmann::json();
+    return value.is_string() ? value.get<std::string>() : std::string();
+}
+
+bool touches(const ConfigurationRecord& record, const std::string& kind, const std::string& name)
+{
+    for (const auto& [objectKind, objectName] : record.objects) {
+        if ((kind.empty() || objectKind == kind) && (name.empty() || objectName == name))
+            return true;
+    }
+    return false;
+}
+
+} // namespace
+
+Program::Program(OperatorClient& client, ProgramOptions options, ProgramStreams streams)
+    : m_client(client)
+    , m_options(std::move(options))
+    , m_streams(streams)
+{
+}
+
+asio::awaitable<ExitStatus> Program::run(Command command)
+{
+    command.operands.resize(2);
+    const auto& verb = command.verb;
+    const auto first = command.operands[0];
+    const auto second = command.operands[1];
+    const auto section = std::string(sectionOfKind(command.noun));
+    const std::string kind = section.empty() ? std::string() : command.noun; // "config" stands for all kinds
+    if (command.noun == "status")
+        co_return co_await showStatus();
+    if (verb == "history")
+        co_return co_await showHistory(kind, first);
+    if (verb == "apply")
+        co_return co_await applyFile(first, section);
+    if (command.noun == "config")
+        co_return co_await showConfiguration();
+    if (verb == "list")
+        co_return co_await showObjects(section);
+    if (verb == "show")
+        co_return co_await showObject(section, first);
+    if (verb == "diff")
+        co_return co_await showDiff(section, first, second);
+    if (verb == "create")
+        co_return co_await createTeam(first);
+    co_return co_await deleteTeam(first);
+}
+
+ExitStatus Program::fail(ExitStatus status, const std::string& message)
+{
+    m_streams.errors << "bulrushctl: " << message << "\n";
+    m_status = status;
+    return status;
+}
+
+ExitStatus Program::print(const nlohmann::json& document, const std::string& table)
+{
+    m_streams.output << (m_options.isJson ? document.dump(indent) + "\n" : table);
+    return ExitStatus::Success;
+}
+
+asio::awaitable<Program::Lookup> Program::fetch(std::string target)
+{
+    auto answer = co_await m_client.get(std::move(target));
+    if (!answer)
+        fail(ExitStatus::Unreachable, "the instance cannot be reached: " + answer.error().detail);
+    else if (answer->status != statusOk)
+        reportRefusal(*answer);
+    else
+        co_return std::move(answer->body);
+    co_return std::nullopt;
+}
+
+Program::Lookup Program::readFile(const std::string& path)
+{
+    std::ifstream file;
+    if (path != "-") {
+        file.open(path);
+        if (!file) {
+            fail(ExitStatus::Failed, "cannot read file '" + path + "'");
+            return std::nullopt;
+        }
+    }
+    try {
+        return nlohmann::json::parse(path == "-" ? m_streams.input : file);
+    } catch (const nlohmann::json::exception& e) {
+        fail(ExitStatus::Failed, "file '" + path + "' is not JSON: " + e.what());
+        return std::nullopt;
+    }
+}
+
+asio::awaitable<ExitStatus> Program::showStatus()
+{
+    const auto status = co_await fetch("/operator/v1/status");
+    co_return status ? print(*status, formatStatus(*status)) : m_status;
+}
+
+asio::awaitable<ExitStatus> Program::showConfiguration()
+{
+    const auto document = co_await fetch("/operator/v1/config");
+    co_return document ? print(*document, document->dump(indent) + "\n") : m_status;
+}
+
+asio::awaitable<ExitStatus> Program::showObjects(std::string section)
+{
+    const auto document = co_await fetch("/operator/v1/config");
+    if (!document)
+        co_return m_status;
+    co_return print(document->value(section, nlohmann::json::object()), formatObjects(section, *document));
+}
+
+/// Shows an object in the form of a file, with the revision that an edited file is then based on.
+asio::awaitable<ExitStatus> Program::showObject(std::string section, std::string name)
+{
+    const auto document = co_await fetch("/operator/v1/config");
+    if (!document)
+        co_return m_status;
+    const auto object = objectOf(*document, section, name);
+    if (object.is_null())
+        co_return fail(ExitStatus::Failed, "there is no '" + name + "' in " + section);
+    nlohmann::json shown { { "revision", revisionOf(*document) } };
+    shown[section][name] = object;
+    co_return print(shown, shown.dump(indent) + "\n");
+}
+
+asio::awaitable<ExitStatus> Program::showDiff(std::string section, std::string name, std::string file)
+{
+    const auto content = readFile(file);
+    if (!content)
+        co_return m_status;
+    const auto edits = editsOfFile(*content, section);
+    if (!edits.error.empty())
+        co_return fail(ExitStatus::Failed, edits.error);
+    if (!content->contains(section) || !content->at(section).contains(name))
+        co_return fail(ExitStatus::Failed, "the file does not hold '" + name + "' in " + section);
+    const auto document = co_await fetch("/operator/v1/config");
+    if (!document)
+        co_return m_status;
+    const auto before = objectOf(*document, section, name);
+    const auto& after = content->at(section).at(name);
+    co_return print(nlohmann::json::diff(before, after), formatObjectDiff(before, after));
+}
+
+asio::awaitable<ExitStatus> Program::showHistory(std::string kind, std::string name)
+{
+    const auto body = co_await fetch("/operator/v1/history?limit=1000");
+    if (!body)
+        co_return m_status;
+    auto records = recordsOf(*body);
+    std::erase_if(records, [&](const auto& it) { return !touches(it, kind, name); });
+    auto shown = nlohmann::json::array();
+    for (const auto& it : records)
+        shown.push_back(toJson(it));
+    co_return print(shown, formatHistory(records));
+}
+
+asio::awaitable<ExitStatus> Program::applyFile(std::string file, std::string section)
+{
+    const auto content = readFile(file);
+    if (!content)
+        co_return m_status;
+    auto edits = editsOfFile(*content, section);
+    if (!edits.error.empty())
+        co_return fail(ExitStatus::Failed, edits.error);
+    nlohmann::json document;
+    if (!edits.baseRevision) {
+        auto fetched = co_await fetch("/operator/v1/config");
+        if (!fetched)
+            co_return m_status;
+        document = std::move(*fetched);
+    }
+    co_return co_await apply(std::move(edits), std::move(document), std::string());
+}
+
+asio::awaitable<ExitStatus> Program::createTeam(std::string operand)
+{
+    EditSet edits;
+    std::string token;
+    if (m_options.templateName.empty()) {
+        const auto content = readFile(operand);
+        if (!content)
+            co_return m_status;
+        edits = editsOfFile(*content, "teams");
+    } else {
+        token = randomId() + randomId();
+        edits = editsOfNewTeam(operand, m_options.templateName, m_options.parameters, sha256Hex(token));
+    }
+    if (!edits.error.empty())
+        co_return fail(m_options.templateName.empty() ? ExitStatus::Failed : ExitStatus::Usage, edits.error);
+    auto document = co_await fetch("/operator/v1/config");
+    if (!document)
+        co_return m_status;
+    for (const auto& it : edits.edits) {
+        if (!objectOf(*document, "teams", it.name).is_null())
+            co_return fail(ExitStatus::Failed, "team '" + it.name + "' exists already");
+    }
+    co_return co_await apply(std::move(edits), std::move(*document), std::move(token));
+}
+
+asio::awaitable<ExitStatus> Program::deleteTeam(std::string name)
+{
+    auto document = co_await fetch("/operator/v1/config");
+    if (!document)
+        co_return m_status;
+    EditSet edits;
+    edits.edits.push_back({ .kind = "team", .name = std::move(name), .value = std::nullopt });
+    co_return co_await apply(std::move(edits), std::move(*document), {});
+}
+
+/// Sends the edits, based on the revision of the file or else on that of the document that was fetched.
+asio::awaitable<ExitStatus> Program::apply(EditSet edits, nlohmann::json document, std::string token)
+{
+    ConfigurationChange change;
+    change.changeId = randomId();
+    change.author = m_options.author;
+    change.baseRevision = edits.baseRevision.value_or(revisionOf(document));
+    change.edits = std::move(edits.edits);
+    auto answer = co_await m_client.sendChange(change);
+    if (!answer)
+        co_return reportUncertain(answer, change.changeId, token);
+    if (answer->status == statusOk)
+        co_return co_await reportAccepted(revisionOf(answer->body), change.changeId, std::move(token));
+    if (answer->status == statusConflict)
+        co_return co_await reportConflict(answer->body, std::move(change));
+    if (answer->status >= 500)
+        co_return reportUncertain(answer, change.changeId, token);
+    co_return reportRefusal(*answer);
+}
+
+asio::awaitable<ExitStatus> Program::reportAccepted(std::uint64_t revision, std::string changeId, std::string token)
+{
+    std::vector<std::string> behind;
+    nlohmann::json document { { "revision", revision }, { "change_id", changeId } };
+    std::string text = "accepted revision " + std::to_string(revision) + " change " + changeId + "\n";
+    if (!token.empty()) {
+        document["token"] = token;
+        text += "token " + token + " (stored nowhere, shown only now)\n";
+    }
+    if (m_options.isWaiting) {
+        behind = co_await m_client.waitInForce(revision, m_options.waitTimeout);
+        document["in_force"] = behind.empty();
+        text += behind.empty() ? "in force on all live instances\n" : "";
+    }
+    print(document, text);
+    if (behind.empty())
+        co_return ExitStatus::Success;
+    std::string names;
+    for (const auto& it : behind)
+        names += (names.empty() ? "" : ", ") + it;
+    co_return fail(ExitStatus::WaitTimedOut,
+        "revision " + std::to_string(revision) + " is accepted but not reported by: " + names);
+}
+
+asio::awaitable<ExitStatus> Program::reportConflict(nlohmann::json body, ConfigurationChange change)
+{
+    const auto competing
+        = recordsOf(body.is_object() ? body.value("competing", nlohmann::json::array()) : nlohmann::json::array());
+    auto document = co_await m_client.get("/operator/v1/config");
+    const auto current = document && document->status == statusOk ? document->body : nlohmann::json::object();
+    print(body, {});
+    m_streams.errors << formatConflict(competing, change.edits, current);
+    co_return fail(ExitStatus::Conflict, "not accepted; read the objects again, edit them and apply them once more");
+}
+
+ExitStatus Program::reportRefusal(const OperatorAnswer& answer)
+{
+    if (answer.status == statusInvalid) {
+        print(answer.body, {});
+        const auto problems = problemsFromJson(answer.body);
+        m_streams.errors << (problems ? formatProblems(*problems) : answer.body.dump() + "\n");
+        return fail(ExitStatus::Failed, "not accepted; the configuration would not be valid");
+    }
+    const auto title = textOf(answer.body, "title");
+    return fail(ExitStatus::Failed,
+        "status " + std::to_string(answer.status) + ": " + title + "; " + textOf(answer.body, "detail"));
+}
+
+/// Reports a change without a certain outcome, or one that failed. The token is shown because the change may still
+/// take effect.
+ExitStatus Program::reportUncertain(
+    const Result<OperatorAnswer>& answer, const std::string& changeId, const std::string& token)
+{
+    const auto verdict
+        = answer ? parseVerdict(textOf(answer->body, "verdict")).value_or(Verdict::MayHaveRun) : answer.error().verdict;
+    const auto detail = answer ? textOf(answer->body, "detail") : answer.error().detail;
+    const auto status = answer ? ExitStatus::Failed : ExitStatus::Unreachable;
+    if (verdict == Verdict::NotRun)
+        return fail(status, "not accepted: " + detail);
+    if (!token.empty())
+        m_streams.errors << "token " << token << " (valid if the change takes effect)\n";
+    return fail(status, "the outcome of change " + changeId + " is unknown, see bulrushctl config history: " + detail);
+}
+
+} // namespace bulrushstack
--- /dev/null
+++ b/src/bulrushctl/views.cpp
@@ -0,0 +1,255 @@
+#include "views.h"
+
+#include "bulrushstack/config/configuration_json.h"
+
+#include <algorithm>
+
+namespace bulrushstack {
+
+namespace {
+
+using Lines = std::vector<std::string>;
+using Rows = std::vector<std::vector<std::string>>;
+
+Lines splitLines(const std::string& text)
+{
+    Lines out;
+    for (std::size_t begin = 0; begin < text.size();) {
+        const auto end = std::min(text.find('\n', begin), text.size());
+        out.push_back(text.substr(begin, end - begin));
+        begin = end + 1;
+    }
+    return out;
+}
+
+std::string prefixed(char mark, const Lines& lines, std::size_t begin, std::size_t end)
+{
+    std::string out;
+    for (auto i = begin; i < end; ++i)
+        out += std::string(1, mark) + " " + lines[i] + "\n";
+    return out;
+}
+
+/// Lengths of the longest common subsequence of the ends of both lists that begin at (i, j).
+std::vector<std::vector<std::uint32_t>> commonLengths(const Lines& a, const Lines& b)
+{
+    std::vector<std::vector<std::uint32_t>> out(a.size() + 1, std::vector<std::uint32_t>(b.size() + 1));
+    for (auto i = a.size(); i-- > 0;) {
+        for (auto j = b.size(); j-- > 0;)
+            out[i][j] = a[i] == b[j] ? out[i + 1][j + 1] + 1 : std::max(out[i + 1][j], out[i][j + 1]);
+    }
+    return out;
+}
+
+/// Returns a scalar as text without quotes, anything else as JSON.
+std::string plain(const nlohmann::json& value) { return value.is_string() ? value.get<std::string>() : value.dump(); }
+
+std::string join(const nlohmann::json& array)
+{
+    std::string out;
+    for (const auto& it : array)
+        out += (out.empty() ? "" : ",") + plain(it);
+    return out.empty() ? "-" : out;
+}
+
+std::string joinPairs(const nlohmann::json& object)
+{
+    std::string out;
+    for (const auto& [key, value] : object.items())
+        out += (out.empty() ? "" : ",") + key + "=" + plain(value);
+    return out.empty() ? "-" : out;
+}
+
+std::string memberText(const nlohmann::json& object, const char* name)
+{
+    const auto it = object.find(name);
+    return it == object.end() || it->is_null() ? "-" : plain(*it);
+}
+
+nlohmann::json memberOr(const nlohmann::json& object, const char* name, nlohmann::json fallback)
+{
+    return object.is_object() && object.contains(name) ? object.at(name) : std::move(fallback);
+}
+
+std::vector<std::string> headingOf(std::string_view section)
+{
+    if (section == "templates")
+        return { "NAME", "MODELS", "SERVICES", "PARAMETERS", "SHARE" };
+    if (section == "teams")
+        return { "NAME", "TEMPLATE", "PARAMETERS", "TOKENS" };
+    if (section == "models")
+        return { "NAME", "KIND", "BASE", "VERSION", "SIZE" };
+    return { "NAME", "STATUS PATH", "CHECKS FENCING" };
+}
+
+std::vector<std::string> rowOf(std::string_view section, const std::string& name, const nlohmann::json& value)
+{
+    const auto none = nlohmann::json::array();
+    if (section == "templates")
+        return { name, join(memberOr(value, "models", none)), join(memberOr(value, "services", none)),
+            joinPairs(memberOr(value, "parameters", nlohmann::json::object())), memberText(value, "share") };
+    if (section == "teams")
+        return { name, memberText(value, "template"),
+            joinPairs(memberOr(value, "parameters", nlohmann::json::object())),
+            std::to_string(memberOr(value, "token_sha256", none).size()) };
+    if (section == "models")
+        return { name, memberText(value, "kind"), memberText(value, "base"), memberText(value, "version"),
+            memberText(value, "size") };
+    return { name, memberText(value, "status_path"), memberText(value, "checks_fencing") };
+}
+
+std::string describeObjects(const ConfigurationRecord& record)
+{
+    std::string out;
+    for (const auto& [kind, name] : record.objects)
+        out += (out.empty() ? "" : ", ") + kind + " " + name;
+    return out;
+}
+
+bool isCompeting(const ConfigurationEdit& edit, const std::vector<ConfigurationRecord>& competing)
+{
+    const std::pair<std::string, std::string> object { edit.kind, edit.name };
+    return std::any_of(competing.begin(), competing.end(), [&](const auto& record) {
+        return std::find(record.objects.begin(), record.objects.end(), object) != record.objects.end();
+    });
+}
+
+} // namespace
+
+std::string formatTable(const Rows& rows)
+{
+    std::vector<std::size_t> widths;
+    for (const auto& row : rows) {
+        widths.resize(std::max(widths.size(), row.size()));
+        for (std::size_t i = 0; i < row.size(); ++i)
+            widths[i] = std::max(widths[i], row[i].size());
+    }
+    std::string out;
+    for (const auto& row : rows) {
+        std::string line;
+        for (std::size_t i = 0; i < row.size(); ++i)
+            line += row[i] + (i + 1 < row.size() ? std::string(widths[i] - row[i].size() + 2, ' ') : "");
+        out += line + "\n";
+    }
+    return out;
+}
+
+std::string formatDiff(const std::string& before, const std::string& after)
+{
+    // Keeps the table of lengths below some 16 MB; larger texts are shown as replaced as a whole.
+    static constexpr std::size_t cellLimit = 4'000'000;
+    if (before == after)
+        return {};
+    const auto a = splitLines(before);
+    const auto b = splitLines(after);
+    if (a.size() * b.size() > cellLimit)
+        return prefixed('-', a, 0, a.size()) + prefixed('+', b, 0, b.size());
+    const auto lengths = commonLengths(a, b);
+    std::string out;
+    std::size_t i = 0;
+    std::size_t j = 0;
+    while (i < a.size() && j < b.size()) {
+        if (a[i] == b[j]) {
+            out += "  " + a[i++] + "\n";
+            ++j;
+        } else if (lengths[i + 1][j] >= lengths[i][j + 1]) {
+            out += "- " + a[i++] + "\n";
+        } else {
+            out += "+ " + b[j++] + "\n";
+        }
+    }
+    return out + prefixed('-', a, i, a.size()) + prefixed('+', b, j, b.size());
+}
+
+std::string formatObjectDiff(const nlohmann::json& before, const nlohmann::json& after)
+{
+    static constexpr int indent = 2;
+    const auto text
+        = [](const nlohmann::json& value) { return value.is_null() ? std::string() : value.dump(indent) + "\n"; };
+    return formatDiff(text(before), text(after));
+}
+
+std::string formatProblems(const std::vector<ConfigurationProblem>& problems)
+{
+    std::string out;
+    for (const auto& it : problems)
+        out += it.path + ": '" + it.value + "' is not permitted; expected " + it.permitted + "\n";
+    return out;
+}
+
+std::string formatConflict(const std::vector<ConfigurationRecord>& competing,
+    const std::vector<ConfigurationEdit>& edits, const nlohmann::json& document)
+{
+    std::string out;
+    for (const auto& it : competing)
+        out += "conflict: revision " + std::to_string(it.revision) + " by " + it.author + " at " + it.acceptedAt
+            + " changed " + describeObjects(it) + "\n";
+    for (const auto& edit : edits) {
+        if (!isCompeting(edit, competing))
+            continue;
+        const auto section
+            = memberOr(document, std::string(sectionOfKind(edit.kind)).c_str(), nlohmann::json::object());
+        const auto current = memberOr(section, edit.name.c_str(), nullptr);
+        out += edit.kind + " " + edit.name + ", - in force, + sent:\n"
+            + formatObjectDiff(current, edit.value.value_or(nullptr));
+    }
+    return out;
+}
+
+std::string formatObjects(std::string_view section, const nlohmann::json& document)
+{
+    Rows rows { headingOf(section) };
+    const auto objects = memberOr(document, std::string(section).c_str(), nlohmann::json::object());
+    for (const auto& [name, value] : objects.items())
+        rows.push_back(rowOf(section, name, value));
+    return formatTable(rows);
+}
+
+std::string formatHistory(const std::vector<ConfigurationRecord>& records)
+{
+    Rows rows { { "REVISION", "TIME", "AUTHOR", "CHANGE", "OBJECTS" } };
+    for (const auto& it : records)
+        rows.push_back({ std::to_string(it.revision), it.acceptedAt, it.author, it.changeId, describeObjects(it) });
+    return formatTable(rows);
+}
+
+std::string formatStatus(const nlohmann::json& status)
+{
+    std::string out = "instance " + memberText(status, "instance") + " zone " + memberText(status, "zone") + " version "
+        + memberText(status, "version") + " ready " + memberText(status, "ready") + " revision "
+        + memberText(status, "revision") + "\n";
+    const auto unmet = memberOr(status, "unmet", nlohmann::json::array());
+    for (const auto& it : unmet)
+        out += "not ready: " + plain(it) + "\n";
+    Rows peers { { "PEER", "ZONE", "STATE", "REVISION", "AGE MS" } };
+    const auto peerList = memberOr(status, "peers", nlohmann::json::array());
+    for (const auto& it : peerList)
+        peers.push_back({ memberText(it, "id"), memberText(it, "zone"), memberText(it, "state"),
+            memberText(it, "revision"), memberText(it, "age_ms") });
+    Rows upstreams { { "UPSTREAM", "ROLE", "ZONE", "STATE", "IN FLIGHT", "MODELS" } };
+    const auto upstreamList = memberOr(status, "upstreams", nlohmann::json::array());
+    for (const auto& it : upstreamList)
+        upstreams.push_back(
+            { memberText(it, "id"), memberText(it, "role"), memberText(it, "zone"), memberText(it, "state"),
+                memberText(it, "in_flight"), join(memberOr(it, "models", nlohmann::json::array())) });
+    return out + "\n" + formatTable(peers) + "\n" + formatTable(upstreams);
+}
+
+std::vector<std::string> instancesBehind(const nlohmann::json& status, std::uint64_t revision)
+{
+    std::vector<std::string> out;
+    const auto check = [&](const nlohmann::json& instance, const char* idField) {
+        const auto reported = memberOr(instance, "revision", 0);
+        if (!reported.is_number_unsigned() || reported.get<std::uint64_t>() < revision)
+            out.push_back(memberText(instance, idField) + " at revision " + plain(reported));
+    };
+    check(status, "instance");
+    const auto peers = memberOr(status, "peers", nlohmann::json::array());
+    for (const auto& it : peers) {
+        if (memberText(it, "state") == "live")
+            check(it, "id");
+    }
+    return out;
+}
+
+} // namespace bulrushstack
--- a/src/include/bulrushstack/config/configuration_service.h
+++ b/src/include/bulrushstack/config/configuration_service.h
@@ -30,6 +30,8 @@
     bool offer(ConfigurationPtr configuration);
 
     /// Notes that a live peer has the revision; a higher one than the current is fetched from the peer or the store.
+    /// Call it for every heartbeat and reply of a peer, also if its revision is not higher: it counts as contact for
+    /// the freshness bound.
     void hearOf(ConfigurationHead head, Address peer);
 
     ConfigurationStore& store();
