Do not resume streams that an engine has answered with an error status

The HTTP binding of engines reports an error status of a stream as a failure that may have run, and a resume of such a stream only costs the engine a 404.

--- a/src/libexecution/caller_test_support.h
+++ b/src/libexecution/caller_test_support.h
@@ -119,6 +119,8 @@
         LostOpen, ///< the request arrives, its acceptance is lost
         Status500, ///< of a whole answer
         EarlyEnd, ///< the end marker comes after `after` events
+        Invalid, ///< the engine refuses a stream with a status of the caller's own error
+        NoModel, ///< the engine answers a stream with status 404
         WrongOffset, ///< an offset is repeated after `after` events
     };
 
@@ -184,6 +186,8 @@
             co_return *failure;
         if (fault.kind == EngineFault::LostOpen)
             co_return broken(Errc::ConnectionClosed);
+        if (fault.kind == EngineFault::Invalid || fault.kind == EngineFault::NoModel)
+            co_return broken(fault.kind == EngineFault::Invalid ? Errc::InvalidArgument : Errc::NotFound);
         co_return std::unique_ptr<EngineStream>(std::make_unique<Stream>(*this, id, 0, fault, limits));
     }
 
--- a/src/libexecution/model_recovery.h
+++ b/src/libexecution/model_recovery.h
@@ -10,19 +10,29 @@
 enum class Recovery {
     Resume, ///< continue it on the same upstream over a new connection
     Repeat, ///< send the request to another upstream and skip what was delivered
-    GiveUp, ///< end it with an error event
+    GiveUp, ///< end it with an error
+};
+
+/// The operation that failed.
+enum class StreamStep {
+    Open,
+    Resume,
+    Read,
 };
 
 /// A broken stream at the moment of the decision.
 struct BrokenStream {
-    Failure failure; ///< of the operation that failed last
-    bool isResuming = false; ///< the operation was a resume
+    StreamStep step = StreamStep::Open;
+    Failure failure; ///< of the step
     unsigned fruitlessResumes = 0; ///< resumes in a row without a new event
     unsigned resumeLimit = 0;
     std::uint64_t delivered = 0; ///< events that the caller has
     bool isDeterministic = false;
 };
 
+/// Returns whether the engine refused the request itself, so that another engine would refuse it too.
+bool isRefusedAsInvalid(const BrokenStream& stream);
+
 /// Chooses the recovery. A repetition is sound only if nothing was delivered or the same events come again.
 Recovery chooseRecovery(const BrokenStream& stream);
 
--- a/src/libexecution/model_stream.cpp
+++ b/src/libexecution/model_stream.cpp
@@ -103,6 +103,7 @@
     AttemptPtr m_attempt;
     SourcePtr m_source;
     std::uint64_t m_position = 0; ///< next offset of the current attempt
+    StreamStep m_step = StreamStep::Open;
     Failure m_failure;
     bool m_isResuming = false;
     bool m_hasProgress = false; ///< the current connection brought a new event
@@ -177,6 +178,7 @@
 boost::asio::awaitable<RelayEnd> StreamRelay::openSource()
 {
     m_hasProgress = false;
+    m_step = m_isResuming ? StreamStep::Resume : StreamStep::Open;
     auto limits = m_sequence.limits(m_state.options.streamProgressTimeout);
     std::shared_ptr<Operation<SourceResult>> operation;
     if (m_isResuming) {
@@ -204,6 +206,7 @@
         co_return RelayEnd::Broken;
     }
     m_source = std::move(*result);
+    m_step = StreamStep::Read;
     m_attempt->slot.noteConnection(true);
     co_return RelayEnd::Complete;
 }
@@ -286,8 +289,8 @@
 boost::asio::awaitable<std::optional<Problem>> StreamRelay::recover()
 {
     BrokenStream stream;
+    stream.step = m_step;
     stream.failure = m_failure;
-    stream.isResuming = m_isResuming;
     stream.fruitlessResumes = m_fruitlessResumes;
     stream.resumeLimit = m_state.options.resumeLimit;
     stream.delivered = m_delivered.count();
@@ -306,6 +309,10 @@
         co_return std::nullopt;
     }
     m_sequence.abandon(*m_attempt);
+    if (isRefusedAsInvalid(stream))
+        co_return Problem { .code = ProblemCode::MalformedRequest,
+            .detail = "the engine refused the request as invalid",
+            .verdict = m_sequence.report().verdict };
     co_return problem("the stream broke after " + std::to_string(m_delivered.count())
         + " events and cannot be continued: " + m_failure.code.message());
 }
