--- a/src/include/bulrushstack/execution/service_calls.h
+++ b/src/include/bulrushstack/execution/service_calls.h
@@ -44,13 +44,15 @@
     std::chrono::nanoseconds progressTimeout = std::chrono::seconds(5); ///< longest silence of a service
     std::chrono::nanoseconds maxIdleForNonIdempotent = std::chrono::seconds(1); ///< oldest pooled connection used
     std::chrono::nanoseconds storeTimeout = std::chrono::seconds(1); ///< for one access to the table service
-    std::chrono::nanoseconds retention = std::chrono::hours(24); ///< of journal rows
+    std::chrono::nanoseconds retention = std::chrono::hours(24); ///< of outcomes; older keys are refused
+    std::chrono::nanoseconds removalAge = std::chrono::hours(24 * 7); ///< of journal rows; removed keys count as new
     unsigned attemptLimit = 3; ///< attempts of one request
     std::chrono::nanoseconds retryBackoff = std::chrono::milliseconds(25); ///< before the first retry; doubles, with jitter
     std::chrono::nanoseconds pollInterval = std::chrono::milliseconds(50); ///< between two queries of a running attempt
     std::chrono::nanoseconds settleInterval = std::chrono::milliseconds(250); ///< before the first retry; as retryBackoff
     std::size_t outstandingLimit = 1024; ///< non-idempotent calls, those included whose row is not settled yet
     std::size_t rememberedAttempts = 8192; ///< ended attempts that peers may ask about
+    std::chrono::nanoseconds sweepInterval = std::chrono::seconds(10); ///< between two looks for old rows; zero: none
     std::size_t replayLimit = 64 * 1024; ///< bytes of an answer that is kept for a replay
 };
 
--- a/src/libexecution/journal.cpp
+++ b/src/libexecution/journal.cpp
@@ -82,6 +82,26 @@
     return std::nullopt;
 }
 
+RowCare decideOnAge(
+    const Row& row, WallTime now, std::chrono::nanoseconds retention, std::chrono::nanoseconds removalAge)
+{
+    const auto entry = parseJournalEntry(row.value);
+    if (!entry || now - entry->time <= retention)
+        return RowCare::Keep;
+    if (now - entry->time > removalAge)
+        return RowCare::Remove;
+    return stripAnswer(*entry) == *entry ? RowCare::Keep : RowCare::Strip;
+}
+
+JournalEntry stripAnswer(JournalEntry entry)
+{
+    if (entry.outcome) {
+        entry.outcome->response = { .status = entry.outcome->response.status };
+        entry.outcome->bodyDigest.clear();
+    }
+    return entry;
+}
+
 std::string_view toString(AttemptState state)
 {
     switch (state) {
--- a/src/libexecution/journal.h
+++ b/src/libexecution/journal.h
@@ -112,12 +112,26 @@
 
 /// Decides what a request does that finds the row as read.
 ///
-/// A row older than the retention refuses its key. Rows are therefore removed later than they expire: a key must not
-/// be used again before its row is removed, and whoever removes rows has to keep them for a multiple of the retention.
-/// After the removal the key counts as new, since nothing is left that could tell it apart. An abandoned row expires
-/// too, although nothing was run under it, so that the rule has no exception that a caller would have to know.
+/// A row older than the retention refuses its key. An abandoned row expires too, although nothing was run under it, so
+/// that callers need to know one rule only.
 JournalDecision decideOnRow(const std::optional<Row>& row, const JournalQuestion& question);
 
+/// What happens to a row because of its age.
+enum class RowCare {
+    Keep,
+    Strip, ///< drop the recorded answer and keep the rest, so that the key is still refused
+    Remove,
+};
+
+/// Decides on the age of a row. Nothing in a key tells its age, so a removed row cannot be told apart from a new key.
+/// Rows are therefore removed much later than they expire, and callers must not send a key again after the removal
+/// age. A malformed row is kept, since its age is not known.
+RowCare decideOnAge(
+    const Row& row, WallTime now, std::chrono::nanoseconds retention, std::chrono::nanoseconds removalAge);
+
+/// Returns the entry without its recorded answer.
+JournalEntry stripAnswer(JournalEntry entry);
+
 /// What an instance knows of an attempt.
 enum class AttemptState {
     Running, ///< dispatched, or finished and not yet recorded
--- a/src/libexecution/journal_test.cpp
+++ b/src/libexecution/journal_test.cpp
@@ -140,6 +140,27 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(OldRows)
+
+// Guards against a removal that makes a key new while it has to be refused, and against answers that are kept for days.
+BOOST_AUTO_TEST_CASE(LoseTheirAnswerFirstAndAreRemovedMuchLater)
+{
+    const auto careOf = [](const JournalEntry& entry, std::chrono::hours age) {
+        return decideOnAge(*rowOf(entry), Now + age, 24h, 168h);
+    };
+    const auto finished = entryOf(JournalState::Finished);
+    BOOST_TEST((careOf(finished, 24h) == RowCare::Keep));
+    BOOST_TEST((careOf(finished, 25h) == RowCare::Strip));
+    BOOST_TEST((careOf(stripAnswer(finished), 168h) == RowCare::Keep));
+    BOOST_TEST((careOf(stripAnswer(finished), 169h) == RowCare::Remove));
+    BOOST_TEST((careOf(entryOf(JournalState::Recorded), 25h) == RowCare::Keep));
+    const auto refused = decideOnRow(rowOf(stripAnswer(finished)), questionOf("d", 25h));
+    BOOST_TEST((refused == JournalDecision(RefuseKey { ProblemCode::KeyExpired, Verdict::Ran })));
+    BOOST_TEST((decideOnAge({ .version = 1, .value = "text" }, Now, 24h, 168h) == RowCare::Keep));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(Replies)
 
 // Guards against a take-over without the writer's refusal: silence and forgotten attempts prove nothing.
--- a/src/libexecution/service_calls.cpp
+++ b/src/libexecution/service_calls.cpp
@@ -3,6 +3,7 @@
 #include "service_calls_core.h"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <glog/logging.h>
 
 namespace bulrushstack {
@@ -73,6 +74,10 @@
     // Without a limit, unrecorded outcomes would fill the memory while the table service is down.
     if (core->journaled >= core->options.outstandingLimit)
         co_return refusal(ProblemCode::Overloaded, Verdict::NotRun, "too many calls are not settled yet", ShortRetry);
+    // A table service that does not answer would make every call wait for its timeout.
+    if (core->deps.clock.now() < core->storeSilentUntil)
+        co_return refusal(
+            ProblemCode::StoreUnavailable, Verdict::NotRun, "the table service does not answer", ShortRetry);
     auto call = startCall(core, std::move(context), std::move(request));
     co_return co_await awaitCall(core, call, deadline, false);
 }
@@ -94,6 +99,8 @@
 ServiceCallExecutor::ServiceCallExecutor(ServiceCallDependencies dependencies, ServiceCallOptions options)
     : m_state(std::make_shared<State>(std::move(dependencies), options))
 {
+    if (options.sweepInterval > std::chrono::nanoseconds(0))
+        asio::co_spawn(m_state->deps.context, sweepJournal(m_state), asio::detached);
 }
 
 ServiceCallExecutor::~ServiceCallExecutor()
--- a/src/libexecution/service_calls_core.h
+++ b/src/libexecution/service_calls_core.h
@@ -68,6 +68,7 @@
     Signal changed; ///< `outstanding` decreased
     Signal stopped; ///< `isStopped` was set
     bool isStopped = false;
+    SteadyTime storeSilentUntil {}; ///< non-idempotent calls are refused until then
     std::minstd_rand random;
 };
 
@@ -112,4 +113,7 @@
 /// until the row of the journal is settled.
 boost::asio::awaitable<void> runJournaled(ServiceCallCorePtr core, std::shared_ptr<JournaledCall> call);
 
+/// Looks through the journal for old rows and strips or removes them, until the executor stops.
+boost::asio::awaitable<void> sweepJournal(ServiceCallCorePtr core);
+
 } // namespace bulrushstack
--- a/src/libexecution/service_calls_fixture.h
+++ b/src/libexecution/service_calls_fixture.h
@@ -72,6 +72,7 @@
     out.retryBackoff = {};
     out.pollInterval = {};
     out.settleInterval = {};
+    out.sweepInterval = {};
     return out;
 }
 
--- a/src/libexecution/service_calls_journaled.cpp
+++ b/src/libexecution/service_calls_journaled.cpp
@@ -55,6 +55,22 @@
     bool isPastDeadline() const { return m_core->deps.clock.now() >= m_call->context.deadline; }
     SteadyTime storeDeadline() const { return m_core->storeDeadline(m_call->context.deadline); }
 
+    asio::awaitable<Result<std::optional<Row>>> read(SteadyTime deadline)
+    {
+        auto row = co_await m_core->deps.tables.read(m_call->rowId, deadline);
+        if (row)
+            m_core->storeSilentUntil = {};
+        co_return row;
+    }
+
+    asio::awaitable<Result<RowVersion>> commit(Transaction transaction, SteadyTime deadline)
+    {
+        auto committed = co_await m_core->deps.tables.commit(std::move(transaction), deadline);
+        if (committed || committed.error().code == Errc::Conflict)
+            m_core->storeSilentUntil = {};
+        co_return committed;
+    }
+
     asio::awaitable<JournalDecision> step(JournalDecision decision)
     {
         if (const auto* claim = std::get_if<ClaimRow>(&decision))
@@ -87,7 +103,7 @@
         const UnsettledClaim claim { .attempt = randomId(), .base = base };
         m_core->attempts.begin(claim.attempt);
         auto transaction = writeOf(base, makeEntry(claim.attempt, JournalState::Recorded));
-        const auto committed = co_await m_core->deps.tables.commit(std::move(transaction), storeDeadline());
+        const auto committed = co_await commit(std::move(transaction), storeDeadline());
         if (committed)
             co_return grant(claim, *committed);
         if (committed.error().code == Errc::Conflict) {
@@ -106,7 +122,9 @@
     /// Finds out what became of a claim whose answer was lost.
     asio::awaitable<JournalDecision> readBack(UnsettledClaim claim)
     {
-        const auto row = co_await m_core->deps.tables.read(m_call->rowId, storeDeadline());
+        const auto row = co_await read(storeDeadline());
+        if (!row)
+            m_core->storeSilentUntil = m_core->deps.clock.now() + m_core->options.storeTimeout;
         const auto state = row ? decideOnReadBack(*row, claim.attempt, claim.base) : ClaimState::InDoubt;
         if (state == ClaimState::Own)
             co_return grant(claim, (*row)->version);
@@ -137,7 +155,7 @@
 
     asio::awaitable<JournalDecision> readRow()
     {
-        const auto row = co_await m_core->deps.tables.read(m_call->rowId, storeDeadline());
+        const auto row = co_await read(storeDeadline());
         if (!row) {
             answerStoreUnavailable(m_seen);
             co_return ReadAgain {};
@@ -206,7 +224,7 @@
         entry->outcome = journalOutcome(m_call->outcome.value());
         // Recorded once only: if this fails, the next send of the key reads the status again.
         auto transaction = writeOf(m_row->version, *entry);
-        co_await m_core->deps.tables.commit(std::move(transaction), m_core->storeDeadline());
+        co_await commit(std::move(transaction), m_core->storeDeadline());
     }
 
     asio::awaitable<void> runGranted()
@@ -240,7 +258,7 @@
         entry.outcome = journalOutcome(*m_call->outcome);
         for (unsigned round = 0; mayGoOn(); ++round) {
             auto transaction = writeOf(m_version, entry);
-            const auto committed = co_await m_core->deps.tables.commit(std::move(transaction), m_core->storeDeadline());
+            const auto committed = co_await commit(std::move(transaction), m_core->storeDeadline());
             // Nobody but this attempt writes the row while it is dispatched, apart from a status read that found the
             // outcome. A conflict thus means that an earlier round, or the status read, recorded it.
             if (committed || committed.error().code == Errc::Conflict) {
@@ -255,14 +273,13 @@
     asio::awaitable<void> settle(UnsettledClaim claim)
     {
         for (unsigned round = 0; mayGoOn(); ++round) {
-            const auto row = co_await m_core->deps.tables.read(m_call->rowId, m_core->storeDeadline());
+            const auto row = co_await read(m_core->storeDeadline());
             if (row && mayGoOn()) {
                 const auto version = decideOnSettlement(*row, claim.attempt, claim.base);
                 if (!version)
                     co_return;
                 auto transaction = writeOf(*version, makeEntry(claim.attempt, JournalState::Abandoned));
-                const auto committed
-                    = co_await m_core->deps.tables.commit(std::move(transaction), m_core->storeDeadline());
+                const auto committed = co_await commit(std::move(transaction), m_core->storeDeadline());
                 if (committed) {
                     log("journal-abandoned", claim.attempt);
                     co_return;
--- a/src/libexecution/service_calls_test.cpp
+++ b/src/libexecution/service_calls_test.cpp
@@ -353,6 +353,26 @@
     BOOST_TEST(stateOf("k1") == "finished");
 }
 
+// Guards against calls that each wait for a table service that has stopped to answer, and against a refusal that lasts.
+BOOST_AUTO_TEST_CASE(ASilentServiceRefusesLaterCallsAtOnce)
+{
+    options.settleInterval = 1h;
+    ServiceCallExecutor executor(dependenciesOf("c", &peerOfA), options);
+    int accesses = 0;
+    tables.fault = [&](std::string_view) {
+        ++accesses;
+        return FakeFault::LostRequest;
+    };
+    checkRefusal(run(executor, Order), ProblemCode::StoreUnavailable, Verdict::NotRun, true);
+    const int before = accesses;
+    checkRefusal(
+        run(executor, serviceRequest("shop", "POST", "k2")), ProblemCode::StoreUnavailable, Verdict::NotRun, true);
+    BOOST_TEST(accesses == before);
+    tables.fault = nullptr;
+    clock.advance(options.storeTimeout);
+    BOOST_TEST(toString(run(executor, serviceRequest("shop", "POST", "k2")).verdict) == "ran");
+}
+
 // Guards against memory that grows without bound while outcomes cannot be recorded.
 BOOST_AUTO_TEST_CASE(TooManyUnsettledCallsRefuseFurtherOnes)
 {
@@ -367,6 +387,19 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against a journal that grows for ever.
+BOOST_FIXTURE_TEST_CASE(OldRowsAreSweptInTheBackground, Fixture)
+{
+    run(executorA, Order);
+    drain();
+    clock.advance(options.removalAge + 1s);
+    options.sweepInterval = 1ns;
+    ServiceCallExecutor sweeper(dependenciesOf("c", &peerOfA), options);
+    context.restart();
+    while (stateOf("k1") != "absent" && context.run_one() > 0) { }
+    BOOST_TEST(stateOf("k1") == "absent");
+}
+
 BOOST_FIXTURE_TEST_SUITE(SeveralSends, Fixture)
 
 /// Holds the first call at the service and lets another send happen meanwhile.
@@ -432,6 +465,7 @@
     BOOST_TEST(queries == 1);
     BOOST_TEST(!held.second.has_value());
     held.release.notify();
+    context.restart();
     while (!held.second && context.run_one() > 0) { }
     BOOST_TEST(held.second->isReplay);
     BOOST_TEST(services.calls.size() == 1U);
