Add the stand-in for model engines

Session tests need engines that crash, go silent, lose answers and refuse orders on command. standin_engine implements the engine protocol of the design: continuous batching with a shared token rate, a salted prefix cache with late and incomplete events, streams that can be resumed, load orders with fencing, and a log of every execution. Faults strike at the points accept, answer, answer-id, token, report and order.

HttpExchange gains close(), since a handler had no way to close a connection without an answer: a return without one gives the client status 500. The default does nothing, so other implementations need no change.

--- a/src/include/bulrushstack/net/http_server.h
+++ b/src/include/bulrushstack/net/http_server.h
@@ -35,6 +35,9 @@
     /// Sends the final chunk. A stream that is not ended is cut by closing the connection, which the client sees as
     /// an incomplete message.
     virtual boost::asio::awaitable<std::error_code> endStream() = 0;
+
+    /// Closes the connection without an answer or without the rest of it. The default does nothing.
+    virtual void close() { }
 };
 
 /// Answers requests. An exception, or a return without an answer, gives the client status 500.
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -133,6 +133,13 @@
         co_return ec;
     }
 
+    void close() override
+    {
+        m_isStarted = true;
+        m_isKeptAlive = false;
+        m_connection.stream.close();
+    }
+
     /// Returns whether the connection may carry another request.
     bool isReusable() const { return m_isComplete && m_isKeptAlive; }
 
--- /dev/null
+++ b/testsuite/standins/engine/engine_handler.cpp
@@ -0,0 +1,385 @@
+#include "engine_handler.h"
+
+#include "fault_answer.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <charconv>
+#include <stdexcept>
+#include <unistd.h>
+
+namespace bulrushstack::standins {
+
+namespace asio = boost::asio;
+using json = nlohmann::json;
+
+namespace {
+
+constexpr std::string_view streamPath = "/v1/streams/";
+
+std::string eventText(const Work& work, std::size_t offset)
+{
+    return "id: " + std::to_string(offset) + "\ndata: " + work.eventData(offset) + "\n\n";
+}
+
+/// Connects a client connection to a work item for the lifetime of the object.
+class AttachmentGuard {
+public:
+    AttachmentGuard(WorkPtr work, Attachment& attachment)
+        : m_work(std::move(work))
+        , m_attachment(attachment)
+    {
+        m_work->attachments.insert(&m_attachment);
+    }
+
+    ~AttachmentGuard() { m_work->attachments.erase(&m_attachment); }
+
+    AttachmentGuard(const AttachmentGuard&) = delete;
+    AttachmentGuard& operator=(const AttachmentGuard&) = delete;
+
+private:
+    WorkPtr m_work;
+    Attachment& m_attachment;
+};
+
+bool isCompletion(const HttpRequest& request)
+{
+    return request.method == "POST"
+        && (request.path() == "/v1/completions" || request.path() == "/v1/chat/completions");
+}
+
+/// Returns the offset to resume at; empty if Last-Event-ID is malformed.
+std::optional<std::size_t> resumeOffset(const HttpRequest& request)
+{
+    const auto last = request.headers.find("Last-Event-ID");
+    if (!last)
+        return 0;
+    std::size_t value = 0;
+    const auto* end = last->data() + last->size();
+    const auto [rest, ec] = std::from_chars(last->data(), end, value);
+    if (ec != std::errc() || rest != end)
+        return std::nullopt;
+    return value + 1;
+}
+
+HttpResponse error(unsigned status, const std::string& text, bool isNotStarted = false)
+{
+    auto out = jsonResponse(status, json({ { "error", text } }).dump());
+    if (isNotStarted)
+        out.headers.set("X-Not-Started", "1");
+    return out;
+}
+
+} // namespace
+
+EngineHandler::EngineHandler(asio::io_context& context, EngineOptions options, StandinState& state)
+    : m_context(context)
+    , m_options(std::move(options))
+    , m_state(state)
+    , m_cache(m_options.cache)
+    , m_residency(context, m_options.residency, state)
+    , m_batch(context, m_options.batch, state, m_residency, m_cache)
+    , m_history(m_options.reportLag)
+{
+    if (!m_residency.addInitial(m_options.initialModels))
+        throw std::invalid_argument("setting model: not id:version:bytes, or more than the memory");
+    m_residency.onChange = [this] { noteChange(); };
+    m_residency.onUnloaded = [this](const std::string& model) { m_cache.removeModel(model); };
+    m_batch.onChange = [this] { noteChange(); };
+    noteChange();
+}
+
+asio::awaitable<void> EngineHandler::handle(HttpExchange& exchange)
+{
+    const auto& request = exchange.request();
+    const auto path = request.path();
+    if (isCompletion(request)) {
+        co_await complete(exchange);
+    } else if (path.starts_with(streamPath) && request.method == "GET") {
+        co_await resume(exchange);
+    } else if (path.starts_with(streamPath) && request.method == "DELETE") {
+        auto response = cancel(request);
+        co_await answerUnderFault(exchange, std::nullopt, std::move(response));
+    } else {
+        const bool isOrder = path == "/orders";
+        const bool isReport = path == "/load" || path == "/cache/events";
+        std::string point = isOrder ? "order" : isReport ? "report" : "";
+        std::string subject(isOrder ? std::string_view(request.body) : path);
+        const auto action = co_await strikeAt(std::move(point), std::move(subject));
+        HttpResponse response;
+        if (isWorkDone(action))
+            response = control(request);
+        co_await answerUnderFault(exchange, action, std::move(response));
+    }
+}
+
+asio::awaitable<void> EngineHandler::complete(HttpExchange& exchange)
+{
+    auto request = parseWorkRequest(exchange.request());
+    if (!request) {
+        auto response = error(400, "malformed request");
+        co_await answerUnderFault(exchange, std::nullopt, std::move(response));
+        co_return;
+    }
+    std::string subject = request->attempt + " " + request->model;
+    const auto action = co_await strikeAt("accept", std::move(subject));
+    std::string version;
+    auto refused = refusalFor(*request, &version);
+    if (refused || (action && action != FaultAction::LoseAnswer)) {
+        auto response = refused.value_or(error(500, "interrupted"));
+        co_await answerUnderFault(exchange, action, std::move(response));
+        co_return;
+    }
+    if (!m_options.fatalText.empty() && request->prompt.find(m_options.fatalText) != std::string::npos)
+        ::_exit(3);
+    dropOldWork();
+    const bool isStream = request->isStream;
+    auto work = m_batch.submit(std::move(*request), std::move(version));
+    m_work[work->request.attempt] = work;
+    if (action == FaultAction::LoseAnswer) {
+        exchange.close();
+        co_return;
+    }
+    Attachment attachment(m_context);
+    const AttachmentGuard guard(work, attachment);
+    if (isStream)
+        co_await answerStream(exchange, work, attachment);
+    else
+        co_await answerWhole(exchange, work, attachment);
+}
+
+asio::awaitable<void> EngineHandler::answerWhole(HttpExchange& exchange, WorkPtr work, Attachment& attachment)
+{
+    while (!work->isOver() && attachment.stopAt == SIZE_MAX) {
+        co_await waitForChange(attachment);
+        if (exchange.isClientGone()) {
+            exchange.close();
+            co_return;
+        }
+    }
+    const bool isStopped = attachment.stopAt != SIZE_MAX;
+    std::optional<FaultAction> action = attachment.action;
+    if (!isStopped) {
+        std::string subject = work->request.attempt + " " + work->request.model;
+        action = co_await strikeAt("answer", std::move(subject));
+    }
+    HttpResponse response = error(500, "the request was cancelled");
+    if (work->state == WorkState::Ended || isStopped)
+        response = jsonResponse(200, work->answer());
+    if (action == FaultAction::Refuse) {
+        // The work was done, so the refusal must not state that it was not started.
+        action = std::nullopt;
+        response = cancelledAnswer(*work);
+    }
+    response.headers.set("X-Request-Id", answerId(*work));
+    response.headers.set("X-Cached-Tokens", std::to_string(work->cachedTokens));
+    co_await answerUnderFault(exchange, action, std::move(response));
+}
+
+asio::awaitable<void> EngineHandler::answerStream(HttpExchange& exchange, WorkPtr work, Attachment& attachment)
+{
+    std::string subject = work->request.attempt + " " + work->request.model;
+    const auto action = co_await strikeAt("answer", std::move(subject));
+    if (!action) {
+        co_await writeStream(exchange, work, attachment, 0);
+        co_return;
+    }
+    while (action == FaultAction::LoseAnswer && !work->isOver())
+        co_await waitForChange(attachment);
+    HttpResponse response;
+    auto effect = action;
+    if (action == FaultAction::Refuse) {
+        m_batch.cancel(work);
+        effect = std::nullopt;
+        response = cancelledAnswer(*work);
+    } else if (action == FaultAction::Cut) {
+        const auto event = eventText(*work, 0);
+        response.headers.set("Content-Type", "text/event-stream");
+        response.body = event;
+    }
+    response.headers.set("X-Request-Id", answerId(*work));
+    co_await answerUnderFault(exchange, effect, std::move(response));
+}
+
+asio::awaitable<void> EngineHandler::writeStream(
+    HttpExchange& exchange, WorkPtr work, Attachment& attachment, std::size_t offset)
+{
+    HttpHeaders headers { { "Content-Type", "text/event-stream" }, { "Cache-Control", "no-cache" } };
+    headers.set("X-Request-Id", answerId(*work));
+    auto ec = co_await exchange.beginStream(200, std::move(headers));
+    while (!ec) {
+        if (!co_await writeEvents(exchange, *work, attachment, offset))
+            break;
+        if (offset >= attachment.stopAt) {
+            co_await stopStream(exchange, *work, attachment.action, offset);
+            break;
+        }
+        if (work->isOver()) {
+            const bool isComplete = work->state == WorkState::Ended;
+            ec = co_await exchange.write(isComplete ? "data: [DONE]\n\n" : "event: error\ndata: {}\n\n");
+            if (!ec)
+                co_await exchange.endStream();
+            co_return;
+        }
+        if (!co_await waitForChange(attachment))
+            ec = co_await exchange.write(": keep-alive\n\n");
+    }
+    exchange.close();
+}
+
+/// Writes the tokens that exist. Returns false if the client is gone.
+asio::awaitable<bool> EngineHandler::writeEvents(
+    HttpExchange& exchange, const Work& work, const Attachment& attachment, std::size_t& offset)
+{
+    while (offset < std::min(work.tokens, attachment.stopAt)) {
+        const auto text = eventText(work, offset);
+        if (co_await exchange.write(text))
+            co_return false;
+        ++offset;
+    }
+    co_return true;
+}
+
+asio::awaitable<void> EngineHandler::stopStream(
+    HttpExchange& exchange, const Work& work, FaultAction action, std::size_t offset)
+{
+    if (action == FaultAction::Mute) {
+        co_await waitForClientClose(exchange);
+    } else if (action == FaultAction::Cut) {
+        const auto text = eventText(work, offset);
+        co_await exchange.write(std::string_view(text).substr(0, text.size() / 2));
+    }
+}
+
+asio::awaitable<void> EngineHandler::resume(HttpExchange& exchange)
+{
+    auto work = findWork(exchange.request());
+    const auto offset = resumeOffset(exchange.request());
+    if (!work || !offset || *offset > work->request.maxTokens) {
+        auto response = work ? error(400, "malformed Last-Event-ID") : error(404, "unknown stream");
+        co_await answerUnderFault(exchange, std::nullopt, std::move(response));
+        co_return;
+    }
+    Attachment attachment(m_context);
+    const AttachmentGuard guard(work, attachment);
+    co_await writeStream(exchange, work, attachment, *offset);
+}
+
+/// Returns whether the work item changed, rather than the keep-alive interval having passed.
+asio::awaitable<bool> EngineHandler::waitForChange(Attachment& attachment)
+{
+    attachment.timer.expires_after(m_options.keepAlive);
+    auto [ec] = co_await attachment.timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    co_return static_cast<bool>(ec);
+}
+
+asio::awaitable<std::optional<FaultAction>> EngineHandler::strikeAt(std::string point, std::string subject)
+{
+    auto fault = m_state.takeFault(point, subject);
+    co_return co_await strike(std::move(fault));
+}
+
+std::optional<HttpResponse> EngineHandler::refusalFor(const WorkRequest& request, std::string* version) const
+{
+    const auto state = m_residency.findState(request.model, version);
+    if (state == Residency::State::Ready)
+        return std::nullopt;
+    return state == Residency::State::Loading ? error(503, "the model is loading", true)
+                                              : error(404, "the model is not resident", true);
+}
+
+HttpResponse EngineHandler::cancelledAnswer(const Work& work) const
+{
+    return work.wasStarted ? error(503, "interrupted") : refusal();
+}
+
+HttpResponse EngineHandler::cancel(const HttpRequest& request)
+{
+    auto work = findWork(request);
+    if (!work)
+        return error(404, "unknown stream");
+    m_batch.cancel(work);
+    HttpResponse out;
+    out.status = 204;
+    return out;
+}
+
+HttpResponse EngineHandler::control(const HttpRequest& request)
+{
+    const auto path = request.path();
+    if (path == "/load" && request.method == "GET")
+        return jsonResponse(200, m_history.visible());
+    if (path == "/cache/events" && request.method == "GET") {
+        const auto after = queryParameter(request.query(), "after").value_or("0");
+        std::uint64_t sequence = 0;
+        std::from_chars(after.data(), after.data() + after.size(), sequence);
+        return jsonResponse(200, m_cache.eventsAfter(sequence, std::chrono::steady_clock::now()).dump());
+    }
+    if (path == "/orders" && request.method == "POST")
+        return m_residency.order(request);
+    if ((path == "/kv/export" || path == "/kv/import") && request.method == "POST")
+        return transferCache(request);
+    return error(404, "not found");
+}
+
+HttpResponse EngineHandler::transferCache(const HttpRequest& request)
+{
+    const auto document = json::parse(request.body, nullptr, false);
+    for (const auto* it : { "model", "prefix", "salt" }) {
+        if (!document.is_object() || !document.value(it, json()).is_string())
+            return error(400, "malformed request");
+    }
+    const std::string salt = document.at("salt");
+    const std::string model = document.at("model");
+    const std::string prefix = document.at("prefix");
+    if (request.path() == "/kv/export") {
+        const auto blocks = m_cache.chain(salt, model, prefix);
+        if (blocks.empty())
+            return error(404, "the prefix is not held");
+        auto out = document;
+        out["blocks"] = blocks;
+        return jsonResponse(200, out.dump());
+    }
+    std::vector<std::string> blocks;
+    for (const auto& it : document.value("blocks", json::array({ prefix }))) {
+        if (!it.is_string())
+            return error(400, "malformed request");
+        blocks.push_back(it);
+    }
+    m_cache.insert(salt, model, blocks);
+    return jsonResponse(200, "{}");
+}
+
+WorkPtr EngineHandler::findWork(const HttpRequest& request) const
+{
+    const auto attempt = percentDecode(request.path().substr(streamPath.size()));
+    const auto it = attempt ? m_work.find(*attempt) : m_work.end();
+    if (it == m_work.end() || it->second->request.salt != request.headers.find("X-Cache-Salt").value_or(""))
+        return nullptr;
+    return it->second;
+}
+
+std::string EngineHandler::answerId(const Work& work)
+{
+    const auto fault = m_state.takeFault("answer-id", work.request.attempt + " " + work.request.model);
+    const bool isWrong = fault && fault->action == FaultAction::Refuse;
+    return isWrong ? "wrong-" + work.request.attempt : work.request.attempt;
+}
+
+void EngineHandler::dropOldWork()
+{
+    const auto limit = std::chrono::steady_clock::now() - m_options.streamRetention;
+    std::erase_if(m_work, [&](const auto& it) { return it.second->isOver() && it.second->endedAt < limit; });
+}
+
+void EngineHandler::noteChange()
+{
+    auto report = m_residency.report();
+    report["incarnation"] = m_options.incarnation;
+    report["queued"] = m_batch.queued();
+    report["running"] = m_batch.running();
+    report["tokens_per_second"] = m_options.batch.tokensPerSecond;
+    m_history.add(report.dump());
+}
+
+} // namespace bulrushstack::standins
