Add the stand-in for plain services

Tests of at-most-once execution need a service on which a repetition shows. standin_service stores and logs every request that reaches it without deduplication, answers status reads by idempotency key, checks X-Fencing if told to, and lets faults strike before the request is accepted, before it is executed and before the answer.

A refusal at the point answer comes after the work, so it is a 503 without X-Not-Started.

--- /dev/null
+++ b/testsuite/standins/service/service_handler.cpp
@@ -0,0 +1,119 @@
+#include "service_handler.h"
+
+#include "bulrushstack/kernel/ids.h"
+#include "fault_answer.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace bulrushstack::standins {
+
+namespace asio = boost::asio;
+using json = nlohmann::json;
+
+namespace {
+
+constexpr std::string_view statusPath = "/status/";
+
+bool isExecution(const HttpRequest& request)
+{
+    return request.method == "POST" || request.method == "PUT" || request.method == "PATCH"
+        || request.method == "DELETE";
+}
+
+} // namespace
+
+ServiceHandler::ServiceHandler(ServiceOptions options, StandinState& state)
+    : m_options(std::move(options))
+    , m_state(state)
+{
+}
+
+asio::awaitable<void> ServiceHandler::handle(HttpExchange& exchange)
+{
+    const auto& request = exchange.request();
+    const auto path = request.path();
+    auto fault = m_state.takeFault("accept", path);
+    auto action = co_await strike(std::move(fault));
+    HttpResponse response;
+    if (!action && isExecution(request)) {
+        fault = m_state.takeFault("execute", path);
+        action = co_await strike(std::move(fault));
+    }
+    if (isWorkDone(action))
+        response = answer(request);
+    if (!action) {
+        fault = m_state.takeFault("answer", path);
+        action = co_await strike(std::move(fault));
+    }
+    if (action == FaultAction::Refuse && response.body.size() > 0) {
+        // The request was executed, so the refusal must not state that it was not started.
+        action = std::nullopt;
+        response = jsonResponse(503, R"({"error":"interrupted"})");
+    }
+    co_await answerUnderFault(exchange, action, std::move(response));
+}
+
+HttpResponse ServiceHandler::answer(const HttpRequest& request)
+{
+    if (isExecution(request))
+        return execute(request);
+    if (request.method != "GET" && request.method != "HEAD")
+        return jsonResponse(405, R"({"error":"method not allowed"})");
+    return read(request);
+}
+
+HttpResponse ServiceHandler::read(const HttpRequest& request) const
+{
+    const auto path = request.path();
+    if (path.starts_with(statusPath))
+        return readStatus(path.substr(statusPath.size()));
+    const auto it = m_documents.find(path);
+    return it == m_documents.end() ? jsonResponse(404, R"({"error":"not found"})") : jsonResponse(200, it->second);
+}
+
+HttpResponse ServiceHandler::readStatus(std::string_view key) const
+{
+    const auto decoded = percentDecode(key);
+    const auto it = decoded ? m_outcomes.find(*decoded) : m_outcomes.end();
+    if (it == m_outcomes.end())
+        return jsonResponse(404, R"({"executed":false})");
+    const json body { { "executed", true }, { "status", it->second.status }, { "body", it->second.body } };
+    return jsonResponse(200, body.dump());
+}
+
+HttpResponse ServiceHandler::execute(const HttpRequest& request)
+{
+    if (isFencedOff(request))
+        return jsonResponse(409, R"({"error":"stale fencing number"})");
+    const std::string path(request.path());
+    const auto key = request.headers.find("Idempotency-Key").value_or("");
+    if (request.method == "DELETE")
+        m_documents.erase(path);
+    else
+        m_documents[path] = request.body;
+    m_state.log({ { "event", "execute" }, { "service", m_options.name }, { "method", request.method }, { "path", path },
+        { "key", key }, { "attempt", request.headers.find("X-Request-Id").value_or("") },
+        { "digest", sha256Hex(request.body) } });
+    json body { { "executed", ++m_executed }, { "path", path } };
+    const auto text = body.dump();
+    if (!key.empty())
+        m_outcomes.try_emplace(key, Outcome { .status = 201, .body = std::move(body) });
+    return jsonResponse(201, text);
+}
+
+bool ServiceHandler::isFencedOff(const HttpRequest& request)
+{
+    const auto text = request.headers.find("X-Fencing");
+    if (!m_options.checksFencing || !text)
+        return false;
+    std::uint64_t number = 0;
+    const auto* end = text->data() + text->size();
+    const auto [rest, ec] = std::from_chars(text->data(), end, number);
+    if (ec != std::errc() || rest != end || number < m_fencing)
+        return true;
+    m_fencing = number;
+    return false;
+}
+
+} // namespace bulrushstack::standins
