--- a/testsuite/demo.py
+++ b/testsuite/demo.py
@@ -72,7 +72,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--bin", required=True, help="folder of the built programs")
     arguments = parser.parse_args()
-    os.environ["BULRUSH_TEST_BIN"] = arguments.bin
+    os.environ["SESSION_BIN"] = arguments.bin
     with tempfile.TemporaryDirectory(prefix="bulrush-demo-") as folder:
         run(folder)
 
--- a/testsuite/lib/processes.py
+++ b/testsuite/lib/processes.py
@@ -40,8 +40,8 @@
 
 
 def binary(name):
-    """Returns the path of a built program; BULRUSH_TEST_BIN names the folder."""
-    return str(pathlib.Path(os.environ["BULRUSH_TEST_BIN"]) / name)
+    """Returns the path of a built program; SESSION_BIN names the folder."""
+    return str(pathlib.Path(os.environ["SESSION_BIN"]) / name)
 
 
 class Process:
--- a/testsuite/lib/transcript.py
+++ b/testsuite/lib/transcript.py
@@ -2,10 +2,13 @@
 
 import hashlib
 import json
+import pathlib
 import re
 
 import http_client as http
 
+TESTSUITE = str(pathlib.Path(__file__).resolve().parent.parent)
+
 REPLACEMENTS = [
     (re.compile(r"\b[0-9a-f]{64}\b"), "<digest>"),
     (re.compile(r"\b[0-9a-f]{32}\b"), "<id>"),
@@ -14,6 +17,7 @@
 
 
 def normalise(text):
+    text = text.replace(TESTSUITE, "testsuite")
     for pattern, word in REPLACEMENTS:
         text = pattern.sub(word, text)
     return text
--- a/testsuite/runtest.py
+++ b/testsuite/runtest.py
@@ -30,7 +30,7 @@
     parser.add_argument("--out", required=True)
     parser.add_argument("--update", action="store_true", help="write the reference instead of comparing with it")
     arguments = parser.parse_args()
-    os.environ["BULRUSH_TEST_BIN"] = arguments.bin
+    os.environ["SESSION_BIN"] = arguments.bin
     folder = pathlib.Path(arguments.out) / arguments.case
     transcript = load(ROOT / arguments.case / "run.py").run(folder)
     (folder / "out.txt").write_text(transcript)
