Test the service "execution" over loopback

The test runs one instance with all services but the operator's, an engine that pauses in mid-stream and a platform that cannot be reached.

--- /dev/null
+++ b/src/libexecution/execution_service_test.cpp
@@ -0,0 +1,214 @@
+#include "bulrushstack/execution/execution_service.h"
+
+#include "bulrushstack/config/configuration_service.h"
+#include "bulrushstack/engine/engine_service.h"
+#include "bulrushstack/kernel/run_awaitable.h"
+#include "bulrushstack/membership/membership_service.h"
+#include "bulrushstack/net/http_server.h"
+#include "bulrushstack/net/net_services.h"
+#include "bulrushstack/platform/platform_service.h"
+#include "caller_test_support.h"
+
+#include <algorithm>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace bulrushstack;
+using namespace std::chrono_literals;
+
+namespace {
+
+Address freeAddress(boost::asio::io_context& context)
+{
+    boost::asio::ip::tcp::acceptor acceptor(context, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+    return { .host = "127.0.0.1", .port = acceptor.local_endpoint().port() };
+}
+
+/// An engine that sends one event, and the rest of the stream when it is released.
+class PausingEngine final : public HttpHandler {
+public:
+    explicit PausingEngine(boost::asio::io_context& context)
+        : m_release(systemAlarms(context)())
+    {
+    }
+
+    boost::asio::awaitable<void> handle(HttpExchange& exchange) override
+    {
+        if (exchange.request().method == "DELETE")
+            ++cancels;
+        if (exchange.request().method != "POST") {
+            auto response = jsonResponse(404, "{}");
+            response.headers.set("X-Request-Id", exchange.request().headers.find("X-Request-Id").value_or(""));
+            co_await exchange.respond(std::move(response));
+            co_return;
+        }
+        HttpHeaders headers { { "Content-Type", "text/event-stream" } };
+        headers.set("X-Request-Id", exchange.request().headers.find("X-Request-Id").value());
+        co_await exchange.beginStream(200, std::move(headers));
+        co_await exchange.write("id: 0\ndata: {}\n\n");
+        co_await m_release->waitUntil(SteadyTime::max());
+        co_await exchange.write("id: 1\ndata: {}\n\ndata: [DONE]\n\n");
+        co_await exchange.endStream();
+    }
+
+    void release() { m_release->wake(); }
+
+    int cancels = 0;
+
+private:
+    AlarmPtr m_release;
+};
+
+/// One instance with an engine and a platform that cannot be reached.
+struct InstanceFixture {
+    InstanceFixture()
+    {
+        const auto nowhere = freeAddress(context).toString();
+        peerAddress = freeAddress(context);
+        std::vector<SettingSpec> specs;
+        for (const auto& list : { runtimeSettings(), peerSettings(), platformSettings(), configurationSettings(),
+                 membershipSettings(), executionSettings() })
+            specs.insert(specs.end(), list.begin(), list.end());
+        const auto outcome = parseSettings(specs,
+            { "--instance-id=i", "--zone=z", "--peer-address=" + peerAddress.toString(), "--peer-key=key",
+                "--table-service-address=" + nowhere, "--object-store-address=" + nowhere,
+                "--instance-list-address=" + nowhere, "--listen-address=127.0.0.1:0", "--drain-delay=0s",
+                "--body-limit=1KiB", "--header-limit=1KiB", "--progress-timeout=1h", "--roster-poll-interval=1m",
+                "--load-poll-interval=1m" },
+            {});
+        BOOST_REQUIRE_MESSAGE(outcome.settings, outcome.error);
+        addServices(*outcome.settings);
+        registry.startAll();
+        BOOST_REQUIRE(!engineServer.start());
+        addEngine();
+    }
+
+    void addServices(const Settings& settings)
+    {
+        const InstanceIdentity identity { .id = "i", .zone = "z", .incarnation = 1 };
+        registry.add(std::make_unique<RuntimeService>(settings, clock, identity));
+        registry.add(std::make_unique<HttpClientService>());
+        registry.add(std::make_unique<PeerMeshService>());
+        registry.add(std::make_unique<PlatformService>());
+        registry.add(std::make_unique<UpstreamProtocolService>());
+        registry.add(std::make_unique<ConfigurationService>());
+        registry.add(std::make_unique<MembershipService>());
+        registry.add(std::make_unique<ExecutionService>());
+    }
+
+    void addEngine()
+    {
+        registry.find<ConfigurationService>("configuration").offer(testConfiguration());
+        InstanceRecord record;
+        record.id = "engine-1";
+        record.role = InstanceRole::Engine;
+        record.address = { .host = "127.0.0.1", .port = engineServer.port() };
+        auto& directory = registry.find<MembershipService>("membership").directory();
+        directory.updateRoster({ record });
+        LoadReport load;
+        load.resident = { { .model = "own", .version = "1", .state = ResidentState::Ready, .bytes = 1 } };
+        directory.noteLoad("engine-1", load);
+    }
+
+    HttpRequest streamRequest() const
+    {
+        HttpRequest request;
+        request.method = "POST";
+        request.target = "/v1/completions";
+        request.headers.set("Authorization", "Bearer token-a");
+        request.body = R"({"model":"own","prompt":"x","stream":true})";
+        return request;
+    }
+
+    std::unique_ptr<HttpStream> openStream()
+    {
+        auto stream = runAwaitable(context, client.open(address(), streamRequest()));
+        BOOST_REQUIRE(stream.has_value());
+        return std::move(*stream);
+    }
+
+    Address address() { return { .host = "127.0.0.1", .port = execution().port() }; }
+    ExecutionService& execution() { return registry.find<ExecutionService>("execution"); }
+    RuntimeService& runtime() { return registry.find<RuntimeService>("runtime"); }
+
+    bool reportsShutdown()
+    {
+        const auto unmet = runtime().unmetConditions();
+        return std::find(unmet.begin(), unmet.end(), "serving: shutting down") != unmet.end();
+    }
+
+    /// Checks an answer to a request that the HTTP server refused.
+    void checkProblem(HttpRequest request, unsigned status, const std::string& code)
+    {
+        const auto response = runAwaitable(context, client.call(address(), std::move(request)));
+        BOOST_REQUIRE(response.has_value());
+        BOOST_TEST(response->status == status);
+        BOOST_TEST(response->headers.find("Content-Type").value() == "application/problem+json");
+        BOOST_TEST(nlohmann::json::parse(response->body).at("type") == "urn:bulrushstack:problem:" + code);
+        BOOST_TEST(response->headers.find("Bulrush-Verdict").value() == "not-run");
+    }
+
+    boost::asio::io_context context;
+    SystemClock clock;
+    Address peerAddress;
+    PausingEngine engine { context };
+    HttpServer engineServer { context, { .address = { .host = "127.0.0.1", .port = 0 } }, engine };
+    HttpClient client { context, clock };
+    ServiceRegistry registry { context };
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ExecutionServices, InstanceFixture)
+
+// Guards against a shutdown that cuts a stream off, and one that keeps new callers waiting.
+BOOST_AUTO_TEST_CASE(FinishStreamsBeforeTheyStop)
+{
+    auto stream = openStream();
+    BOOST_TEST(stream->headers().find("Content-Type").value() == "text/event-stream");
+    BOOST_TEST(runAwaitable(context, stream->read()).value().value() == "id: 0\ndata: {}\n\n");
+    bool isStopped = false;
+    boost::asio::co_spawn(context, execution().stop(), [&](std::exception_ptr) { isStopped = true; });
+    while (!reportsShutdown())
+        context.run_one();
+    while (runAwaitable(context, client.open(address(), streamRequest())).has_value()) { }
+    BOOST_TEST(!isStopped);
+    engine.release();
+    BOOST_TEST(runAwaitable(context, stream->readAll()).value() == "id: 1\ndata: {}\n\ndata: [DONE]\n\n");
+    while (!isStopped)
+        context.run_one();
+}
+
+// Guards against an engine that works for a caller who closed the connection.
+BOOST_AUTO_TEST_CASE(CancelStreamsOfCallersWhoHaveGone)
+{
+    auto stream = openStream();
+    stream.reset();
+    while (engine.cancels == 0)
+        context.run_one();
+    engine.release();
+}
+
+// Guards against refusals of the HTTP server without a verdict.
+BOOST_AUTO_TEST_CASE(RefuseOversizedRequestsWithAProblemDocument)
+{
+    auto request = streamRequest();
+    request.body = std::string(2000, 'x');
+    checkProblem(request, 413, "body-too-large");
+    request = streamRequest();
+    request.headers.set("X-Long", std::string(2000, 'x'));
+    checkProblem(request, 431, "headers-too-large");
+}
+
+// Guards against peers that learn nothing of attempts because the message is not registered.
+BOOST_AUTO_TEST_CASE(AnswerJournalQueries)
+{
+    auto& mesh = registry.find<PeerMeshService>("peers").mesh();
+    const nlohmann::json query { { "type", "journal-query" }, { "team", "zagreb" }, { "key", "k" },
+        { "attempt", "a" } };
+    const auto reply = runAwaitable(context, mesh.request(peerAddress, query, 5s));
+    BOOST_REQUIRE(reply.has_value());
+    BOOST_TEST(reply->contains("state"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
