--- a/src/include/bulrushstack/execution/service_calls.h
+++ b/src/include/bulrushstack/execution/service_calls.h
@@ -80,7 +80,8 @@
     /// Answers a journal-query of another instance.
     nlohmann::json answerQuery(const nlohmann::json& request);
 
-    /// Completes when no call and no background work of the journal runs any more, or at the deadline.
+    /// Completes when no call and no background work of the journal runs any more, or at the deadline, at which the
+    /// background work is given up. Rows that are not settled then are safe, but their keys answer may-have-run.
     boost::asio::awaitable<void> drain(SteadyTime deadline);
 
 private:
--- a/src/libexecution/journal_codec.cpp
+++ b/src/libexecution/journal_codec.cpp
@@ -17,7 +17,7 @@
 
 // Headers of one connection or one send. They differ between two sends of the same request, so they are no part of
 // its digest.
-constexpr std::array<std::string_view, 11> TransientHeaders { "connection", "content-length", "date", "host",
+constexpr std::array<std::string_view, 11> transientHeaders { "connection", "content-length", "date", "host",
     "idempotency-key", "keep-alive", "te", "trailer", "transfer-encoding", "upgrade", "x-request-id" };
 
 std::string lowerCase(std::string_view text)
@@ -29,7 +29,7 @@
 
 bool isTransient(const std::string& name)
 {
-    return std::find(TransientHeaders.begin(), TransientHeaders.end(), name) != TransientHeaders.end();
+    return std::find(transientHeaders.begin(), transientHeaders.end(), name) != transientHeaders.end();
 }
 
 /// Appends with the length in front, so that two different lists of parts never give the same text.
--- a/src/libexecution/journal_exploration_test.cpp
+++ b/src/libexecution/journal_exploration_test.cpp
@@ -32,8 +32,8 @@
     SeededFault seeded = SeededFault::None;
 };
 
-const Failure NoAnswer { .code = Errc::Timeout, .verdict = Verdict::MayHaveRun, .detail = "no answer" };
-const Failure NotSent { .code = Errc::Unavailable, .verdict = Verdict::NotRun, .detail = "not sent" };
+const Failure noAnswer { .code = Errc::Timeout, .verdict = Verdict::MayHaveRun, .detail = "no answer" };
+const Failure notSent { .code = Errc::Unavailable, .verdict = Verdict::NotRun, .detail = "not sent" };
 
 /// The value that a suspended operation waits for.
 template <typename T> struct Pending {
@@ -110,7 +110,7 @@
     void schedule(int node, std::function<void()> happen, bool mayBeLate = true)
     {
         const int delay = mayBeLate && isFaulty && faults.hasMessageFaults && chance(15) ? pick(60) : 0;
-        events.push_back({ .node = node, .earliest = step + delay, .happen = std::move(happen) });
+        m_events.push_back({ .node = node, .earliest = step + delay, .happen = std::move(happen) });
     }
 
     /// Sends a message of a node and waits for the answer. `target` is the process that handles it, or -1.
@@ -127,7 +127,7 @@
         };
         const int fate = isFaulty && faults.hasMessageFaults ? pick(100) : 99;
         if (fate < 5)
-            deliver(Result<T>(NotSent));
+            deliver(Result<T>(notSent));
         else if (fate < 20)
             deliver(Result<T>(lost));
         if (fate >= 12) {
@@ -234,15 +234,15 @@
     bool happenOne()
     {
         std::vector<std::size_t> ready;
-        for (std::size_t n = 0; n < events.size(); ++n) {
-            if (isReady(events[n]))
+        for (std::size_t n = 0; n < m_events.size(); ++n) {
+            if (isReady(m_events[n]))
                 ready.push_back(n);
         }
         if (ready.empty())
             return false;
         const auto chosen = ready[static_cast<std::size_t>(pick(static_cast<int>(ready.size())))];
-        auto event = std::move(events[chosen]);
-        events.erase(events.begin() + static_cast<std::ptrdiff_t>(chosen));
+        auto event = std::move(m_events[chosen]);
+        m_events.erase(m_events.begin() + static_cast<std::ptrdiff_t>(chosen));
         if (event.node < 0 || nodes[static_cast<std::size_t>(event.node)]->isAlive)
             event.happen();
         poll();
@@ -252,7 +252,7 @@
     void settle()
     {
         // Enough for every call to reach its deadline, so an exceeded number means that something never ends.
-        for (int n = 0; n < 5000 && !events.empty(); ++n, ++step) {
+        for (int n = 0; n < 5000 && !m_events.empty(); ++n, ++step) {
             clock.advance(2ms);
             happenOne();
         }
@@ -307,7 +307,7 @@
         });
     }
 
-    std::vector<Event> events;
+    std::vector<Event> m_events;
 };
 
 ServiceCallDependencies Node::dependenciesOf(Node& node, std::uint64_t incarnation)
@@ -336,7 +336,7 @@
 boost::asio::awaitable<Result<std::optional<Row>>> Node::read(RowId id, SteadyTime)
 {
     auto handle = [this, id]() { return Result<std::optional<Row>>(world.rows.find(id)); };
-    auto result = co_await world.exchange<std::optional<Row>>(index, -1, handle, NoAnswer);
+    auto result = co_await world.exchange<std::optional<Row>>(index, -1, handle, noAnswer);
     const bool isSeeded = world.faults.seeded == SeededFault::DispatchAfterAbsentReadBack;
     if (isSeeded && unanswered && result && !result->has_value()) {
         Row row { .id = id, .version = 1000000, .value = *unanswered->writes.front().value };
@@ -357,7 +357,7 @@
             return Failure { .code = Errc::Conflict, .verdict = Verdict::NotRun, .detail = "conflict" };
         return *version;
     };
-    auto result = co_await world.exchange<RowVersion>(index, -1, handle, NoAnswer);
+    auto result = co_await world.exchange<RowVersion>(index, -1, handle, noAnswer);
     unanswered.reset();
     if (!result && result.error().verdict == Verdict::MayHaveRun)
         unanswered = std::move(transaction);
@@ -375,7 +375,7 @@
         world.dispatched[number].wasExecuted = true;
         return HttpResponse { .status = 200, .body = "done" };
     };
-    auto result = co_await world.exchange<HttpResponse>(index, -1, handle, NoAnswer);
+    auto result = co_await world.exchange<HttpResponse>(index, -1, handle, noAnswer);
     world.isServiceInDoubt = world.isServiceInDoubt || (!result && result.error().verdict == Verdict::MayHaveRun);
     co_return result;
 }
@@ -390,7 +390,7 @@
             out.response.body = "done";
         return Result<ServiceCallStatus>(std::move(out));
     };
-    co_return co_await world.exchange<ServiceCallStatus>(index, -1, handle, NoAnswer);
+    co_return co_await world.exchange<ServiceCallStatus>(index, -1, handle, noAnswer);
 }
 
 boost::asio::awaitable<Result<nlohmann::json>> Node::query(std::string target, nlohmann::json request)
@@ -400,15 +400,15 @@
         peer = node->isAlive && node->id == target ? node.get() : peer;
     auto handle = [this, peer, request]() -> Result<nlohmann::json> {
         if (!peer->isAlive)
-            return NoAnswer;
+            return noAnswer;
         if (world.faults.seeded == SeededFault::ForgetRefusals)
             return nlohmann::json { { "state", "refused" } };
         return peer->executor.answerQuery(request);
     };
-    co_return co_await world.exchange<nlohmann::json>(index, peer->index, handle, NoAnswer);
+    co_return co_await world.exchange<nlohmann::json>(index, peer->index, handle, noAnswer);
 }
 
-constexpr int Seeds = 3000;
+constexpr int seedCount = 3000;
 
 /// Returns the first seed of the base whose run violates a guarantee, with the violation; 0 if there is none.
 std::pair<std::uint32_t, std::string> explore(std::uint32_t base, int seeds, Faults faults)
@@ -431,13 +431,13 @@
 
 void checkNoViolation(Faults faults)
 {
-    const auto [seed, found] = explore(baseSeed(), Seeds, faults);
+    const auto [seed, found] = explore(baseSeed(), seedCount, faults);
     BOOST_TEST(found.empty(), "seed " << seed << ": " << found);
 }
 
 void checkFound(SeededFault seeded)
 {
-    const auto [seed, found] = explore(1, Seeds, { .seeded = seeded });
+    const auto [seed, found] = explore(1, seedCount, { .seeded = seeded });
     BOOST_TEST(!found.empty());
     BOOST_TEST_MESSAGE("seed " << seed << " finds: " << found);
 }
--- a/src/libexecution/journal_sweep.cpp
+++ b/src/libexecution/journal_sweep.cpp
@@ -10,7 +10,7 @@
 
 // Rows of one look. With the default interval an instance reads 10 rows/s in 0.1 requests/s, a small part of the 2,000
 // reads/s that the table service handles for all instances.
-constexpr std::size_t RowsPerLook = 100;
+constexpr std::size_t rowsPerLook = 100;
 
 asio::awaitable<void> careFor(ServiceCallCorePtr core, Row row)
 {
@@ -33,15 +33,16 @@
 asio::awaitable<void> sweepJournal(ServiceCallCorePtr core)
 {
     std::string cursor;
-    while (!core->isStopped) {
+    const auto isEnding = [core]() { return core->isDraining || core->isStopped; };
+    while (!isEnding()) {
         co_await core->stopped.wait(core->jitteredDelay(core->options.sweepInterval, 0));
-        if (core->isStopped)
+        if (isEnding())
             break;
-        const auto rows = co_await core->deps.tables.list("journal", "", cursor, RowsPerLook, core->storeDeadline());
+        const auto rows = co_await core->deps.tables.list("journal", "", cursor, rowsPerLook, core->storeDeadline());
         if (!rows)
             continue;
-        cursor = rows->size() < RowsPerLook ? std::string() : rows->back().id.key;
-        for (std::size_t n = 0; n < rows->size() && !core->isStopped; ++n)
+        cursor = rows->size() < rowsPerLook ? std::string() : rows->back().id.key;
+        for (std::size_t n = 0; n < rows->size() && !isEnding(); ++n)
             co_await careFor(core, (*rows)[n]);
     }
 }
--- a/src/libexecution/journal_test.cpp
+++ b/src/libexecution/journal_test.cpp
@@ -10,12 +10,12 @@
 
 namespace {
 
-const WallTime Now { 1000h };
+const WallTime testNow { 1000h };
 
 JournalEntry entryOf(JournalState state, std::string attempt = "x1")
 {
     JournalEntry out {
-        .digest = "d", .attempt = std::move(attempt), .instance = "a", .incarnation = 3, .time = Now, .state = state
+        .digest = "d", .attempt = std::move(attempt), .instance = "a", .incarnation = 3, .time = testNow, .state = state
     };
     if (state == JournalState::Finished)
         out.outcome = JournalOutcome { .verdict = Verdict::Ran, .response = { .status = 201, .body = "done" } };
@@ -29,7 +29,7 @@
 
 JournalQuestion questionOf(std::string digest = "d", std::chrono::nanoseconds age = 0h)
 {
-    return { .digest = std::move(digest), .now = Now + age, .retention = 24h };
+    return { .digest = std::move(digest), .now = testNow + age, .retention = 24h };
 }
 
 JournalDecision decide(const JournalEntry& entry) { return decideOnRow(rowOf(entry), questionOf()); }
@@ -50,7 +50,7 @@
 // Guards against an outcome that changes on its way through the store, bytes that are no UTF-8 included.
 BOOST_AUTO_TEST_CASE(KeepAnyBytesOfAnAnswer)
 {
-    for (std::string body : { std::string(), std::string("a"), std::string("ab="), std::string("\xff\0\x80", 3) }) {
+    for (const auto& body : { std::string(), std::string("a"), std::string("ab="), std::string("\xff\0\x80", 3) }) {
         auto entry = entryOf(JournalState::Finished);
         entry.outcome->response.body = body;
         entry.outcome->response.headers = { { "X-Note", "\xe9t\xe9" } };
@@ -146,7 +146,7 @@
 BOOST_AUTO_TEST_CASE(LoseTheirAnswerFirstAndAreRemovedMuchLater)
 {
     const auto careOf = [](const JournalEntry& entry, std::chrono::hours age) {
-        return decideOnAge(*rowOf(entry), Now + age, 24h, 168h);
+        return decideOnAge(*rowOf(entry), testNow + age, 24h, 168h);
     };
     const auto finished = entryOf(JournalState::Finished);
     BOOST_TEST((careOf(finished, 24h) == RowCare::Keep));
@@ -156,7 +156,7 @@
     BOOST_TEST((careOf(entryOf(JournalState::Recorded), 25h) == RowCare::Keep));
     const auto refused = decideOnRow(rowOf(stripAnswer(finished)), questionOf("d", 25h));
     BOOST_TEST((refused == JournalDecision(RefuseKey { ProblemCode::KeyExpired, Verdict::Ran })));
-    BOOST_TEST((decideOnAge({ .version = 1, .value = "text" }, Now, 24h, 168h) == RowCare::Keep));
+    BOOST_TEST((decideOnAge({ .version = 1, .value = "text" }, testNow, 24h, 168h) == RowCare::Keep));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libexecution/service_calls.cpp
+++ b/src/libexecution/service_calls.cpp
@@ -14,9 +14,7 @@
 
 // How long an answer may come after the deadline before the caller is told that the outcome is open. The call ends by
 // itself at its deadline, with a more exact verdict.
-constexpr std::chrono::nanoseconds AnswerGrace = std::chrono::milliseconds(250);
-
-constexpr std::chrono::seconds ShortRetry { 1 };
+constexpr std::chrono::nanoseconds answerGrace = std::chrono::milliseconds(250);
 
 /// Answers a call whose coroutine failed with an exception.
 void takeException(JournaledCall& call, ServiceCallCore& core, std::exception_ptr exception)
@@ -45,12 +43,12 @@
 asio::awaitable<ServiceOutcome> awaitCall(
     ServiceCallCorePtr core, std::shared_ptr<JournaledCall> call, SteadyTime deadline, bool isJoined)
 {
-    const auto grace = isJoined ? std::chrono::nanoseconds(0) : AnswerGrace;
+    const auto grace = isJoined ? std::chrono::nanoseconds(0) : answerGrace;
     while (!call->outcome) {
         const bool isNotified = co_await call->changed.wait(deadline - core->deps.clock.now() + grace);
         if (!call->outcome && !isNotified)
             co_return refusal(
-                ProblemCode::DeadlineExceeded, Verdict::MayHaveRun, "the request is still running", ShortRetry);
+                ProblemCode::DeadlineExceeded, Verdict::MayHaveRun, "the request is still running", shortRetry);
     }
     auto out = *call->outcome;
     out.isReplay = out.isReplay || (isJoined && out.verdict == Verdict::Ran);
@@ -73,11 +71,11 @@
     }
     // Without a limit, unrecorded outcomes would fill the memory while the table service is down.
     if (core->journaled >= core->options.outstandingLimit)
-        co_return refusal(ProblemCode::Overloaded, Verdict::NotRun, "too many calls are not settled yet", ShortRetry);
+        co_return refusal(ProblemCode::Overloaded, Verdict::NotRun, "too many calls are not settled yet", shortRetry);
     // A table service that does not answer would make every call wait for its timeout.
     if (core->deps.clock.now() < core->storeSilentUntil)
         co_return refusal(
-            ProblemCode::StoreUnavailable, Verdict::NotRun, "the table service does not answer", ShortRetry);
+            ProblemCode::StoreUnavailable, Verdict::NotRun, "the table service does not answer", shortRetry);
     auto call = startCall(core, std::move(context), std::move(request));
     co_return co_await awaitCall(core, call, deadline, false);
 }
@@ -132,9 +130,16 @@
 asio::awaitable<void> ServiceCallExecutor::drain(SteadyTime deadline)
 {
     auto core = m_state;
-    while (core->outstanding > 0 && core->deps.clock.now() < deadline) {
-        if (!co_await core->changed.wait(deadline - core->deps.clock.now()))
+    core->isDraining = true;
+    // Also wakes the background work that waits for its next try.
+    core->stopped.notify();
+    while (core->outstanding > 0) {
+        const bool isNotified = co_await core->changed.wait(deadline - core->deps.clock.now());
+        if (!isNotified && core->outstanding > 0) {
+            core->isStopped = true;
+            core->stopped.notify();
             break;
+        }
     }
 }
 
--- a/src/libexecution/service_calls_core.cpp
+++ b/src/libexecution/service_calls_core.cpp
@@ -11,7 +11,7 @@
 namespace asio = boost::asio;
 
 // Longest single wait of a timer; a duration near the maximum would overflow the clock of the timer.
-constexpr std::chrono::nanoseconds LongestWait = std::chrono::hours(24);
+constexpr std::chrono::nanoseconds longestWait = std::chrono::hours(24);
 
 /// Registers a timer while it lives, also when its coroutine is destroyed in the wait.
 class Registration {
@@ -38,7 +38,7 @@
     if (limit <= std::chrono::nanoseconds(0))
         co_return false;
     asio::steady_timer timer(m_context);
-    timer.expires_after(std::min(limit, LongestWait));
+    timer.expires_after(std::min(limit, longestWait));
     const Registration registration(m_waiters, timer);
     boost::system::error_code ec;
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
--- a/src/libexecution/service_calls_core.h
+++ b/src/libexecution/service_calls_core.h
@@ -12,6 +12,9 @@
 
 namespace bulrushstack {
 
+/// Retry-After of refusals that usually pass soon, such as a lost connection or a refusal of one upstream.
+constexpr std::chrono::seconds shortRetry { 1 };
+
 /// Wakes all coroutines that wait for something to change. One thread.
 class Signal {
 public:
@@ -66,8 +69,9 @@
     std::size_t outstanding = 0; ///< all calls, those included whose row is not settled
     std::size_t journaled = 0; ///< those of them that use the journal
     Signal changed; ///< `outstanding` decreased
-    Signal stopped; ///< `isStopped` was set
-    bool isStopped = false;
+    Signal stopped; ///< `isDraining` or `isStopped` was set
+    bool isDraining = false; ///< the sweep of old rows has ended for good
+    bool isStopped = false; ///< the other background work has ended, too
     SteadyTime storeSilentUntil {}; ///< non-idempotent calls are refused until then
     std::minstd_rand random;
 };
--- a/src/libexecution/service_calls_dispatch.cpp
+++ b/src/libexecution/service_calls_dispatch.cpp
@@ -11,9 +11,6 @@
 
 namespace asio = boost::asio;
 
-// The shortest Retry-After; a refusal of one upstream or a lost connection usually passes within a second.
-constexpr std::chrono::seconds ShortRetry { 1 };
-
 ServiceOutcome noRouteOutcome(const NoRoute& reason)
 {
     if (reason.reason == NoRouteReason::AllFull)
@@ -26,12 +23,12 @@
 ServiceOutcome failureOutcome(const Failure& failure, Verdict verdict, bool isPastDeadline)
 {
     if (isPastDeadline)
-        return refusal(ProblemCode::DeadlineExceeded, verdict, failure.detail, ShortRetry);
+        return refusal(ProblemCode::DeadlineExceeded, verdict, failure.detail, shortRetry);
     if (verdict == Verdict::NotRun) {
         const auto code = failure.code == Errc::Refused ? ProblemCode::Overloaded : ProblemCode::NoUpstream;
-        return refusal(code, verdict, failure.detail, ShortRetry);
+        return refusal(code, verdict, failure.detail, shortRetry);
     }
-    return refusal(ProblemCode::UpstreamFailed, verdict, failure.detail, ShortRetry);
+    return refusal(ProblemCode::UpstreamFailed, verdict, failure.detail, shortRetry);
 }
 
 /// Runs the attempts of one request one after another.
@@ -47,7 +44,7 @@
         m_route.service = m_request.service;
         m_route.zone = m_core->deps.identity.zone;
         m_route.urgency = m_context.urgency;
-        m_end.outcome = refusal(ProblemCode::DeadlineExceeded, Verdict::NotRun, "the deadline has passed", ShortRetry);
+        m_end.outcome = refusal(ProblemCode::DeadlineExceeded, Verdict::NotRun, "the deadline has passed", shortRetry);
     }
 
     asio::awaitable<DispatchEnd> run()
--- a/src/libexecution/service_calls_journaled.cpp
+++ b/src/libexecution/service_calls_journaled.cpp
@@ -11,11 +11,9 @@
 
 namespace asio = boost::asio;
 
-constexpr std::chrono::seconds ShortRetry { 1 };
-
 // Claims of one call. Two instances with the same key may refuse each other's claims in turn; each further round needs
 // a query that overtakes the answer of the table service, so a few rounds suffice.
-constexpr unsigned ClaimLimit = 4;
+constexpr unsigned claimLimit = 4;
 
 /// A claim that was not dispatched and may be, or become, the content of the row.
 struct UnsettledClaim {
@@ -41,7 +39,7 @@
         JournalDecision decision = ClaimRow { 0 };
         while (!m_call->outcome && !m_isGranted) {
             if (isPastDeadline())
-                answer(refusal(ProblemCode::DeadlineExceeded, m_seen, "the deadline has passed", ShortRetry));
+                answer(refusal(ProblemCode::DeadlineExceeded, m_seen, "the deadline has passed", shortRetry));
             else
                 decision = co_await step(std::move(decision));
         }
@@ -95,9 +93,9 @@
 
     asio::awaitable<JournalDecision> claimRow(RowVersion base)
     {
-        if (++m_claims > ClaimLimit) {
+        if (++m_claims > claimLimit) {
             answer(refusal(ProblemCode::Overloaded, Verdict::NotRun, "other instances compete for the idempotency key",
-                ShortRetry));
+                shortRetry));
             co_return ReadAgain {};
         }
         const UnsettledClaim claim { .attempt = randomId(), .base = base };
@@ -348,13 +346,13 @@
         const auto* service = m_call->context.configuration->service(m_call->request.service);
         const bool mayResolve = service && !service->statusPath.empty();
         return refusal(ProblemCode::OutcomeUnknown, Verdict::MayHaveRun, std::move(detail),
-            mayResolve ? ShortRetry : std::chrono::seconds(0));
+            mayResolve ? shortRetry : std::chrono::seconds(0));
     }
 
     void answerStoreUnavailable(Verdict verdict)
     {
         answer(refusal(
-            ProblemCode::StoreUnavailable, verdict, "the table service did not confirm the record", ShortRetry));
+            ProblemCode::StoreUnavailable, verdict, "the table service did not confirm the record", shortRetry));
     }
 
     void answer(ServiceOutcome outcome, bool isKept = false)
--- a/src/libexecution/service_calls_test.cpp
+++ b/src/libexecution/service_calls_test.cpp
@@ -15,9 +15,9 @@
 
 namespace {
 
-const Failure Refused { .code = Errc::Refused, .verdict = Verdict::NotRun, .detail = "refused" };
-const Failure Unreachable { .code = Errc::ConnectionClosed, .verdict = Verdict::NotRun, .detail = "unreachable" };
-const Failure Lost { .code = Errc::ConnectionClosed, .verdict = Verdict::MayHaveRun, .detail = "lost" };
+const Failure refused { .code = Errc::Refused, .verdict = Verdict::NotRun, .detail = "refused" };
+const Failure unreachable { .code = Errc::ConnectionClosed, .verdict = Verdict::NotRun, .detail = "unreachable" };
+const Failure lost { .code = Errc::ConnectionClosed, .verdict = Verdict::MayHaveRun, .detail = "lost" };
 
 /// Answers calls as scripted, and with status 200 behind the end of the script. Logs what it was sent.
 class ScriptedService final : public PlainService {
@@ -128,9 +128,9 @@
     BOOST_TEST(problemOf(outcome).retryAfter.has_value() == hasRetryAfter);
 }
 
-const ServiceRequest Read = serviceRequest("shop", "GET", "");
-const ServiceRequest Order = serviceRequest("shop", "POST", "k1");
-const ServiceRequest Publish = serviceRequest("board", "POST", "k1");
+const ServiceRequest readCall = serviceRequest("shop", "GET", "");
+const ServiceRequest order = serviceRequest("shop", "POST", "k1");
+const ServiceRequest publish = serviceRequest("board", "POST", "k1");
 
 } // namespace
 
@@ -141,28 +141,28 @@
 // Guards against a retry on the upstream that just failed, and against a verdict that forgets earlier attempts.
 BOOST_AUTO_TEST_CASE(AreRetriedOnAnotherUpstream)
 {
-    services.script = { Lost };
-    const auto outcome = run(executorA, Read);
+    services.script = { lost };
+    const auto outcome = run(executorA, readCall);
     BOOST_TEST(toString(outcome.verdict) == "ran");
     BOOST_REQUIRE(services.calls.size() == 2U);
     BOOST_TEST(services.calls[0].first.port != services.calls[1].first.port);
     BOOST_TEST(services.calls[0].second.attemptId != services.calls[1].second.attemptId);
-    services.script = { Lost, Unreachable };
-    checkRefusal(run(executorA, Read), ProblemCode::UpstreamFailed, Verdict::MayHaveRun, true);
+    services.script = { lost, unreachable };
+    checkRefusal(run(executorA, readCall), ProblemCode::UpstreamFailed, Verdict::MayHaveRun, true);
 }
 
 // Guards against retries that multiply the load of a failing service.
 BOOST_AUTO_TEST_CASE(StayWithinTheRetryBudget)
 {
     while (retries.tryTake()) { }
-    services.script = { Refused };
-    checkRefusal(run(executorA, Read), ProblemCode::Overloaded, Verdict::NotRun, true);
+    services.script = { refused };
+    checkRefusal(run(executorA, readCall), ProblemCode::Overloaded, Verdict::NotRun, true);
     BOOST_TEST(services.calls.size() == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(AreNotSentAfterTheDeadline)
 {
-    checkRefusal(run(executorA, Read, 0s), ProblemCode::DeadlineExceeded, Verdict::NotRun, true);
+    checkRefusal(run(executorA, readCall, 0s), ProblemCode::DeadlineExceeded, Verdict::NotRun, true);
     BOOST_TEST(services.calls.empty());
 }
 
@@ -170,7 +170,7 @@
 BOOST_AUTO_TEST_CASE(NeedNoJournalEvenWithAKey)
 {
     failCommits({ FakeFault::Unavailable });
-    auto request = Read;
+    auto request = readCall;
     request.idempotencyKey = "k1";
     BOOST_TEST(toString(run(executorA, request).verdict) == "ran");
     BOOST_TEST(stateOf("k1") == "absent");
@@ -189,10 +189,10 @@
 // Guards against a second execution, and against another request under the same key.
 BOOST_AUTO_TEST_CASE(RunOnceAndAreReplayedOnEveryInstance)
 {
-    BOOST_TEST(!run(executorA, Order).isReplay);
+    BOOST_TEST(!run(executorA, order).isReplay);
     drain();
     for (auto* executor : { &executorA, &executorB }) {
-        const auto outcome = run(*executor, Order);
+        const auto outcome = run(*executor, order);
         BOOST_TEST(outcome.isReplay);
         BOOST_TEST(bodyOf(outcome) == "done");
     }
@@ -204,8 +204,8 @@
 // Guards against a stale pooled connection, which would turn a certain not-run into may-have-run.
 BOOST_AUTO_TEST_CASE(UseNoConnectionThatWasIdleForLong)
 {
-    run(executorA, Order);
-    run(executorA, Read);
+    run(executorA, order);
+    run(executorA, readCall);
     BOOST_TEST((services.limits[0].maxIdle == options.maxIdleForNonIdempotent));
     BOOST_TEST((services.limits[1].maxIdle > options.maxIdleForNonIdempotent));
 }
@@ -213,12 +213,12 @@
 // Guards against a key of one team that shows or blocks the call of another team at a shared service.
 BOOST_AUTO_TEST_CASE(KeepTheKeysOfTeamsApart)
 {
-    run(executorA, Order);
+    run(executorA, order);
     drain();
-    services.script = { Lost };
+    services.script = { lost };
     auto context = serviceCallContext(clock, 10s, "split");
     services.executed["zagreb:k1"] = { .status = 200, .body = "of zagreb" };
-    const auto outcome = runAwaitable(this->context, executorA.execute(context, Order));
+    const auto outcome = runAwaitable(this->context, executorA.execute(context, order));
     checkRefusal(outcome, ProblemCode::OutcomeUnknown, Verdict::MayHaveRun, true);
     BOOST_TEST(services.calls[1].second.idempotencyKey == "split:k1");
 }
@@ -226,10 +226,10 @@
 // Guards against a refusal that ends the request although nothing was run, and one that is passed off as a run.
 BOOST_AUTO_TEST_CASE(GoToAnotherUpstreamOnlyIfTheyWereNotRun)
 {
-    services.script = { Refused };
-    BOOST_TEST(toString(run(executorA, Publish).verdict) == "ran");
+    services.script = { refused };
+    BOOST_TEST(toString(run(executorA, publish).verdict) == "ran");
     BOOST_TEST(services.calls.size() == 2U);
-    services.script = { Lost };
+    services.script = { lost };
     checkRefusal(
         run(executorA, serviceRequest("board", "POST", "k2")), ProblemCode::OutcomeUnknown, Verdict::MayHaveRun, false);
     BOOST_TEST(services.calls.size() == 3U);
@@ -242,31 +242,31 @@
 // Guards against a key that stays blocked after an answer that said not-run.
 BOOST_AUTO_TEST_CASE(AreTakenOverAfterNotRun)
 {
-    services.script = { Unreachable, Unreachable };
-    checkRefusal(run(executorA, Order), ProblemCode::NoUpstream, Verdict::NotRun, true);
+    services.script = { unreachable, unreachable };
+    checkRefusal(run(executorA, order), ProblemCode::NoUpstream, Verdict::NotRun, true);
     drain();
     BOOST_TEST(stateOf("k1") == "abandoned");
     directory.noteConnection("shop1", true);
     directory.noteConnection("shop2", true);
-    BOOST_TEST(toString(run(executorB, Order).verdict) == "ran");
+    BOOST_TEST(toString(run(executorB, order).verdict) == "ran");
     BOOST_TEST(stateOf("k1") == "finished");
 }
 
 // Guards against a rerun of an old key.
 BOOST_AUTO_TEST_CASE(AreRefusedAfterTheRetention)
 {
-    run(executorA, Order);
+    run(executorA, order);
     drain();
     clock.advance(options.retention + 1s);
-    checkRefusal(run(executorB, Order), ProblemCode::KeyExpired, Verdict::Ran, false);
+    checkRefusal(run(executorB, order), ProblemCode::KeyExpired, Verdict::Ran, false);
 }
 
 BOOST_AUTO_TEST_CASE(SayThatALongAnswerCannotBeReplayed)
 {
     services.script = { HttpResponse { .status = 200, .body = std::string(options.replayLimit + 1, 'x') } };
-    BOOST_TEST(bodyOf(run(executorA, Order)).size() == options.replayLimit + 1);
+    BOOST_TEST(bodyOf(run(executorA, order)).size() == options.replayLimit + 1);
     drain();
-    const auto outcome = run(executorB, Order);
+    const auto outcome = run(executorB, order);
     checkRefusal(outcome, ProblemCode::OutcomeUnknown, Verdict::Ran, false);
     BOOST_TEST(services.calls.size() == 1U);
 }
@@ -278,26 +278,26 @@
 // Guards against an outcome that stays open although the service knows it.
 BOOST_AUTO_TEST_CASE(AreLookedUpByTheStatusRead)
 {
-    services.script = { Lost };
+    services.script = { lost };
     services.executed["zagreb:k1"] = { .status = 201, .body = "executed" };
-    const auto outcome = run(executorA, Order);
+    const auto outcome = run(executorA, order);
     BOOST_TEST(toString(outcome.verdict) == "ran");
     BOOST_TEST(bodyOf(outcome) == "executed");
     drain();
-    BOOST_TEST(bodyOf(run(executorB, Order)) == "executed");
+    BOOST_TEST(bodyOf(run(executorB, order)) == "executed");
 }
 
 // Guards against a status read that is taken as proof that the request will never arrive.
 BOOST_AUTO_TEST_CASE(StayOpenWhileTheServiceHasNotExecutedTheCall)
 {
-    services.script = { Lost };
-    checkRefusal(run(executorA, Order), ProblemCode::OutcomeUnknown, Verdict::MayHaveRun, true);
+    services.script = { lost };
+    checkRefusal(run(executorA, order), ProblemCode::OutcomeUnknown, Verdict::MayHaveRun, true);
     drain();
-    checkRefusal(run(executorB, Order), ProblemCode::OutcomeUnknown, Verdict::MayHaveRun, true);
+    checkRefusal(run(executorB, order), ProblemCode::OutcomeUnknown, Verdict::MayHaveRun, true);
     services.executed["zagreb:k1"] = { .status = 201, .body = "arrived late" };
-    BOOST_TEST(bodyOf(run(executorB, Order)) == "arrived late");
+    BOOST_TEST(bodyOf(run(executorB, order)) == "arrived late");
     services.executed.clear();
-    BOOST_TEST(bodyOf(run(executorA, Order)) == "arrived late");
+    BOOST_TEST(bodyOf(run(executorA, order)) == "arrived late");
     BOOST_TEST(services.calls.size() == 1U);
 }
 
@@ -309,7 +309,7 @@
 BOOST_AUTO_TEST_CASE(RefuseTheCallWhileTheServiceIsDown)
 {
     tables.fault = [](std::string_view) { return FakeFault::Unavailable; };
-    checkRefusal(run(executorA, Order), ProblemCode::StoreUnavailable, Verdict::NotRun, true);
+    checkRefusal(run(executorA, order), ProblemCode::StoreUnavailable, Verdict::NotRun, true);
     BOOST_TEST(services.calls.empty());
     tables.fault = nullptr;
     drain();
@@ -320,35 +320,35 @@
 BOOST_AUTO_TEST_CASE(AClaimWithoutAnAnswerIsRecognisedOnReadBack)
 {
     failCommits({ FakeFault::LostAnswer });
-    BOOST_TEST(toString(run(executorA, Order).verdict) == "ran");
+    BOOST_TEST(toString(run(executorA, order).verdict) == "ran");
 }
 
 // Guards against a dispatch after an absent read-back, and against a late insert that blocks the key for good.
 BOOST_AUTO_TEST_CASE(AClaimInDoubtIsAbandonedInTheBackground)
 {
     failCommits({ FakeFault::LostRequest, FakeFault::LostRequest, FakeFault::LostAnswer });
-    checkRefusal(run(executorA, Order), ProblemCode::StoreUnavailable, Verdict::NotRun, true);
+    checkRefusal(run(executorA, order), ProblemCode::StoreUnavailable, Verdict::NotRun, true);
     BOOST_TEST(services.calls.empty());
     drain();
     BOOST_TEST(stateOf("k1") == "abandoned");
-    BOOST_TEST(toString(run(executorB, Order).verdict) == "ran");
+    BOOST_TEST(toString(run(executorB, order).verdict) == "ran");
 }
 
 // Guards against not-run for a key that another attempt may have run: after a conflict the row is known to exist.
 BOOST_AUTO_TEST_CASE(AFoundRowThatCannotBeReadMayHaveRun)
 {
-    run(executorA, Order);
+    run(executorA, order);
     drain();
     tables.fault
         = [](std::string_view operation) { return operation == "read" ? FakeFault::Unavailable : FakeFault::None; };
-    checkRefusal(run(executorB, Order), ProblemCode::StoreUnavailable, Verdict::MayHaveRun, true);
+    checkRefusal(run(executorB, order), ProblemCode::StoreUnavailable, Verdict::MayHaveRun, true);
 }
 
 // Guards against an answer that waits for the record, and against an outcome that is never recorded.
 BOOST_AUTO_TEST_CASE(TheOutcomeIsRecordedWhenTheServiceIsBack)
 {
     failCommits({ FakeFault::None, FakeFault::Unavailable, FakeFault::LostRequest, FakeFault::LostAnswer });
-    BOOST_TEST(toString(run(executorA, Order).verdict) == "ran");
+    BOOST_TEST(toString(run(executorA, order).verdict) == "ran");
     drain();
     BOOST_TEST(stateOf("k1") == "finished");
 }
@@ -363,7 +363,7 @@
         ++accesses;
         return FakeFault::LostRequest;
     };
-    checkRefusal(run(executor, Order), ProblemCode::StoreUnavailable, Verdict::NotRun, true);
+    checkRefusal(run(executor, order), ProblemCode::StoreUnavailable, Verdict::NotRun, true);
     const int before = accesses;
     checkRefusal(
         run(executor, serviceRequest("shop", "POST", "k2")), ProblemCode::StoreUnavailable, Verdict::NotRun, true);
@@ -373,6 +373,20 @@
     BOOST_TEST(toString(run(executor, serviceRequest("shop", "POST", "k2")).verdict) == "ran");
 }
 
+// Guards against a shutdown that never ends because the table service is down.
+BOOST_AUTO_TEST_CASE(DrainingGivesUpAtItsDeadline)
+{
+    options.settleInterval = 1h;
+    options.sweepInterval = 1h;
+    ServiceCallExecutor executor(dependenciesOf("c", &peerOfA), options);
+    failCommits(std::deque(1000, FakeFault::LostRequest));
+    checkRefusal(run(executor, order), ProblemCode::StoreUnavailable, Verdict::NotRun, true);
+    runAwaitable(context, executor.drain(clock.now()));
+    context.restart();
+    context.run(); // returns once no timer of the executor is left
+    BOOST_TEST(stateOf("k1") == "absent");
+}
+
 // Guards against memory that grows without bound while outcomes cannot be recorded.
 BOOST_AUTO_TEST_CASE(TooManyUnsettledCallsRefuseFurtherOnes)
 {
@@ -380,9 +394,9 @@
     options.settleInterval = 1h;
     ServiceCallExecutor executor(dependenciesOf("c", &peerOfA), options);
     failCommits({ FakeFault::None, FakeFault::Unavailable });
-    BOOST_TEST(toString(run(executor, Order).verdict) == "ran");
+    BOOST_TEST(toString(run(executor, order).verdict) == "ran");
     checkRefusal(run(executor, serviceRequest("shop", "POST", "k2")), ProblemCode::Overloaded, Verdict::NotRun, true);
-    BOOST_TEST(run(executor, Order).isReplay);
+    BOOST_TEST(run(executor, order).isReplay);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
@@ -390,7 +404,7 @@
 // Guards against a journal that grows for ever.
 BOOST_FIXTURE_TEST_CASE(OldRowsAreSweptInTheBackground, Fixture)
 {
-    run(executorA, Order);
+    run(executorA, order);
     drain();
     clock.advance(options.removalAge + 1s);
     options.sweepInterval = 1ns;
@@ -414,7 +428,7 @@
     static boost::asio::awaitable<void> sendTask(
         ServiceCallExecutor& executor, RequestContext context, std::optional<ServiceOutcome>& outcome)
     {
-        outcome = co_await executor.execute(std::move(context), Order);
+        outcome = co_await executor.execute(std::move(context), order);
     }
 
     void send(ServiceCallExecutor& executor, std::optional<ServiceOutcome>& outcome)
@@ -477,9 +491,9 @@
     HeldCall held(*this);
     held.send(executorA, held.first);
     arePeersReachable = false;
-    checkRefusal(run(executorB, Order), ProblemCode::OutcomeUnknown, Verdict::MayHaveRun, true);
+    checkRefusal(run(executorB, order), ProblemCode::OutcomeUnknown, Verdict::MayHaveRun, true);
     services.executed["zagreb:k1"] = { .status = 200, .body = "executed" };
-    BOOST_TEST(bodyOf(run(executorB, Order)) == "executed");
+    BOOST_TEST(bodyOf(run(executorB, order)) == "executed");
     BOOST_TEST(services.calls.size() == 1U);
 }
 
