--- a/src/libexecution/caller_test_support.h
+++ b/src/libexecution/caller_test_support.h
@@ -119,6 +119,8 @@
         LostOpen, ///< the request arrives, its acceptance is lost
         Status500, ///< of a whole answer
         EarlyEnd, ///< the end marker comes after `after` events
+        Invalid, ///< the engine refuses a stream with a status of the caller's own error
+        NoModel, ///< the engine answers a stream with status 404
         WrongOffset, ///< an offset is repeated after `after` events
     };
 
@@ -184,6 +186,8 @@
             co_return *failure;
         if (fault.kind == EngineFault::LostOpen)
             co_return broken(Errc::ConnectionClosed);
+        if (fault.kind == EngineFault::Invalid || fault.kind == EngineFault::NoModel)
+            co_return broken(fault.kind == EngineFault::Invalid ? Errc::InvalidArgument : Errc::NotFound);
         co_return std::unique_ptr<EngineStream>(std::make_unique<Stream>(*this, id, 0, fault, limits));
     }
 
@@ -356,23 +360,23 @@
             { "services", { "cue-board" } },
             { "urgency", { { "default", "interactive" }, { "permitted", { "live", "interactive" } } } },
             { "deadline", { { "default", "10s" }, { "max", "60s" } } }, { "never_repeat", nlohmann::json::array() },
-            { "repeatable", nlohmann::json::array() }, { "share", 1 } };
+            { "repeatable", nlohmann::json::array() }, { "share", 1U } };
     };
     auto modelOf = [] { return nlohmann::json { { "kind", "model" }, { "version", "1" }, { "size", "1GiB" } }; };
     auto teamOf = [](const char* name, const char* token) {
         return nlohmann::json { { "template", name }, { "parameters", nlohmann::json::object() },
             { "token_sha256", { sha256Hex(token) } } };
     };
-    const nlohmann::json document { { "schema", 1 }, { "revision", 1 },
+    const nlohmann::json document { { "schema", 1U }, { "revision", 1U },
         { "models", { { "shared", modelOf() }, { "own", modelOf() }, { "foreign", modelOf() } } },
         { "services",
-            { { "cue-board", { { "checks_fencing", false } } },
-                { "orders", { { "checks_fencing", false } } } } },
+            { { "cue-board", { { "checks_fencing", false } } }, { "orders", { { "checks_fencing", false } } } } },
         { "templates", { { "a", templateWith("own") }, { "b", templateWith("foreign") } } },
         { "teams", { { "zagreb", teamOf("a", "token-a") }, { "split", teamOf("b", "token-b") } } } };
     auto outcome = Configuration::parse(document);
     if (!outcome.configuration)
-        throw std::runtime_error("the test configuration is not valid");
+        throw std::runtime_error("the test configuration is not valid at " + outcome.problems.front().path + ": "
+            + outcome.problems.front().permitted);
     return outcome.configuration;
 }
 
