--- a/src/libexecution/journal_exploration_test.cpp
+++ b/src/libexecution/journal_exploration_test.cpp
@@ -35,6 +35,16 @@
 const Failure noAnswer { .code = Errc::Timeout, .verdict = Verdict::MayHaveRun, .detail = "no answer" };
 const Failure notSent { .code = Errc::Unavailable, .verdict = Verdict::NotRun, .detail = "not sent" };
 
+// Times are long, so that the manual clock decides and no timer of the system ever fires in a run.
+constexpr std::chrono::seconds callLimit { 3000 };
+
+ServiceCallOptions nodeOptions()
+{
+    auto out = optionsWithoutWaits();
+    out.storeTimeout = 100s;
+    return out;
+}
+
 /// The value that a suspended operation waits for.
 template <typename T> struct Pending {
     explicit Pending(boost::asio::io_context& context)
@@ -219,7 +229,7 @@
 
     void advance()
     {
-        clock.advance(std::chrono::milliseconds(pick(40)));
+        clock.advance(std::chrono::seconds(pick(40)));
         const int choice = pick(100);
         if (choice < 6 && sends.size() < 8)
             send(pick(static_cast<int>(nodes.size())));
@@ -253,7 +263,7 @@
     {
         // Enough for every call to reach its deadline, so an exceeded number means that something never ends.
         for (int n = 0; n < 5000 && !m_events.empty(); ++n, ++step) {
-            clock.advance(2ms);
+            clock.advance(2s);
             happenOne();
         }
     }
@@ -278,7 +288,7 @@
 
     static boost::asio::awaitable<void> sendTask(World& world, Node& node, std::shared_ptr<Send> send)
     {
-        auto context = serviceCallContext(world.clock, 3s);
+        auto context = serviceCallContext(world.clock, callLimit);
         auto request = serviceRequest("shop", "POST", "k1");
         send->outcome = co_await node.executor.execute(std::move(context), std::move(request));
         send->end = world.step;
@@ -329,7 +339,7 @@
     : world(world)
     , index(index)
     , id(std::move(id))
-    , executor(dependenciesOf(*this, incarnation), optionsWithoutWaits())
+    , executor(dependenciesOf(*this, incarnation), nodeOptions())
 {
 }
 
--- a/src/libexecution/service_calls_test.cpp
+++ b/src/libexecution/service_calls_test.cpp
@@ -75,12 +75,12 @@
             .queryPeer = query };
     }
 
-    ServiceOutcome run(ServiceCallExecutor& executor, ServiceRequest request, std::chrono::nanoseconds limit = 10s)
+    ServiceOutcome run(ServiceCallExecutor& executor, ServiceRequest request, std::chrono::nanoseconds limit = 1h)
     {
         return runAwaitable(context, executor.execute(serviceCallContext(clock, limit), std::move(request)));
     }
 
-    void drain() { runAwaitable(context, executorA.drain(clock.now() + 10s)); }
+    void drain() { runAwaitable(context, executorA.drain(clock.now() + 1h)); }
 
     std::string stateOf(std::string_view key)
     {
@@ -216,7 +216,7 @@
     run(executorA, order);
     drain();
     services.script = { lost };
-    auto context = serviceCallContext(clock, 10s, "split");
+    auto context = serviceCallContext(clock, 1h, "split");
     services.executed["zagreb:k1"] = { .status = 200, .body = "of zagreb" };
     const auto outcome = runAwaitable(this->context, executorA.execute(context, order));
     checkRefusal(outcome, ProblemCode::OutcomeUnknown, Verdict::MayHaveRun, true);
@@ -433,7 +433,7 @@
 
     void send(ServiceCallExecutor& executor, std::optional<ServiceOutcome>& outcome)
     {
-        auto task = sendTask(executor, serviceCallContext(fixture.clock, 10s), outcome);
+        auto task = sendTask(executor, serviceCallContext(fixture.clock, 1h), outcome);
         boost::asio::co_spawn(fixture.context, std::move(task), boost::asio::detached);
         poll();
     }
@@ -502,7 +502,7 @@
 {
     HeldCall held(*this);
     boost::asio::cancellation_signal caller;
-    auto task = HeldCall::sendTask(executorA, serviceCallContext(clock, 10s), held.first);
+    auto task = HeldCall::sendTask(executorA, serviceCallContext(clock, 1h), held.first);
     boost::asio::co_spawn(
         context, std::move(task), boost::asio::bind_cancellation_slot(caller.slot(), boost::asio::detached));
     held.poll();
