--- a/src/bulrushctl/views.cpp
+++ b/src/bulrushctl/views.cpp
@@ -66,9 +66,9 @@
     return it == object.end() || it->is_null() ? "-" : plain(*it);
 }
 
-nlohmann::json memberOr(const nlohmann::json& object, const char* name, nlohmann::json fallback)
+nlohmann::json memberOr(const nlohmann::json& object, const char* name, const nlohmann::json& fallback)
 {
-    return object.is_object() && object.contains(name) ? object.at(name) : std::move(fallback);
+    return object.is_object() && object.contains(name) ? object.at(name) : fallback;
 }
 
 std::vector<std::string> headingOf(std::string_view section)
--- a/src/libconfig/configuration_store.cpp
+++ b/src/libconfig/configuration_store.cpp
@@ -340,7 +340,8 @@
             break;
         for (const auto& it : *rows) {
             auto record = recordFromJson(it.value);
-            if (!record)
+            // A revision that does not increase would make the loop read the same page for ever.
+            if (!record || record->revision <= oldest)
                 co_return malformed("row config/" + it.id.key + " is malformed");
             oldest = record->revision;
             if (oldest <= newest)
--- a/src/libconfig/configuration_store_test.cpp
+++ b/src/libconfig/configuration_store_test.cpp
@@ -101,6 +101,19 @@
     BOOST_TEST(history.back().changeId == "first");
 }
 
+// Guards against an endless loop on a record that names another revision than its row.
+BOOST_AUTO_TEST_CASE(RefusesRecordsInTheWrongRow)
+{
+    BOOST_TEST(apply(changeOf("c2", 1, { templateEdit(2) })).revision == 2u);
+    auto row = *tables.find({ .table = "config", .key = "revision/000000000002" });
+    row.value["revision"] = 1;
+    Transaction transaction;
+    transaction.writes = { { .id = row.id, .value = row.value } };
+    tables.apply(transaction);
+    BOOST_TEST((runAwaitable(context, store.history(100, clock.now() + 1s)).error().code == Errc::Malformed));
+    BOOST_TEST((apply(changeOf("c3", 0, { teamEdit("split") })).status == ChangeStatus::Unavailable));
+}
+
 // Guards against an invalid document in force.
 BOOST_AUTO_TEST_CASE(RefusesWhatDoesNotValidate)
 {
