Resolve lint findings and test the start of the upstream protocols

clang-tidy found a test argument used after a move and a size check in standin_service that stood for "the request was executed"; the handler now keeps that in a variable. engine_service_test.cpp covers the service, which had no test.

--- /dev/null
+++ b/src/libengine/engine_service_test.cpp
@@ -0,0 +1,34 @@
+#include "bulrushstack/engine/engine_service.h"
+#include "bulrushstack/net/net_services.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace bulrushstack;
+
+BOOST_AUTO_TEST_SUITE(UpstreamProtocols)
+
+// Guards against a daemon that starts without its bindings to upstreams.
+BOOST_AUTO_TEST_CASE(StartOnTheHttpClient)
+{
+    boost::asio::io_context context;
+    ServiceRegistry registry(context);
+    const SystemClock clock;
+    registry.add(std::make_unique<UpstreamProtocolService>());
+    registry.add(std::make_unique<HttpClientService>());
+    registry.add(std::make_unique<RuntimeService>(Settings(), clock, InstanceIdentity()));
+    registry.startAll();
+    auto& protocols = registry.find<UpstreamProtocolService>("upstream-protocols");
+    BOOST_TEST(dynamic_cast<ModelEngine*>(&protocols.engines()));
+    BOOST_TEST(dynamic_cast<PlainService*>(&protocols.services()));
+}
+
+// Guards against a missing dependency that shows only at the first request.
+BOOST_AUTO_TEST_CASE(DoNotStartWithoutIt)
+{
+    boost::asio::io_context context;
+    ServiceRegistry registry(context);
+    registry.add(std::make_unique<UpstreamProtocolService>());
+    BOOST_CHECK_THROW(registry.startAll(), std::runtime_error);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/libengine/plain_service_test.cpp
+++ b/src/libengine/plain_service_test.cpp
@@ -59,7 +59,8 @@
         { "Keep-Alive", "5" }, { "Transfer-Encoding", "chunked" }, { "TE", "trailers" }, { "Trailer", "X" },
         { "Upgrade", "h2c" }, { "Proxy-Authorization", "x" }, { "Proxy-Connection", "close" },
         { "Content-Length", "99" }, { "Expect", "100-continue" }, { "X-Request-Id", "of-the-caller" } };
-    BOOST_REQUIRE(call(std::move(headers)));
+    const auto response = call(std::move(headers));
+    BOOST_REQUIRE(response);
     const auto& text = requests.at(0);
     for (const auto* it : { "Connection", "X-Hop", "Keep-Alive", "Transfer-Encoding", "TE", "Trailer", "Upgrade",
              "Proxy-Authorization", "Proxy-Connection", "Expect" })
--- a/testsuite/standins/service/service_handler.cpp
+++ b/testsuite/standins/service/service_handler.cpp
@@ -35,18 +35,19 @@
     const auto path = request.path();
     auto fault = m_state.takeFault("accept", path);
     auto action = co_await strike(std::move(fault));
-    HttpResponse response;
     if (!action && isExecution(request)) {
         fault = m_state.takeFault("execute", path);
         action = co_await strike(std::move(fault));
     }
-    if (isWorkDone(action))
+    HttpResponse response;
+    const bool isDone = isWorkDone(action);
+    if (isDone)
         response = answer(request);
     if (!action) {
         fault = m_state.takeFault("answer", path);
         action = co_await strike(std::move(fault));
     }
-    if (action == FaultAction::Refuse && response.body.size() > 0) {
+    if (action == FaultAction::Refuse && isDone) {
         // The request was executed, so the refusal must not state that it was not started.
         action = std::nullopt;
         response = jsonResponse(503, R"({"error":"interrupted"})");
