Follow long whole answers on a second connection

Ruled out: shorter time-outs for whole answers, which would fail long answers of healthy engines; TCP time-outs, since the relay accepts the bytes. Change: after 2 s the attempt is followed as a stream on a new connection. When the engine does not know it or has finished it, and the answer does not arrive within 500 ms, the attempt counts as lost and another one is made.

--- a/src/include/bulrushstack/execution/model_requests.h
+++ b/src/include/bulrushstack/execution/model_requests.h
@@ -35,6 +35,10 @@
     unsigned resumeLimit = 3; ///< resumes in a row that bring no new event
     std::chrono::nanoseconds streamProgressTimeout = std::chrono::seconds(5); ///< longest silence of a stream
     std::chrono::nanoseconds answerProgressTimeout = std::chrono::seconds(30); ///< longest silence of a whole answer
+    std::chrono::nanoseconds answerWatchDelay
+        = std::chrono::seconds(2); ///< after which a whole answer is followed on a second connection
+    std::chrono::nanoseconds answerGrace
+        = std::chrono::milliseconds(500); ///< for an answer to arrive after the engine has finished it
     std::chrono::nanoseconds backoffBase = std::chrono::milliseconds(20); ///< doubles with every attempt
     std::chrono::nanoseconds backoffLimit = std::chrono::milliseconds(500);
     std::chrono::nanoseconds keepAliveInterval = std::chrono::seconds(3); ///< between comments to a waiting caller
--- a/src/libexecution/model_requests.cpp
+++ b/src/libexecution/model_requests.cpp
@@ -77,6 +77,78 @@
     return out;
 }
 
+/// Follows an attempt on a connection of its own until the engine has finished it or does not know it.
+boost::asio::awaitable<Result<void>> followAttempt(
+    ModelEngine& engines, Address engine, std::string attemptId, std::string cacheSalt, AttemptLimits limits)
+{
+    auto stream = co_await engines.resumeStream(
+        std::move(engine), std::move(attemptId), std::move(cacheSalt), std::nullopt, limits);
+    if (!stream)
+        co_return stream.error();
+    for (;;) {
+        auto event = co_await (*stream)->next();
+        if (!event)
+            co_return event.error();
+        if (event->isEnd)
+            co_return Result<void>();
+    }
+}
+
+/// Finds out that the answer of an attempt will not come, because its connection went silent: a whole answer shows no
+/// progress, so the attempt is followed as a stream on a new connection.
+class AnswerWatch {
+public:
+    AnswerWatch(AttemptSequence& sequence, AttemptPtr attempt)
+        : m_sequence(sequence)
+        , m_attempt(std::move(attempt))
+        , m_begin(sequence.state().now() + sequence.state().options.answerWatchDelay)
+    {
+    }
+
+    /// Returns whether the engine is done with the attempt, or does not have it, and the answer is overdue.
+    bool isAnswerLost()
+    {
+        const auto now = m_sequence.state().now();
+        if (m_lostAt)
+            return now >= *m_lostAt;
+        if (!m_operation && now >= m_begin)
+            start();
+        if (m_operation && m_operation->isDone())
+            takeResult(now);
+        return false;
+    }
+
+private:
+    void start()
+    {
+        auto& state = m_sequence.state();
+        auto limits = m_sequence.limits(state.options.streamProgressTimeout);
+        limits.maxIdle = std::chrono::nanoseconds(0);
+        m_operation = startOperation(state, m_sequence.alarm(),
+            followAttempt(state.engines, m_attempt->address(), m_attempt->id, m_sequence.cacheSalt(), limits),
+            m_attempt);
+    }
+
+    void takeResult(SteadyTime now)
+    {
+        const auto& options = m_sequence.state().options;
+        const auto result = m_operation->take();
+        m_operation.reset();
+        const bool isOver = result || result.error().code == Errc::NotFound || result.error().code == Errc::Timeout
+            || result.error().code == Errc::ConnectionClosed;
+        if (isOver)
+            m_lostAt = now + options.answerGrace;
+        else
+            m_begin = now + options.answerWatchDelay;
+    }
+
+    AttemptSequence& m_sequence;
+    AttemptPtr m_attempt;
+    SteadyTime m_begin;
+    std::shared_ptr<Operation<Result<void>>> m_operation;
+    std::optional<SteadyTime> m_lostAt;
+};
+
 /// Waits for the answer of one attempt. Returns no value if the caller has gone; then the attempt is cancelled.
 boost::asio::awaitable<std::optional<Answer>> awaitAnswer(
     AttemptSequence& sequence, AttemptPtr attempt, HttpExchange& exchange)
@@ -86,7 +158,12 @@
     const auto limits = sequence.limits(state.options.answerProgressTimeout);
     auto operation = startOperation(
         state, sequence.alarm(), state.engines.complete(attempt->address(), std::move(request), limits), attempt);
+    AnswerWatch watch(sequence, attempt);
     while (!operation->isDone()) {
+        if (watch.isAnswerLost())
+            co_return Answer(Failure { .code = Errc::ConnectionClosed,
+                .verdict = Verdict::MayHaveRun,
+                .detail = "the connection that the answer was expected on is silent" });
         if (exchange.isClientGone()) {
             sequence.abandon(*attempt);
             co_return std::nullopt;
--- /dev/null
+++ b/testsuite/configuration-races/run.py
@@ -0,0 +1,151 @@
+"""Operators edit at the same time through different instances while instances are killed, paused and the store fails.
+
+Guards against: an accepted edit that is lost or applied twice, a conflict that is not shown, and a revision that an
+instance takes back. A sampler reads the revision of every instance all the time.
+"""
+
+import json
+import random
+import threading
+import time
+
+import houses
+import http_client as http
+from deployment import OPERATOR_TOKEN, Deployment
+from processes import wait_until
+from transcript import Transcript
+
+EDITS = 12  # for each operator
+HEADERS = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+
+
+class Sampler:
+    """Checks that the revision of a process never decreases."""
+
+    def __init__(self, deployment):
+        self.deployment = deployment
+        self.highest = {}
+        self.faults = []
+        self.samples = 0
+        self.is_stopped = False
+        self.thread = threading.Thread(target=self.work)
+        self.thread.start()
+
+    def work(self):
+        while not self.is_stopped:
+            for name in houses.ENTRIES:
+                member = self.deployment.members[name]
+                pid = member.process.pid
+                answer = http.call(member.operator_address, "GET", "/operator/v1/status", headers=HEADERS, timeout=1)
+                if answer.status != 200 or member.process.pid != pid:
+                    continue
+                status = answer.json()
+                self.samples += 1
+                # A process that is not ready has not taken a revision yet.
+                if status["revision"] < self.highest.get(pid, 0):
+                    self.faults.append(f"{name} went from {self.highest[pid]} to {status['revision']}")
+                self.highest[pid] = max(self.highest.get(pid, 0), status["revision"])
+            time.sleep(0.01)
+
+    def stop(self):
+        self.is_stopped = True
+        self.thread.join()
+
+
+def edit_share(deployment, operator, step, results):
+    """Sets a parameter of the operator's own template through some instance, with the same change id until it is known."""
+    change_id = f"operator-{operator}-{step}"
+    name = f"template-{operator}"
+    value = json.loads(houses.CONFIGURATION.read_text())["templates"]["opera-house"]
+    value["share"] = step + 1
+    chance = random.Random(f"{operator}-{step}")
+    for _ in range(200):
+        member = deployment.members[chance.choice(houses.ENTRIES)]
+        current = http.call(member.operator_address, "GET", "/operator/v1/config", headers=HEADERS, timeout=2)
+        if current.status != 200:
+            time.sleep(0.05)
+            continue
+        change = {"change_id": change_id, "author": f"operator-{operator}", "base_revision": current.json()["revision"],
+                  "edits": [{"kind": "template", "name": name, "value": value}]}
+        answer = http.call(member.operator_address, "POST", "/operator/v1/changes", change, HEADERS, timeout=3)
+        if answer.status == 200:
+            results[change_id] = answer.json()["revision"]
+            return
+        houses.check(answer.status != 422, f"{change_id}: {answer.body}")
+        time.sleep(0.05)
+    results[change_id] = None
+
+
+def operate(deployment, operator, results):
+    for step in range(EDITS):
+        edit_share(deployment, operator, step, results)
+
+
+def disturb(deployment):
+    """Kills, pauses and starves instances, and loses answers of the store."""
+    deployment.platform.fault("table-commit", "lose-answer", count=4, match="config")
+    time.sleep(0.4)
+    deployment.members["entry-1"].process.kill()
+    deployment.start_instance("entry-1", "st-1")
+    deployment.members["entry-2"].process.pause()
+    time.sleep(0.6)
+    deployment.members["entry-2"].process.resume()
+    deployment.platform.fault("table-commit", "delay", count=3, delay_ms=300, match="config")
+    deployment.platform.fault("table-read", "refuse", count=30)
+
+
+def conflict(script, deployment):
+    script.section("two operators change the same template from the same revision")
+    base = deployment.status(deployment.members["entry-0"])["revision"]
+    value = json.loads(houses.CONFIGURATION.read_text())["templates"]["opera-house"]
+    for author, name in (("ana", "entry-0"), ("ivo", "entry-1")):
+        change = {"change_id": f"{author}-1", "author": author, "base_revision": base,
+                  "edits": [{"kind": "template", "name": "opera-house", "value": {**value, "share": len(author)}}]}
+        answer = http.call(deployment.members[name].operator_address, "POST", "/operator/v1/changes", change, HEADERS)
+        document = answer.json()
+        shown = [it.get("author") for it in document.get("competing", document.get("conflicts", []))]
+        script.say(f"{author}: {answer.status} competing authors {shown}")
+
+
+def fresh_instance_without_store(script, deployment):
+    script.section("an instance starts while the store is down and takes the revision from its peers")
+    revision = deployment.status(deployment.members["entry-0"])["revision"]
+    for point in ("table-read", "table-commit", "object-get"):
+        deployment.platform.fault(point, "refuse", count=1000000)
+    deployment.members["entry-2"].process.kill()
+    deployment.start_instance("entry-2", "ri-1")
+    deployment.wait_ready("entry-2")
+    taken = deployment.status(deployment.members["entry-2"])["revision"]
+    script.say(f"ready with the revision of its peers: {taken == revision}")
+    deployment.platform.clear_faults()
+
+
+def run(folder):
+    script = Transcript()
+    with Deployment(folder) as deployment:
+        houses.start(deployment)
+        sampler = Sampler(deployment)
+        results = {}
+        operators = [threading.Thread(target=operate, args=(deployment, number, results)) for number in range(4)]
+        for it in operators:
+            it.start()
+        disturb(deployment)
+        for it in operators:
+            it.join()
+        deployment.platform.clear_faults()
+        highest = max(revision or 0 for revision in results.values())
+        names = houses.ENTRIES
+        wait_until(lambda: all(deployment.status(deployment.members[it]).get("revision") == highest for it in names), "all at the highest revision")
+        document = http.call(deployment.members["entry-0"].operator_address, "GET", "/operator/v1/config", headers=HEADERS).json()
+        shares = [document["templates"][f"template-{number}"]["share"] for number in range(4)]
+        script.section("four operators, each with a template of its own")
+        script.say(f"edits {len(results)}, not accepted {sum(1 for it in results.values() if it is None)}")
+        script.say(f"revisions given twice: {len(results) - len(set(results.values()))}; highest is 1 + edits: {highest == 1 + len(results)}")
+        script.say(f"last edit of each is in force: {shares == [EDITS] * 4}")
+        conflict(script, deployment)
+        fresh_instance_without_store(script, deployment)
+        sampler.stop()
+        print(f"configuration-races: {sampler.samples} samples")
+        script.section("the sampler")
+        script.say(f"revisions that went back: {sampler.faults if sampler.faults else 'none'}")
+    return script.text()
--- /dev/null
+++ b/testsuite/rolling-replacement/run.py
@@ -0,0 +1,125 @@
+"""All instances are replaced one after the other under load, behind a balancer that follows /readyz.
+
+Guards against: a graceful shutdown that cuts off a request or stream in flight, loses a request, or does not end.
+"""
+
+import random
+import threading
+import time
+
+import houses
+import http_client as http
+from deployment import Deployment
+from transcript import Transcript
+
+THREADS = 6
+BALANCER_INTERVAL = 0.05  # seconds
+
+
+class Balancer:
+    """Sends new connections only to instances whose last health check succeeded."""
+
+    def __init__(self, deployment):
+        self.deployment = deployment
+        self.ready = list(houses.ENTRIES)
+        self.is_stopped = False
+        self.thread = threading.Thread(target=self.poll)
+        self.thread.start()
+
+    def poll(self):
+        while not self.is_stopped:
+            self.ready = [it for it in houses.ENTRIES
+                          if http.call(self.deployment.members[it].address, "GET", "/readyz", timeout=2).status == 200]
+            time.sleep(BALANCER_INTERVAL)
+
+    def choose(self, chance):
+        while not self.ready:
+            time.sleep(BALANCER_INTERVAL)
+        return self.deployment.members[chance.choice(self.ready)].address
+
+    def stop(self):
+        self.is_stopped = True
+        self.thread.join()
+
+
+class Caller:
+    """Sends streams, whole requests and publishes until stopped, and keeps what went wrong."""
+
+    def __init__(self, number, balancer):
+        self.chance = random.Random(number)
+        self.name = number
+        self.balancer = balancer
+        self.counts = {"stream": 0, "whole": 0, "publish": 0}
+        self.failures = []
+        self.is_stopped = False
+        self.thread = threading.Thread(target=self.work)
+        self.thread.start()
+
+    def work(self):
+        while not self.is_stopped:
+            kind = self.chance.choice(list(self.counts))
+            self.counts[kind] += 1
+            try:
+                getattr(self, kind)(self.balancer.choose(self.chance))
+            except Exception as error:  # pylint: disable=broad-except
+                self.failures.append(f"{kind}: {type(error).__name__} {error}")
+
+    def headers(self, **more):
+        return {"Authorization": f"Bearer {houses.TOKEN}", "Bulrush-Deadline": "30s", **more}
+
+    def stream(self, address):
+        body = {"model": "tosca-lora", "prompt": "x", "max_tokens": 30, "seed": 1, "stream": True}
+        stream = http.Stream(address, "/v1/completions", body, self.headers())
+        events = list(stream.events())
+        if stream.status != 200 or not events or events[-1].data != "[DONE]":
+            self.failures.append(f"stream: {stream.status} cut={stream.is_cut} events={len(events)}")
+        stream.close()
+
+    def whole(self, address):
+        body = {"model": "libretto-7b", "prompt": "x", "max_tokens": 20, "seed": 1}
+        answer = http.call(address, "POST", "/v1/completions", body, self.headers())
+        if answer.status != 200:
+            self.failures.append(f"whole: {answer.status} {answer.body}")
+
+    def publish(self, address):
+        key = f"{self.name}-{self.counts['publish']}"
+        answer = http.call(address, "POST", f"/services/cue-board/cues/{key}", {"a": 1}, self.headers(**{"Idempotency-Key": key}))
+        if answer.status != 201:
+            self.failures.append(f"publish: {answer.status} {answer.body}")
+
+    def stop(self):
+        self.is_stopped = True
+        self.thread.join()
+
+
+def replace(deployment, name):
+    """Stops an instance gracefully, with a second signal on top, and starts a new process under its id."""
+    process = deployment.members[name].process
+    process.send(15)
+    time.sleep(0.05)
+    status = process.terminate()
+    deployment.start_instance(name, houses.ZONES[houses.ENTRIES.index(name)], drain_delay="300ms")
+    deployment.wait_ready(name)
+    deployment.pause_for(0.3)
+    return status
+
+
+def run(folder):
+    script = Transcript()
+    with Deployment(folder) as deployment:
+        # 30 tokens at this rate take several hundred milliseconds, so that streams are in flight at each shutdown.
+        houses.start(deployment, engine_flags={"tokens_per_second": 300}, entry_flags={"drain_delay": "300ms"})
+        balancer = Balancer(deployment)
+        callers = [Caller(number, balancer) for number in range(THREADS)]
+        statuses = [replace(deployment, name) for name in houses.ENTRIES]
+        for it in callers:
+            it.stop()
+        balancer.stop()
+        failures = [failure for it in callers for failure in it.failures]
+        total = sum(sum(it.counts.values()) for it in callers)
+        print(f"rolling-replacement: {total} requests, {len(failures)} failures")
+        script.say(f"exit statuses {statuses}")
+        script.say(f"requests lost or cut: {failures if failures else 'none'}")
+        published = [entry["path"] for entry in deployment.members["cues"].log() if entry.get("method") == "POST"]
+        script.say(f"publishes that ran twice: {len(published) - len(set(published))}")
+    return script.text()
--- /dev/null
+++ b/testsuite/silent-connections/run.py
@@ -0,0 +1,89 @@
+"""Connections that go silent in both directions without being closed, while new connections work.
+
+Guards against: requests that hang until their deadline on a pool of dead connections, and a non-idempotent call whose
+verdict is wrong because of them. All engines, the service and the platform are behind relays.
+"""
+
+import json
+
+import houses
+import http_client as http
+from deployment import Deployment, HOST
+from processes import free_port
+from transcript import Transcript
+
+DEADLINE = {"Bulrush-Deadline": "10s"}
+
+
+def relay(deployment, name, target):
+    """Starts a relay before an address; returns the member."""
+    return deployment._start_standin(  # pylint: disable=protected-access
+        name, "standin_relay", target_address=f"{target[0]}:{target[1]}")
+
+
+def start(deployment):
+    platform = deployment.start_platform()
+    relays = {"store": relay(deployment, "relay-store", platform.address)}
+    for number, zone in enumerate(houses.ZONES):
+        engine = deployment.start_engine(houses.ENGINES[number], zone, houses.MODELS, tokens_per_second=5000)
+        relays[f"engine-{number}"] = relay(deployment, f"relay-engine-{number}", engine.address)
+        deployment.register(houses.ENGINES[number], port=relays[f"engine-{number}"].address[1])
+    cues = deployment.start_service("cues", "cue-board", houses.ZONES)
+    relays["cues"] = relay(deployment, "relay-cues", cues.address)
+    for number in range(3):
+        deployment.register(f"cues-{number}", port=relays["cues"].address[1])
+    store = f"{HOST}:{relays['store'].address[1]}"
+    for number, zone in enumerate(houses.ZONES):
+        deployment.start_instance(houses.ENTRIES[number], zone, table_service_address=store, object_store_address=store,
+                                  instance_list_address=store)
+    deployment.wait_ready(*houses.ENTRIES)
+    houses.apply(deployment, "entry-0", json.loads(houses.CONFIGURATION.read_text()))
+    deployment.wait_routable("libretto-7b", "tosca-lora", "aida-lora")
+    return relays
+
+
+def chat(address, number):
+    headers = {"Authorization": f"Bearer {houses.TOKEN}", **DEADLINE}
+    body = {"model": "tosca-lora", "prompt": f"line {number}", "max_tokens": 8, "seed": number}
+    return http.call(address, "POST", "/v1/completions", body, headers)
+
+
+def publish(address, key):
+    headers = {"Authorization": f"Bearer {houses.TOKEN}", "Idempotency-Key": key, **DEADLINE}
+    return http.call(address, "POST", f"/services/cue-board/cues/{key}", {"line": key}, headers)
+
+
+def run(folder):
+    script = Transcript()
+    with Deployment(folder) as deployment:
+        relays = start(deployment)
+        address = deployment.members["entry-0"].address
+        keys = []
+        for step, muted in enumerate([["engine-0"], ["engine-0", "engine-1", "engine-2"], ["store"], ["cues"], list(relays)]):
+            for number in range(3):
+                chat(address, number)
+                publish(address, f"warm-{step}-{number}")
+            for name in muted:
+                relays[name].fault("existing", "mute")
+            for number in range(4):
+                answer = chat(address, 100 * step + number)
+                houses.check(answer.status == 200, f"step {step}: completion {answer.status} {answer.body}")
+            for number in range(3):
+                key = f"key-{step}-{number}"
+                verdicts = []
+                # A caller that is told not-run, or that its outcome is unknown, sends the call again.
+                for _ in range(4):
+                    answer = publish(address, key)
+                    verdicts.append(answer.headers.get("bulrush-verdict"))
+                    if answer.status == 201:
+                        break
+                keys.append((key, verdicts))
+            script.say(f"silent: {', '.join(muted)}: all completions whole")
+        executions = [entry["path"].rsplit("/", 1)[1] for entry in deployment.members["cues"].log() if entry.get("method") == "POST"]
+        for key, verdicts in keys:
+            n = executions.count(key)
+            houses.check(n <= 1, f"{key} ran {n} times")
+            houses.check(verdicts[-1] != "ran" or n == 1, f"{key}: {verdicts} but {n} executions")
+            houses.check(set(verdicts) != {"not-run"} or n == 0, f"{key}: {verdicts} but {n} executions")
+        script.say("publishes: none twice, verdicts agree with the service's log")
+    return script.text()
--- /dev/null
+++ b/testsuite/streams-under-faults/run.py
@@ -0,0 +1,123 @@
+"""Streams while engines cut, silence, delay and crash, and whole answers that belong to other requests.
+
+Guards against: a stream that ends short without saying so, one with repeated, missing or foreign events, and an answer
+of one attempt that reaches another caller. Every stream is compared with the text that an undisturbed engine gives.
+"""
+
+import collections
+import json
+import os
+import random
+import threading
+
+import houses
+import http_client as http
+from deployment import Deployment
+from transcript import Transcript, content
+
+STREAMS = 300
+THREADS = 6
+TOKENS = 24
+FAULTS = [("token", "cut"), ("token", "drop"), ("token", "mute"), ("answer", "cut"), ("answer", "lose-answer"),
+          ("answer", "drop"), ("accept", "drop"), ("accept", "refuse"), ("token", "delay"), ("answer-id", "refuse")]
+DEADLINE = {"Bulrush-Deadline": "15s"}
+
+
+def body(number, is_stream):
+    return {"model": "tosca-lora", "prompt": f"line {number}", "max_tokens": TOKENS, "seed": number, "stream": is_stream}
+
+
+def expected(address, number):
+    """Returns the text of the request as an engine gives it without the system between."""
+    answer = http.call(address, "POST", "/v1/completions", body(number, False), {"X-Request-Id": f"direct-{number}"})
+    return answer.json()["choices"][0]["text"]
+
+
+def read_stream(address, number):
+    """Returns (outcome, text): outcome is done, error, refused or cut."""
+    headers = {"Authorization": f"Bearer {houses.TOKEN}", **DEADLINE}
+    stream = http.Stream(address, "/v1/completions", body(number, True), headers)
+    if stream.status != 200:
+        problem = json.loads(stream.response.read())
+        stream.close()
+        return f"refused-{problem['verdict']}", ""
+    text, ids, outcome = "", [], "cut"
+    for event in stream.events():
+        if event.name == "error":
+            outcome = "error"
+        elif event.data == "[DONE]":
+            outcome = "done"
+        else:
+            ids.append(event.id)
+            text += content(event.data)
+    stream.close()
+    houses.check(ids == [str(n) for n in range(len(ids))], f"stream {number}: offsets {ids}")
+    return outcome, text
+
+
+def read_whole(address, number):
+    headers = {"Authorization": f"Bearer {houses.TOKEN}", **DEADLINE}
+    answer = http.call(address, "POST", "/v1/completions", body(number, False), headers)
+    if answer.status != 200:
+        return "refused", ""
+    return "done", answer.json()["choices"][0]["text"]
+
+
+class Load:
+    """Sends requests from several threads and keeps what came back."""
+
+    def __init__(self, deployment, chance):
+        self.deployment = deployment
+        self.numbers = iter(range(STREAMS))
+        self.lock = threading.Lock()
+        self.chance = chance
+        self.results = {}
+        self.failures = []
+
+    def next(self):
+        with self.lock:
+            number = next(self.numbers, None)
+            if number is None:
+                return None
+            if self.chance.random() < 0.6:
+                engine = self.deployment.members[self.chance.choice(houses.ENGINES)]
+                point, action = self.chance.choice(FAULTS)
+                engine.fault(point, action, delay_ms=self.chance.choice([20, 200]) if action == "delay" else 0)
+            return number, self.deployment.members[self.chance.choice(houses.ENTRIES)].address
+
+    def work(self):
+        try:
+            while (item := self.next()) is not None:
+                number, address = item
+                reader = read_whole if number % 5 == 4 else read_stream
+                self.results[number] = reader(address, number)
+        except Exception as error:  # pylint: disable=broad-except
+            self.failures.append(error)
+
+
+def run(folder):
+    seed = int(os.environ.get("SESSION_SEED", "20261204"))
+    print(f"streams-under-faults: seed {seed}")
+    script = Transcript()
+    with Deployment(folder) as deployment:
+        houses.start(deployment)
+        direct = deployment.members["engine-0"].address
+        texts = [expected(direct, number) for number in range(STREAMS)]
+        load = Load(deployment, random.Random(seed))
+        threads = [threading.Thread(target=load.work) for _ in range(THREADS)]
+        for it in threads:
+            it.start()
+        for it in threads:
+            it.join()
+        if load.failures:
+            raise load.failures[0]
+        for number, (outcome, text) in load.results.items():
+            if outcome == "done":
+                houses.check(text == texts[number], f"request {number} is complete but differs: {text!r} {texts[number]!r}")
+            else:
+                houses.check(texts[number].startswith(text), f"request {number} ({outcome}) has foreign text: {text!r}")
+            houses.check(outcome != "cut", f"stream {number} ended without an end mark or an error event")
+        counts = collections.Counter(outcome for outcome, _ in load.results.values())
+        print(f"streams-under-faults: {dict(counts)}")
+        script.say(f"{len(load.results)} answers: each whole and its own, or with an explicit error")
+    return script.text()
