--- a/src/libexecution/caller_admission.cpp
+++ b/src/libexecution/caller_admission.cpp
@@ -1,11 +1,15 @@
 #include "bulrushstack/execution/admission.h"
 
+#include "caller_text.h"
+
 #include <algorithm>
 #include <array>
 #include <cctype>
 
 namespace bulrushstack {
 
+using namespace detail;
+
 namespace {
 
 constexpr std::string_view bearerPrefix = "Bearer ";
@@ -14,16 +18,6 @@
     "Bulrush-Urgency" };
 constexpr std::size_t keyLengthLimit = 128;
 
-std::string toLower(std::string_view text)
-{
-    std::string out(text);
-    std::transform(
-        out.begin(), out.end(), out.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-    return out;
-}
-
-Problem malformed(std::string detail) { return { .code = ProblemCode::MalformedRequest, .detail = std::move(detail) }; }
-
 /// Returns a caller's value for a detail text, shortened and without characters that would break a line.
 std::string shownValue(std::string_view value)
 {
@@ -54,12 +48,12 @@
     for (const auto& [name, value] : headers) {
         const auto lower = toLower(name);
         if (lower.starts_with(ownPrefix) && lower != "bulrush-deadline" && lower != "bulrush-urgency")
-            return malformed("unknown header " + shownValue(name)
+            return malformedRequest("unknown header " + shownValue(name)
                 + "; permitted with this prefix are Bulrush-Deadline and Bulrush-Urgency");
     }
     for (auto name : singleHeaders) {
         if (headers.count(name) > 1)
-            return malformed("the header " + std::string(name) + " is given more than once");
+            return malformedRequest("the header " + std::string(name) + " is given more than once");
     }
     return std::nullopt;
 }
@@ -87,7 +81,7 @@
         return team.defaultDeadline;
     const auto deadline = parseDuration(*value);
     if (!deadline || *deadline <= std::chrono::nanoseconds(0) || *deadline > team.maximumDeadline)
-        return malformed("the header Bulrush-Deadline is " + shownValue(*value)
+        return malformedRequest("the header Bulrush-Deadline is " + shownValue(*value)
             + "; permitted is a duration above 0 and up to " + formatMilliseconds(team.maximumDeadline)
             + ", such as 1500ms");
     return *deadline;
@@ -100,7 +94,7 @@
         return team.defaultUrgency;
     const auto urgency = parseUrgency(*value);
     if (!urgency)
-        return malformed(
+        return malformedRequest(
             "the header Bulrush-Urgency is " + shownValue(*value) + "; permitted is live, interactive or batch");
     if (!team.permittedUrgencies.contains(*urgency))
         return Problem { .code = ProblemCode::UrgencyNotPermitted,
@@ -117,7 +111,7 @@
     const bool isPrintable
         = std::all_of(value->begin(), value->end(), [](unsigned char c) { return c >= 0x20 && c < 0x7f; });
     if (value->empty() || value->size() > keyLengthLimit || !isPrintable)
-        return malformed("the header Idempotency-Key has " + std::to_string(value->size())
+        return malformedRequest("the header Idempotency-Key has " + std::to_string(value->size())
             + " bytes; permitted are 1 to 128 printable ASCII characters");
     return *value;
 }
--- a/src/libexecution/caller_services.cpp
+++ b/src/libexecution/caller_services.cpp
@@ -1,17 +1,19 @@
 #include "bulrushstack/execution/admission.h"
 
+#include "caller_text.h"
+
 #include <algorithm>
 #include <array>
 #include <cctype>
 
 namespace bulrushstack {
 
+using namespace detail;
+
 namespace {
 
 constexpr std::string_view servicesPrefix = "/services/";
 
-Problem malformed(std::string detail) { return { .code = ProblemCode::MalformedRequest, .detail = std::move(detail) }; }
-
 /// Returns whether a path segment may hold the character as it is (pchar of RFC 3986).
 bool isPathCharacter(unsigned char c)
 {
@@ -34,15 +36,15 @@
 {
     auto decoded = percentDecode(segment);
     if (!decoded)
-        return malformed("the path has a broken escape; permitted is % with two hexadecimal digits, except %00");
+        return malformedRequest("the path has a broken escape; permitted is % with two hexadecimal digits, except %00");
     if (decoded->empty())
-        return malformed("the path has an empty segment");
+        return malformedRequest("the path has an empty segment");
     if (*decoded == "." || *decoded == "..")
-        return malformed("the path has a dot segment");
+        return malformedRequest("the path has a dot segment");
     const bool isPlain = std::all_of(decoded->begin(), decoded->end(),
         [](unsigned char c) { return c >= 0x20 && c != 0x7f && c != '/' && c != '\\'; });
     if (!isPlain)
-        return malformed("the path has a slash, backslash or control character inside a segment");
+        return malformedRequest("the path has a slash, backslash or control character inside a segment");
     return std::move(*decoded);
 }
 
@@ -60,14 +62,6 @@
     return out;
 }
 
-std::string lowerCase(std::string_view text)
-{
-    std::string out(text);
-    std::transform(
-        out.begin(), out.end(), out.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-    return out;
-}
-
 /// Returns the header that the service receives: without credentials, fields of the connection and fields that only
 /// this system may set towards an upstream.
 HttpHeaders headersForService(HttpHeaders headers)
@@ -90,7 +84,7 @@
         "Proxy-Authorization", "Proxy-Connection", "TE", "Trailer", "Upgrade" };
     std::string named;
     for (const auto& [name, value] : headers) {
-        if (lowerCase(name) == "connection")
+        if (toLower(name) == "connection")
             named += value + ",";
     }
     while (!named.empty()) {
@@ -110,14 +104,15 @@
 {
     const auto path = request.path();
     if (!path.starts_with(servicesPrefix) || request.target.find('#') != std::string::npos)
-        return malformed("the target is not of the form /services/NAME/PATH");
+        return malformedRequest("the target is not of the form /services/NAME/PATH");
     auto split = splitPath(path.substr(servicesPrefix.size()));
     if (auto* problem = std::get_if<Problem>(&split))
         return std::move(*problem);
     const auto query = request.query();
     // An encoded NUL is legal in a query but percentDecode() refuses it; services have no use for it.
     if (!percentDecode(query))
-        return malformed("the query has a broken escape; permitted is % with two hexadecimal digits, except %00");
+        return malformedRequest(
+            "the query has a broken escape; permitted is % with two hexadecimal digits, except %00");
     const auto& segments = std::get<std::vector<std::string>>(split);
     const auto& name = segments.front();
     if (!context.configuration->service(name))
--- /dev/null
+++ b/src/libexecution/caller_text.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "bulrushstack/execution/problem.h"
+
+#include <algorithm>
+#include <cctype>
+#include <string>
+#include <string_view>
+
+namespace bulrushstack::detail {
+
+inline Problem malformedRequest(std::string detail)
+{
+    return { .code = ProblemCode::MalformedRequest, .detail = std::move(detail) };
+}
+
+inline std::string toLower(std::string_view text)
+{
+    std::string out(text);
+    std::transform(
+        out.begin(), out.end(), out.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return out;
+}
+
+} // namespace bulrushstack::detail
--- a/src/libexecution/model_stream.cpp
+++ b/src/libexecution/model_stream.cpp
@@ -224,7 +224,8 @@
     m_fruitlessResumes = 0;
     m_hasProgress = true;
     m_delivered.add(event.data);
-    const bool isWritten = co_await write(formatEvent(event.offset, event.data));
+    auto text = formatEvent(event.offset, event.data);
+    const bool isWritten = co_await write(std::move(text));
     if (!m_sequence.report().firstToken)
         m_sequence.report().firstToken = m_state.now();
     co_return isWritten ? RelayEnd::Complete : RelayEnd::CallerGone;
@@ -339,9 +340,9 @@
             continue;
         }
         m_sequence.abandon(*m_attempt);
-        if (end == RelayEnd::Expired)
-            co_return co_await fail(m_sequence.deadlineExceeded());
-        co_return co_await fail(problem("a repetition of the request gave another answer"));
+        auto ending = end == RelayEnd::Expired ? m_sequence.deadlineExceeded()
+                                               : problem("a repetition of the request gave another answer");
+        co_return co_await fail(std::move(ending));
     }
 }
 
