--- a/src/libexecution/journal_test.cpp
+++ b/src/libexecution/journal_test.cpp
@@ -188,6 +188,7 @@
     BOOST_TEST((decideOnSettlement(rowOf(entryOf(JournalState::Abandoned)), "x2", 7) == RowVersion(7)));
 }
 
+// Guards against a key that its own writer blocks, and a dispatch under the claim of another attempt.
 BOOST_AUTO_TEST_CASE(TheWriterRecognisesItsOwnClaim)
 {
     const auto row = rowOf(entryOf(JournalState::Recorded, "x2"), 8);
@@ -220,6 +221,7 @@
     BOOST_TEST((attempts.query("x1") == AttemptState::Refused));
 }
 
+// Guards against a refusal of an attempt that the service may already have.
 BOOST_AUTO_TEST_CASE(ADispatchedAttemptIsNotRefused)
 {
     AttemptRegistry attempts(10);
--- a/src/libexecution/service_calls_test.cpp
+++ b/src/libexecution/service_calls_test.cpp
@@ -160,6 +160,7 @@
     BOOST_TEST(services.calls.size() == 1U);
 }
 
+// Guards against work for a caller that no longer waits.
 BOOST_AUTO_TEST_CASE(AreNotSentAfterTheDeadline)
 {
     checkRefusal(run(executorA, readCall, 0s), ProblemCode::DeadlineExceeded, Verdict::NotRun, true);
@@ -180,6 +181,7 @@
 
 BOOST_FIXTURE_TEST_SUITE(NonIdempotentCalls, Fixture)
 
+// Guards against a call that could not be told apart from its resend.
 BOOST_AUTO_TEST_CASE(NeedAKey)
 {
     checkRefusal(run(executorA, serviceRequest("shop", "POST", "")), ProblemCode::IdempotencyKeyRequired,
@@ -261,6 +263,7 @@
     checkRefusal(run(executorB, order), ProblemCode::KeyExpired, Verdict::Ran, false);
 }
 
+// Guards against a truncated replay, and a second run of a call whose answer was too long to be kept.
 BOOST_AUTO_TEST_CASE(SayThatALongAnswerCannotBeReplayed)
 {
     services.script = { HttpResponse { .status = 200, .body = std::string(options.replayLimit + 1, 'x') } };
