Add benchmarks and count the traffic between instances

make bench compares direct calls with calls through an instance and measures load, processor time and memory; make bench-capacity measures the cost of an idle instance over the number of peers.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 # Half of the cores, since a compilation with Boost.Asio coroutines takes up to 1 GiB.
 JOBS ?= $(shell n=$$(nproc); echo $$(( n > 3 ? n - 2 : 1 )))
 
-.PHONY: all setup build test unit-test session-test demo bench bench-capacity format format-check lint package-check clean
+.PHONY: all setup build test demo bench bench-capacity format format-check lint package-check clean
 
 all: build
 
@@ -20,6 +20,12 @@
 demo: build
 	testsuite/demo.py --bin $(BUILD)/bin
 
+bench: build
+	testsuite/bench.py --bin $(BUILD)/bin --part latency --part throughput --part memory
+
+bench-capacity: build
+	testsuite/bench.py --bin $(BUILD)/bin --part control
+
 format:
 	git ls-files '*.cpp' '*.h' | xargs clang-format -i
 
--- a/src/libmembership/membership_service.cpp
+++ b/src/libmembership/membership_service.cpp
@@ -35,6 +35,10 @@
                       .Name("bulrush_members")
                       .Help("Known instances by role and state")
                       .Register(registry))
+        , peerMesh(prometheus::BuildGauge()
+                       .Name("bulrush_peer_mesh")
+                       .Help("Messages and bytes between instances since the start")
+                       .Register(registry))
     {
     }
 
@@ -44,7 +48,23 @@
     }
 
     prometheus::Family<prometheus::Counter>& polls;
+    void setPeerMesh(const PeerMeshCounters& counters)
+    {
+        const std::pair<const char*, std::uint64_t> values[] = {
+            { "requests_received", counters.requestsReceived },
+            { "requests_sent", counters.requestsSent },
+            { "rejected_malformed", counters.rejectedMalformed },
+            { "rejected_unauthenticated", counters.rejectedUnauthenticated },
+            { "rejected_replayed", counters.rejectedReplayed },
+            { "bytes_received", counters.bytesReceived },
+            { "bytes_sent", counters.bytesSent },
+        };
+        for (const auto& [name, value] : values)
+            peerMesh.Add({ { "counter", name } }).Set(static_cast<double>(value));
+    }
+
     prometheus::Family<prometheus::Gauge>& members;
+    prometheus::Family<prometheus::Gauge>& peerMesh;
 };
 
 } // namespace
@@ -135,6 +155,7 @@
         if (loggedLeaving.insert(it).second)
             LOG(INFO) << "event=leaving member=" << it.first << " incarnation=" << it.second;
     }
+    metrics.setPeerMesh(mesh.counters());
     const auto upstreams = directory.upstreams();
     for (auto role : { InstanceRole::Engine, InstanceRole::Service }) {
         for (auto state : { InstanceState::Live, InstanceState::Leaving }) {
