Destroy the tests' io_context before what its coroutines refer to

valgrind reported reads of the destroyed Directory by upstream slots of calls that a test left suspended.

--- a/src/libexecution/journal_exploration_test.cpp
+++ b/src/libexecution/journal_exploration_test.cpp
@@ -189,11 +189,11 @@
 
     Faults faults;
     std::mt19937 random;
-    boost::asio::io_context context;
     ManualClock clock;
     MemoryTableService rows;
     Directory directory { clock, {} };
     UpstreamSelector selector { directory, {} };
+    boost::asio::io_context context; ///< destroyed before what the coroutines of crashed nodes refer to
     bool isFaulty = true;
     bool hasCrashed = false;
     bool isServiceInDoubt = false; ///< an answer of the service was lost
--- a/src/libexecution/service_calls_test.cpp
+++ b/src/libexecution/service_calls_test.cpp
@@ -100,13 +100,13 @@
         };
     }
 
-    boost::asio::io_context context;
     ManualClock clock;
     MemoryTableService tables;
     ScriptedService services;
     Directory directory { clock, {} };
     UpstreamSelector selector { directory, {} };
     RetryBudget retries;
+    boost::asio::io_context context; // destroyed before what its coroutines refer to
     bool arePeersReachable = true;
     int queries = 0;
     ServiceCallOptions options = optionsWithoutWaits();
@@ -428,6 +428,15 @@
         fixture.services.beforeAnswer = [this]() -> boost::asio::awaitable<void> { co_await release.wait(1h); };
     }
 
+    /// Lets the held calls end, since they refer to this object.
+    ~HeldCall()
+    {
+        release.notify();
+        poll();
+    }
+    HeldCall(const HeldCall&) = delete;
+    HeldCall& operator=(const HeldCall&) = delete;
+
     static boost::asio::awaitable<void> sendTask(
         ServiceCallExecutor& executor, RequestContext context, std::optional<ServiceOutcome>& outcome)
     {
