Count every heartbeat as contact, so that a store outage keeps instances ready

Cause: the membership service passed on only news of a higher revision, so the configuration service saw no contact with peers while the store was down and left the balancer after the freshness bound, although nothing can be accepted then. Ruled out: the follower itself, whose tests count contact through hearOf().

--- a/src/libexecution/execution_service.cpp
+++ b/src/libexecution/execution_service.cpp
@@ -18,9 +18,10 @@
 namespace {
 
 constexpr std::chrono::seconds peerTimeout { 1 };
-// After the last answer only the journal's background work is left. It waits for the table service, whose outages may
-// be longer than an instance can stay; the journal is safe without it (section 17 of the design).
-constexpr std::chrono::seconds journalDrainLimit { 30 };
+// After the last answer only calls whose caller has gone and the journal's background work are left. The limit is above
+// the usual deadlines of calls, so that they end before their executor is destroyed. The background work waits for the
+// table service, whose outages may be longer; the journal is safe without it (section 17 of the design).
+constexpr std::chrono::seconds journalDrainLimit { 150 };
 constexpr std::chrono::seconds modelDrainLimit { 5 };
 
 boost::asio::awaitable<Result<nlohmann::json>> queryPeer(
--- a/src/libmembership/heartbeat_test.cpp
+++ b/src/libmembership/heartbeat_test.cpp
@@ -11,6 +11,7 @@
 std::vector<PeerView> peerViews(int n)
 {
     std::vector<PeerView> out;
+    out.reserve(static_cast<std::size_t>(n));
     for (int i = 0; i < n; ++i)
         out.push_back({ .record = { .id = "i" + std::to_string(i), .peerPort = 1 } });
     return out;
--- a/src/libmembership/membership_service.cpp
+++ b/src/libmembership/membership_service.cpp
@@ -235,8 +235,7 @@
         heartbeat.from, heartbeat.incarnation, heartbeat.state, heartbeat.revision, heartbeat.digest);
     for (const auto& [id, incarnation] : heartbeat.leaving)
         directory.markLeaving(id, incarnation);
-    if (heartbeat.revision <= configuration.current()->revision())
-        return;
+    // Also news of the same revision counts as contact, which keeps this instance ready while the store is down.
     for (const auto& peer : directory.peers()) {
         if (peer.record.id != heartbeat.from)
             continue;
