--- /dev/null
+++ b/testsuite/bad-input/run.py
@@ -0,0 +1,142 @@
+"""Malformed, oversized, slow and foreign input on every listener of a running instance.
+
+Guards against: a daemon that crashes, hangs or forwards something on bad input, an error without a clear 4xx and the
+verdict not-run, and connections that a slow or silent client holds for ever.
+"""
+
+import json
+import random
+import socket
+
+import houses
+import http_client as http
+from deployment import OPERATOR_TOKEN, Deployment
+from processes import wait_until
+from transcript import Transcript
+
+LIMITS = {"read_timeout": "300ms", "write_timeout": "300ms", "idle_timeout": "300ms", "header_limit": "8KiB",
+          "body_limit": "64KiB", "connection_limit": "20"}
+RANDOM_INPUTS = 200
+
+
+def raw(address, data, is_end_sent=False):
+    """Sends bytes and returns the status line and the verdict of what came back until the connection was closed."""
+    with socket.create_connection(address, timeout=10) as connection:
+        received = b""
+        try:
+            connection.sendall(data)
+            if is_end_sent:
+                connection.shutdown(socket.SHUT_WR)
+            while chunk := connection.recv(65536):
+                received += chunk
+        except ConnectionError:
+            pass
+    text = received.decode(errors="replace")
+    if not text:
+        return "closed"
+    verdict = next((line.split(": ")[1] for line in text.split("\r\n") if line.lower().startswith("bulrush-verdict")), "none")
+    return f"{text.split(' ')[1]} verdict={verdict}"
+
+
+def malformed_http(script, address):
+    script.section("malformed HTTP")
+    host = b"Host: a\r\n"
+    cases = {
+        "no HTTP at all": b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n",
+        "bad version": b"GET / HTTP/9.9\r\n" + host + b"\r\n",
+        "bad header": b"GET / HTTP/1.1\r\nno colon\r\n\r\n",
+        "two lengths": b"POST / HTTP/1.1\r\n" + host + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+        "length and chunks": b"POST / HTTP/1.1\r\n" + host + b"Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "bad chunk": b"POST / HTTP/1.1\r\n" + host + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+        "header too large": b"GET / HTTP/1.1\r\nX: " + b"x" * 20000 + b"\r\n\r\n",
+        "body too large": b"POST /v1/completions HTTP/1.1\r\n" + host + b"Content-Length: 100000\r\n\r\n" + b"x" * 100000,
+    }
+    for name, data in cases.items():
+        script.say(f"{name}: {raw(address, data)}")
+
+
+def slow_clients(script, deployment, address):
+    script.section("slow clients are disconnected")
+    script.say(f"half a header: {raw(address, b'GET / HTTP/1.1' + bytes([13, 10]) + b'Host:')}")
+    script.say(f"half a body: {raw(address, b'POST / HTTP/1.1' + bytes([13, 10]) + b'Content-Length: 9' + bytes([13, 10, 13, 10]) + b'ab')}")
+    script.say(f"nothing: {raw(address, b'')}")
+    body = json.dumps({"model": "tosca-lora", "prompt": "x", "max_tokens": 65000, "seed": 1, "stream": True})
+    request = (f"POST /v1/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {houses.TOKEN}\r\n"
+               f"Content-Length: {len(body)}\r\n\r\n{body}").encode()
+    with socket.socket() as connection:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        connection.connect(address)
+        connection.sendall(request)
+        # The client reads nothing; its stream must be given up and cancelled at the engine.
+        engine = deployment.members["engine-0"]
+        wait_until(lambda: any(entry.get("event") == "cancel" for entry in engine.log()), "the unread stream is cancelled")
+    script.say("a stream that is not read: cancelled at the engine")
+
+
+def bad_bodies(script, address):
+    script.section("bodies")
+    bodies = ["", "[]", "null", "{", '{"model":"tosca-lora"}', '{"model":7,"prompt":"x"}',
+              '{"model":"tosca-lora","prompt":"x","max_tokens":-1}', '{"model":"tosca-lora","prompt":"x","stream":"yes"}',
+              '{"model":"tosca-lora","prompt":"\ud800"}'.encode("utf-8", "surrogatepass"), "[" * 50000,
+              '{"model":"tosca-lora","model":"aida-lora","prompt":"x"}']
+    headers = {"Authorization": f"Bearer {houses.TOKEN}"}
+    for body in bodies:
+        answer = http.call(address, "POST", "/v1/completions", body, headers)
+        shown = body if isinstance(body, str) else repr(body)
+        script.say(f"{shown[:60]}: {answer.status} {answer.headers.get('bulrush-verdict')}")
+
+
+def bad_service_paths(script, address):
+    script.section("service paths")
+    headers = {"Authorization": f"Bearer {houses.TOKEN}", "Idempotency-Key": "k"}
+    for path in ("/services/", "/services/cue-board", "/services/cue-board/../x", "/services/cue-board/%2e%2e/x",
+                 "/services/cue-board//x", "/services/cue-board/%zz", "/services/cue-board/a%00b"):
+        answer = http.call(address, "POST", path, "{}", headers)
+        script.say(f"{path}: {answer.status} {answer.headers.get('bulrush-verdict')}")
+    for key in ("", "x" * 129, "tab\there"):
+        answer = http.call(address, "POST", "/services/cue-board/x", "{}", {**headers, "Idempotency-Key": key})
+        script.say(f"key of {len(key)}: {answer.status} {answer.headers.get('bulrush-verdict')}")
+
+
+def operators(script, address):
+    script.section("the operators' listener")
+    for token, body in ((None, "{}"), ("wrong", "{}"), (houses.TOKEN, "{}"), (OPERATOR_TOKEN, "{"), (OPERATOR_TOKEN, "[]"),
+                        (OPERATOR_TOKEN, '{"change_id":1}')):
+        headers = {"Authorization": f"Bearer {token}"} if token else {}
+        answer = http.call(address, "POST", "/operator/v1/changes", body, headers)
+        script.say(f"{'token' if token else 'no token'} {body}: {answer.status}")
+
+
+def random_input(script, deployment, member):
+    """Random bytes, and cut or altered copies of a valid request, on the three ports of an instance."""
+    chance = random.Random(20261204)
+    valid = b"POST /v1/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}"
+    for address in (member.address, member.operator_address, (member.address[0], member.peer_port)):
+        for _ in range(RANDOM_INPUTS):
+            data = bytearray(valid if chance.random() < 0.7 else chance.randbytes(chance.randrange(1, 400)))
+            for _ in range(chance.randrange(4)):
+                data[chance.randrange(len(data))] = chance.randrange(256)
+            with socket.create_connection(address, timeout=10) as connection:
+                connection.sendall(bytes(data[:chance.randrange(1, len(data) + 1)]))
+    houses.check(member.process.is_running(), "the daemon ended")
+    deployment.wait_ready("entry-0")
+    script.section("random input on all three ports")
+    script.say("the daemon lives on")
+
+
+def run(folder):
+    script = Transcript()
+    with Deployment(folder) as deployment:
+        houses.start(deployment, engines=1, entries=1, engine_flags={"tokens_per_second": 100000}, entry_flags=LIMITS)
+        member = deployment.members["entry-0"]
+        malformed_http(script, member.address)
+        bad_bodies(script, member.address)
+        bad_service_paths(script, member.address)
+        operators(script, member.operator_address)
+        slow_clients(script, deployment, member.address)
+        random_input(script, deployment, member)
+        script.section("still serving")
+        body = {"model": "tosca-lora", "prompt": "x", "max_tokens": 4, "seed": 1}
+        script.call("zagreb", member.address, "POST", "/v1/completions", houses.TOKEN, body)
+        script.executions("what the service ran", [deployment.members["cues"]], ["method", "path"])
+    return script.text()
