Become ready only after the first load reports of the engines

Change: the condition 'membership' holds once every live engine of the first list has answered or missed its first report, which is asked for at once.

--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 	testsuite/bench.py --bin $(BUILD)/bin --part latency --part throughput --part memory
 
 bench-capacity: build
-	testsuite/bench.py --bin $(BUILD)/bin --part control
+	testsuite/bench.py --bin $(BUILD)/bin --part peers --part upstreams --part configuration --part propagation
 
 format:
 	git ls-files '*.cpp' '*.h' | xargs clang-format -i
--- a/src/libmembership/membership_service.cpp
+++ b/src/libmembership/membership_service.cpp
@@ -87,6 +87,8 @@
     void spawn(Loop loop, const char* interval);
     asio::awaitable<void> repeat(Loop loop, std::chrono::nanoseconds interval);
     asio::awaitable<void> readRoster();
+    asio::awaitable<void> awaitFirstReports();
+    void noteReport(const std::string& id);
     asio::awaitable<void> readLoads();
     asio::awaitable<void> readLoad(InstanceRecord record);
     asio::awaitable<void> sendHeartbeats();
@@ -105,6 +107,7 @@
     Metrics metrics;
     std::set<asio::steady_timer*> timers;
     std::set<std::string> pending; ///< ids of members with a question that is not answered yet
+    std::set<std::string> awaitedReports; ///< engines of the first roster without a first load report
     std::set<std::pair<std::string, std::uint64_t>> loggedLeaving;
     std::minstd_rand random { std::random_device()() };
     bool isLeaving = false;
@@ -144,9 +147,32 @@
             runtime.setReady("membership", false, "the instance list was not read yet");
         co_return;
     }
+    const bool isFirst = directory.rosterAge() == std::chrono::nanoseconds::max();
     directory.updateRoster(*records);
-    runtime.setReady("membership", true);
     noteMembers();
+    if (isFirst)
+        co_await awaitFirstReports();
+}
+
+/// Becomes ready once every live engine has answered or missed its first load report: before that, requests for models
+/// that are resident would be refused.
+asio::awaitable<void> MembershipService::State::awaitFirstReports()
+{
+    for (const auto& it : directory.upstreams()) {
+        if (it.record.role == InstanceRole::Engine && it.record.state == InstanceState::Live)
+            awaitedReports.insert(it.record.id);
+    }
+    noteReport({});
+    co_await readLoads();
+}
+
+void MembershipService::State::noteReport(const std::string& id)
+{
+    awaitedReports.erase(id);
+    if (awaitedReports.empty())
+        runtime.setReady("membership", true);
+    else
+        runtime.setReady("membership", false, "load reports of engines are awaited");
 }
 
 void MembershipService::State::noteMembers()
@@ -187,6 +213,8 @@
     directory.noteConnection(record.id, report.has_value());
     if (report)
         directory.noteLoad(record.id, std::move(*report));
+    if (!awaitedReports.empty())
+        noteReport(record.id);
 }
 
 Heartbeat MembershipService::State::ownHeartbeat() const
--- a/testsuite/bench.py
+++ b/testsuite/bench.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Measures what the system adds to a direct call of an upstream, what it carries on one core and what it needs.
 
-Usage: bench.py --bin FOLDER [--part latency|throughput|memory|control]...
+Usage: bench.py --bin FOLDER [--part NAME]...
 Every figure is printed with its run; nothing is compared with a bound.
 """
 
@@ -117,32 +117,112 @@
             it.close()
 
 
-def control(folder):
-    """The cost of being there: heartbeats, polls and the configuration, without requests, over the number of instances."""
-    for count in (2, 4, 8, 16):
+INTERVALS = {"roster_poll_interval": "500ms", "load_poll_interval": "500ms", "heartbeat_interval": "500ms",
+             "configuration_poll_interval": "500ms"}
+IDLE_SECONDS = 8
+
+
+def loopback_bytes():
+    """Returns the bytes that crossed the loopback interface, with the headers of TCP and IP."""
+    for line in pathlib.Path("/proc/net/dev").read_text().splitlines():
+        if line.strip().startswith("lo:"):
+            return int(line.split(":")[1].split()[0])
+    raise RuntimeError("no loopback interface")
+
+
+def observe(members):
+    """Lets the instances idle; returns percent of a core, bytes a second and KiB, each for one instance."""
+    pids = [it.process.pid for it in members]
+    cpu, traffic, begin = sum(map(cpu_seconds, pids)), loopback_bytes(), time.monotonic()
+    time.sleep(IDLE_SECONDS)
+    seconds = time.monotonic() - begin
+    cpu, traffic = sum(map(cpu_seconds, pids)) - cpu, loopback_bytes() - traffic
+    share = seconds * len(pids)
+    return 100 * cpu / share, traffic / share, sum(map(resident_kib, pids)) / len(pids)
+
+
+def show(what, count, figures):
+    print(f"{what}={count}: {figures[0]:.2f}% of a core, {figures[1]:.0f} bytes/s, {figures[2]:.0f} KiB for one instance", flush=True)
+
+
+def start_entries(deployment, count):
+    names = [f"entry-{n}" for n in range(count)]
+    for name in names:
+        deployment.start_instance(name, "zg-1", **INTERVALS)
+    deployment.wait_ready(*names)
+    houses.apply(deployment, names[0], json.loads(houses.CONFIGURATION.read_text()))
+    members = [deployment.members[it] for it in names]
+    wait_until(lambda: all(len(deployment.status(it)["peers"]) == count - 1 for it in members), "peers")
+    return members
+
+
+def peers(folder):
+    """The cost of an idle instance over the number of instances."""
+    for count in (2, 4, 8, 16, 32):
         with Deployment(folder) as deployment:
             deployment.start_platform()
-            deployment.start_engine("engine-0", "zg-1", houses.MODELS)
-            names = [f"entry-{n}" for n in range(count)]
-            for name in names:
-                deployment.start_instance(name, "zg-1", roster_poll_interval="500ms", load_poll_interval="500ms",
-                                          heartbeat_interval="500ms", configuration_poll_interval="500ms")
-            deployment.wait_ready(*names)
-            houses.apply(deployment, names[0], json.loads(houses.CONFIGURATION.read_text()))
-            wait_until(lambda: all(len(deployment.status(deployment.members[it])["peers"]) == count - 1 for it in names), "peers")
-            entry = deployment.members[names[0]]
-            seconds = 10
-            cpu, sent = cpu_seconds(entry.process.pid), metric(entry, 'bulrush_peer_mesh{counter="bytes_sent"}')
-            received = metric(entry, 'bulrush_peer_mesh{counter="bytes_received"}')
-            time.sleep(seconds)
-            cpu = cpu_seconds(entry.process.pid) - cpu
-            sent = metric(entry, 'bulrush_peer_mesh{counter="bytes_sent"}') - sent
-            received = metric(entry, 'bulrush_peer_mesh{counter="bytes_received"}') - received
-            print(f"control: instances={count} cpu={100 * cpu / seconds:.2f}% of a core peer_bytes_sent={sent / seconds:.0f}/s "
-                  f"peer_bytes_received={received / seconds:.0f}/s memory={resident_kib(entry.process.pid)}KiB")
-
-
-PARTS = {"latency": latency, "throughput": throughput, "memory": memory, "control": control}
+            members = start_entries(deployment, count)
+            show("instances", count, observe(members))
+
+
+def upstreams(folder):
+    """The cost of an idle instance over the number of engines, which are one process under many ids."""
+    with Deployment(folder) as deployment:
+        deployment.start_platform()
+        engine = deployment.start_engine("engine-0", "zg-1", houses.MODELS)
+        members = start_entries(deployment, 1)
+        registered = 1
+        for count in (1, 8, 32, 128):
+            for number in range(registered, count):
+                deployment.register(f"engine-{number}", role="engine", host=engine.address[0], port=engine.address[1], zone="zg-1")
+            registered = count
+            wait_until(lambda: len(deployment.status(members[0])["upstreams"]) == count, "upstreams")
+            show("engines", count, observe(members))
+
+
+def configuration(folder):
+    """The cost of a change over the size of the document."""
+    with Deployment(folder) as deployment:
+        deployment.start_platform()
+        members = start_entries(deployment, 2)
+        document = json.loads(houses.CONFIGURATION.read_text())
+        for count in (50, 200, 400, 800):
+            teams = {f"team-{n}": {"template": "opera-house", "parameters": {}, "token_sha256": [f"{n:064x}"]} for n in range(count)}
+            houses.apply(deployment, "entry-0", {"teams": teams})
+            size = len(json.dumps(deployment.status(members[0])))  # wakes the connection
+            pid, changes = members[1].process.pid, 10
+            cpu, traffic, begin = cpu_seconds(pid), loopback_bytes(), time.monotonic()
+            for step in range(changes):
+                template = {**document["templates"]["opera-house"], "share": 2 + step}
+                houses.apply(deployment, "entry-0", {"templates": {"opera-house": template}})
+            seconds = time.monotonic() - begin
+            size = len(http.call(members[0].operator_address, "GET", "/operator/v1/config",
+                                 headers={"Authorization": "Bearer operator-secret"}).body)
+            print(f"teams={count}: document {size} bytes, {1000 * (cpu_seconds(pid) - cpu) / changes:.1f} ms of processor time and "
+                  f"{(loopback_bytes() - traffic) / changes:.0f} bytes on all connections for one change, applied and in force "
+                  f"on both instances in {1000 * seconds / changes:.0f} ms, {resident_kib(pid)} KiB", flush=True)
+
+
+def propagation(folder):
+    """Time from sending a change until each of nine instances has it in force."""
+    with Deployment(folder) as deployment:
+        deployment.start_platform()
+        members = start_entries(deployment, 9)
+        document = json.loads(houses.CONFIGURATION.read_text())
+        times = []
+        for step in range(20):
+            template = {**document["templates"]["opera-house"], "share": 2 + step}
+            begin = time.monotonic()
+            status, _, errors = deployment.control("entry-0", "config", "apply", "-", stdin=json.dumps({"templates": {"opera-house": template}}))
+            houses.check(status == 0, errors)
+            wait_until(lambda: all(deployment.status(it).get("revision") == 2 + step for it in members), "in force", interval=0.005)
+            times.append(time.monotonic() - begin)
+        times.sort()
+        print(f"propagation to 9 instances, {len(times)} changes: median {1000 * times[len(times) // 2]:.0f} ms, worst {1000 * times[-1]:.0f} ms")
+
+
+PARTS = {"latency": latency, "throughput": throughput, "memory": memory, "peers": peers, "upstreams": upstreams,
+         "configuration": configuration, "propagation": propagation}
 
 
 def main():
--- a/testsuite/rolling-replacement/run.py
+++ b/testsuite/rolling-replacement/run.py
@@ -98,6 +98,9 @@
     process.send(15)
     time.sleep(0.05)
     status = process.terminate()
+    # A new instance must not be ready before it knows what the engines hold.
+    for engine in houses.ENGINES:
+        deployment.members[engine].fault("report", "delay", count=20, delay_ms=150)
     deployment.start_instance(name, houses.ZONES[houses.ENTRIES.index(name)], drain_delay="300ms")
     deployment.wait_ready(name)
     deployment.pause_for(0.3)
