Share the set-up of the sessions and the demo

The two golden sessions and the demo each started the same processes in code of their own; they now use scenario.start_processes().

--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -228,7 +228,8 @@
 asio::awaitable<void> HttpServer::State::serve(std::shared_ptr<Connection> connection)
 {
     auto self = shared_from_this();
-    while (!isDraining && co_await serveRequest(*connection)) { }
+    for (bool isKept = true; isKept && !isDraining;)
+        isKept = co_await serveRequest(*connection);
     beast::error_code ec;
     connection->stream.socket().shutdown(tcp::socket::shutdown_both, ec);
     connection->stream.close();
--- a/testsuite/at-most-once/run.py
+++ b/testsuite/at-most-once/run.py
@@ -9,7 +9,7 @@
 import random
 import threading
 
-import houses
+import scenario
 import http_client as http
 from deployment import Deployment
 from transcript import Transcript
@@ -31,7 +31,7 @@
         self.answers = []
 
     def send(self, address, timeout=20):
-        headers = {"Authorization": f"Bearer {houses.TOKEN}", "Idempotency-Key": self.key, **DEADLINE}
+        headers = {"Authorization": f"Bearer {scenario.TOKEN}", "Idempotency-Key": self.key, **DEADLINE}
         answer = http.call(address, "POST", f"/services/cue-board{self.path}", {"line": self.key}, headers, timeout)
         self.answers.append((answer.status, answer.headers.get("bulrush-verdict", "none")))
 
@@ -64,23 +64,23 @@
 def run_case(chance, deployment, number):
     case = Case(number)
     arm(chance, deployment, case)
-    name = chance.choice(houses.ENTRIES)
+    name = chance.choice(scenario.ENTRIES)
     timer = disturb(chance, deployment, name)
     case.send(deployment.members[name].address, timeout=4)
     if timer:
         timer.join()
-    others = [it for it in houses.ENTRIES if it != name]
+    others = [it for it in scenario.ENTRIES if it != name]
     chance.shuffle(others)
     for other in others:
         case.send(deployment.members[other].address)
     # The paused instance wakes after its call was sent again elsewhere.
     deployment.members[name].process.resume()
     if not deployment.members[name].process.is_running():
-        deployment.start_instance(name, houses.ZONES[houses.ENTRIES.index(name)])
+        deployment.start_instance(name, scenario.ZONES[scenario.ENTRIES.index(name)])
         deployment.wait_ready(name)
     deployment.members["cues"].clear_faults()
     deployment.platform.clear_faults()
-    for entry in chance.sample(houses.ENTRIES, 2):
+    for entry in chance.sample(scenario.ENTRIES, 2):
         case.send(deployment.members[entry].address)
     return case
 
@@ -88,11 +88,11 @@
 def verify(case, executions):
     """Compares what was answered with what was executed."""
     story = f"{case.key}: answers {case.answers}, executions {executions}"
-    houses.check(executions <= 1, f"ran more than once: {story}")
+    scenario.check(executions <= 1, f"ran more than once: {story}")
     if any(verdict == "ran" for _, verdict in case.answers):
-        houses.check(executions == 1, f"reported as run but did not run: {story}")
+        scenario.check(executions == 1, f"reported as run but did not run: {story}")
     if all(verdict == "not-run" for _, verdict in case.answers):
-        houses.check(executions == 0, f"reported as not run but ran: {story}")
+        scenario.check(executions == 0, f"reported as not run but ran: {story}")
 
 
 def run(folder):
@@ -101,7 +101,7 @@
     chance = random.Random(seed)
     script = Transcript()
     with Deployment(folder) as deployment:
-        houses.start(deployment)
+        scenario.start(deployment)
         cases = [run_case(chance, deployment, number) for number in range(CALLS)]
         deployment.pause_for(2)
         executed = collections.Counter(entry["path"] for entry in deployment.members["cues"].log() if entry.get("method") == "POST")
--- a/testsuite/bad-input/run.py
+++ b/testsuite/bad-input/run.py
@@ -8,7 +8,7 @@
 import random
 import socket
 
-import houses
+import scenario
 import http_client as http
 from deployment import OPERATOR_TOKEN, Deployment
 from processes import wait_until
@@ -61,7 +61,7 @@
     script.say(f"half a body: {raw(address, b'POST / HTTP/1.1' + bytes([13, 10]) + b'Content-Length: 9' + bytes([13, 10, 13, 10]) + b'ab')}")
     script.say(f"nothing: {raw(address, b'')}")
     body = json.dumps({"model": "tosca-lora", "prompt": "x", "max_tokens": 65000, "seed": 1, "stream": True})
-    request = (f"POST /v1/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {houses.TOKEN}\r\n"
+    request = (f"POST /v1/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {scenario.TOKEN}\r\n"
                f"Content-Length: {len(body)}\r\n\r\n{body}").encode()
     with socket.socket() as connection:
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
@@ -79,7 +79,7 @@
               '{"model":"tosca-lora","prompt":"x","max_tokens":-1}', '{"model":"tosca-lora","prompt":"x","stream":"yes"}',
               '{"model":"tosca-lora","prompt":"\ud800"}'.encode("utf-8", "surrogatepass"), "[" * 50000,
               '{"model":"tosca-lora","model":"aida-lora","prompt":"x"}']
-    headers = {"Authorization": f"Bearer {houses.TOKEN}"}
+    headers = {"Authorization": f"Bearer {scenario.TOKEN}"}
     for body in bodies:
         answer = http.call(address, "POST", "/v1/completions", body, headers)
         shown = body if isinstance(body, str) else repr(body)
@@ -88,7 +88,7 @@
 
 def bad_service_paths(script, address):
     script.section("service paths")
-    headers = {"Authorization": f"Bearer {houses.TOKEN}", "Idempotency-Key": "k"}
+    headers = {"Authorization": f"Bearer {scenario.TOKEN}", "Idempotency-Key": "k"}
     for path in ("/services/", "/services/cue-board", "/services/cue-board/../x", "/services/cue-board/%2e%2e/x",
                  "/services/cue-board//x", "/services/cue-board/%zz", "/services/cue-board/a%00b"):
         answer = http.call(address, "POST", path, "{}", headers)
@@ -100,7 +100,7 @@
 
 def operators(script, address):
     script.section("the operators' listener")
-    for token, body in ((None, "{}"), ("wrong", "{}"), (houses.TOKEN, "{}"), (OPERATOR_TOKEN, "{"), (OPERATOR_TOKEN, "[]"),
+    for token, body in ((None, "{}"), ("wrong", "{}"), (scenario.TOKEN, "{}"), (OPERATOR_TOKEN, "{"), (OPERATOR_TOKEN, "[]"),
                         (OPERATOR_TOKEN, '{"change_id":1}')):
         headers = {"Authorization": f"Bearer {token}"} if token else {}
         answer = http.call(address, "POST", "/operator/v1/changes", body, headers)
@@ -118,7 +118,7 @@
                 data[chance.randrange(len(data))] = chance.randrange(256)
             with socket.create_connection(address, timeout=10) as connection:
                 connection.sendall(bytes(data[:chance.randrange(1, len(data) + 1)]))
-    houses.check(member.process.is_running(), "the daemon ended")
+    scenario.check(member.process.is_running(), "the daemon ended")
     deployment.wait_ready("entry-0")
     script.section("random input on all three ports")
     script.say("the daemon lives on")
@@ -127,7 +127,7 @@
 def run(folder):
     script = Transcript()
     with Deployment(folder) as deployment:
-        houses.start(deployment, engines=1, entries=1, engine_flags={"tokens_per_second": 100000}, entry_flags=LIMITS)
+        scenario.start(deployment, engines=1, entries=1, engine_flags={"tokens_per_second": 100000}, entry_flags=LIMITS)
         member = deployment.members["entry-0"]
         malformed_http(script, member.address)
         bad_bodies(script, member.address)
@@ -137,6 +137,6 @@
         random_input(script, deployment, member)
         script.section("still serving")
         body = {"model": "tosca-lora", "prompt": "x", "max_tokens": 4, "seed": 1}
-        script.call("zagreb", member.address, "POST", "/v1/completions", houses.TOKEN, body)
+        script.call("zagreb", member.address, "POST", "/v1/completions", scenario.TOKEN, body)
         script.executions("what the service ran", [deployment.members["cues"]], ["method", "path"])
     return script.text()
--- a/testsuite/bench.py
+++ b/testsuite/bench.py
@@ -17,7 +17,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(ROOT / "lib"))
 
-import houses  # noqa: E402
+import scenario  # noqa: E402
 import http_client as http  # noqa: E402
 from deployment import Deployment  # noqa: E402
 from processes import binary, wait_until  # noqa: E402
@@ -49,7 +49,7 @@
 
 def compare(direct, through, *flags):
     command = [binary("bench_http"), f"--direct-address={address(direct)}", f"--through-address={address(through)}",
-               f"--token={houses.TOKEN}", "--rounds=2000", *flags]
+               f"--token={scenario.TOKEN}", "--rounds=2000", *flags]
     done = subprocess.run(command, capture_output=True, text=True, check=True, timeout=300)
     return done.stdout.strip()
 
@@ -57,7 +57,7 @@
 def latency(folder):
     completion = json.dumps({"model": "tosca-lora", "prompt": "x", "max_tokens": 1, "seed": 1})
     with Deployment(folder) as deployment:
-        houses.start(deployment, engines=1, entries=1, engine_flags=FAST)
+        scenario.start(deployment, engines=1, entries=1, engine_flags=FAST)
         entry, engine, cues = (deployment.members[it] for it in ("entry-0", "engine-0", "cues"))
         for run in range(RUNS):
             print(f"latency run {run + 1}: completion of 1 token")
@@ -70,7 +70,7 @@
 
 
 def experiment(entry, rate, seconds, request):
-    return {"seed": 1, "targets": [address(entry)], "teams": [{"name": "zagreb", "token": houses.TOKEN}],
+    return {"seed": 1, "targets": [address(entry)], "teams": [{"name": "zagreb", "token": scenario.TOKEN}],
             "phases": [{"name": "steady", "duration": f"{seconds}s", "rate": rate}], "requests": [request]}
 
 
@@ -89,7 +89,7 @@
              ("service read", {"kind": "service-read", "path": "/services/cue-board/cues/1"}),
              ("journaled service call", {"kind": "service-post", "path": "/services/cue-board/cues/1", "body": {}})]
     with Deployment(folder) as deployment:
-        houses.start(deployment, engines=3, entries=1, engine_flags=FAST)
+        scenario.start(deployment, engines=3, entries=1, engine_flags=FAST)
         entry = deployment.members["entry-0"]
         for name, request in kinds:
             for rate in (100, 200, 400, 800):
@@ -101,7 +101,7 @@
 
 def memory(folder):
     with Deployment(folder) as deployment:
-        houses.start(deployment, engines=1, entries=1, engine_flags={"tokens_per_second": 2000, "max_batch": 2000})
+        scenario.start(deployment, engines=1, entries=1, engine_flags={"tokens_per_second": 2000, "max_batch": 2000})
         entry = deployment.members["entry-0"]
         idle = resident_kib(entry.process.pid)
         print(f"memory: idle {idle} KiB")
@@ -110,7 +110,7 @@
         # One instance sends at most 64 requests to one upstream.
         for count in (16, 32, 48, 60):
             while len(streams) < count:
-                streams.append(http.Stream(entry.address, "/v1/completions", body, {"Authorization": f"Bearer {houses.TOKEN}"}))
+                streams.append(http.Stream(entry.address, "/v1/completions", body, {"Authorization": f"Bearer {scenario.TOKEN}"}))
             time.sleep(1)
             print(f"memory: {count} open streams {resident_kib(entry.process.pid)} KiB")
         for it in streams:
@@ -150,7 +150,7 @@
     for name in names:
         deployment.start_instance(name, "zg-1", **INTERVALS)
     deployment.wait_ready(*names)
-    houses.apply(deployment, names[0], json.loads(houses.CONFIGURATION.read_text()))
+    scenario.apply(deployment, names[0], json.loads(scenario.CONFIGURATION.read_text()))
     members = [deployment.members[it] for it in names]
     wait_until(lambda: all(len(deployment.status(it)["peers"]) == count - 1 for it in members), "peers")
     return members
@@ -169,7 +169,7 @@
     """The cost of an idle instance over the number of engines, which are one process under many ids."""
     with Deployment(folder) as deployment:
         deployment.start_platform()
-        engine = deployment.start_engine("engine-0", "zg-1", houses.MODELS)
+        engine = deployment.start_engine("engine-0", "zg-1", scenario.MODELS)
         members = start_entries(deployment, 1)
         registered = 1
         for count in (1, 8, 32, 128):
@@ -185,16 +185,16 @@
     with Deployment(folder) as deployment:
         deployment.start_platform()
         members = start_entries(deployment, 2)
-        document = json.loads(houses.CONFIGURATION.read_text())
+        document = json.loads(scenario.CONFIGURATION.read_text())
         for count in (50, 200, 400, 800):
             teams = {f"team-{n}": {"template": "opera-house", "parameters": {}, "token_sha256": [f"{n:064x}"]} for n in range(count)}
-            houses.apply(deployment, "entry-0", {"teams": teams})
+            scenario.apply(deployment, "entry-0", {"teams": teams})
             size = len(json.dumps(deployment.status(members[0])))  # wakes the connection
             pid, changes = members[1].process.pid, 10
             cpu, traffic, begin = cpu_seconds(pid), loopback_bytes(), time.monotonic()
             for step in range(changes):
                 template = {**document["templates"]["opera-house"], "share": 2 + step}
-                houses.apply(deployment, "entry-0", {"templates": {"opera-house": template}})
+                scenario.apply(deployment, "entry-0", {"templates": {"opera-house": template}})
             seconds = time.monotonic() - begin
             size = len(http.call(members[0].operator_address, "GET", "/operator/v1/config",
                                  headers={"Authorization": "Bearer operator-secret"}).body)
@@ -208,13 +208,13 @@
     with Deployment(folder) as deployment:
         deployment.start_platform()
         members = start_entries(deployment, 9)
-        document = json.loads(houses.CONFIGURATION.read_text())
+        document = json.loads(scenario.CONFIGURATION.read_text())
         times = []
         for step in range(20):
             template = {**document["templates"]["opera-house"], "share": 2 + step}
             begin = time.monotonic()
             status, _, errors = deployment.control("entry-0", "config", "apply", "-", stdin=json.dumps({"templates": {"opera-house": template}}))
-            houses.check(status == 0, errors)
+            scenario.check(status == 0, errors)
             wait_until(lambda: all(deployment.status(it).get("revision") == 2 + step for it in members), "in force", interval=0.005)
             times.append(time.monotonic() - begin)
         times.sort()
--- a/testsuite/configuration-races/run.py
+++ b/testsuite/configuration-races/run.py
@@ -9,7 +9,7 @@
 import threading
 import time
 
-import houses
+import scenario
 import http_client as http
 from deployment import OPERATOR_TOKEN, Deployment
 from processes import wait_until
@@ -33,7 +33,7 @@
 
     def work(self):
         while not self.is_stopped:
-            for name in houses.ENTRIES:
+            for name in scenario.ENTRIES:
                 member = self.deployment.members[name]
                 pid = member.process.pid
                 answer = http.call(member.operator_address, "GET", "/operator/v1/status", headers=HEADERS, timeout=1)
@@ -56,11 +56,11 @@
     """Sets a parameter of the operator's own template through some instance, with the same change id until it is known."""
     change_id = f"operator-{operator}-{step}"
     name = f"template-{operator}"
-    value = json.loads(houses.CONFIGURATION.read_text())["templates"]["opera-house"]
+    value = json.loads(scenario.CONFIGURATION.read_text())["templates"]["opera-house"]
     value["share"] = step + 1
     chance = random.Random(f"{operator}-{step}")
     for _ in range(200):
-        member = deployment.members[chance.choice(houses.ENTRIES)]
+        member = deployment.members[chance.choice(scenario.ENTRIES)]
         current = http.call(member.operator_address, "GET", "/operator/v1/config", headers=HEADERS, timeout=2)
         if current.status != 200:
             time.sleep(0.05)
@@ -71,7 +71,7 @@
         if answer.status == 200:
             results[change_id] = answer.json()["revision"]
             return
-        houses.check(answer.status != 422, f"{change_id}: {answer.body}")
+        scenario.check(answer.status != 422, f"{change_id}: {answer.body}")
         time.sleep(0.05)
     results[change_id] = None
 
@@ -97,7 +97,7 @@
 def conflict(script, deployment):
     script.section("two operators change the same template from the same revision")
     base = deployment.status(deployment.members["entry-0"])["revision"]
-    value = json.loads(houses.CONFIGURATION.read_text())["templates"]["opera-house"]
+    value = json.loads(scenario.CONFIGURATION.read_text())["templates"]["opera-house"]
     for author, name in (("ana", "entry-0"), ("ivo", "entry-1")):
         change = {"change_id": f"{author}-1", "author": author, "base_revision": base,
                   "edits": [{"kind": "template", "name": "opera-house", "value": {**value, "share": len(author)}}]}
@@ -123,7 +123,7 @@
 def run(folder):
     script = Transcript()
     with Deployment(folder) as deployment:
-        houses.start(deployment)
+        scenario.start(deployment)
         sampler = Sampler(deployment)
         results = {}
         operators = [threading.Thread(target=operate, args=(deployment, number, results)) for number in range(4)]
@@ -134,7 +134,7 @@
             it.join()
         deployment.platform.clear_faults()
         highest = max(revision or 0 for revision in results.values())
-        names = houses.ENTRIES
+        names = scenario.ENTRIES
         wait_until(lambda: all(deployment.status(deployment.members[it]).get("revision") == highest for it in names), "all at the highest revision")
         document = http.call(deployment.members["entry-0"].operator_address, "GET", "/operator/v1/config", headers=HEADERS).json()
         shares = [document["templates"][f"template-{number}"]["share"] for number in range(4)]
--- a/testsuite/demo.py
+++ b/testsuite/demo.py
@@ -10,12 +10,10 @@
 ROOT = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(ROOT / "lib"))
 
+import scenario  # noqa: E402
 from deployment import Deployment  # noqa: E402
 from transcript import Transcript  # noqa: E402
 
-ZONES = ["zg-1", "st-1", "ri-1"]
-MODELS = ["libretto-7b:1:14", "tosca-lora:1:1", "aida-lora:1:1"]
-
 
 class Printer(Transcript):
     """Prints each line when it is said."""
@@ -41,17 +39,11 @@
     script = Printer()
     with Deployment(folder) as deployment:
         script.section("start: platform, three engines, a plain service, three instances")
-        deployment.start_platform()
-        for number, zone in enumerate(ZONES):
-            deployment.start_engine(f"engine-{number}", zone, MODELS, tokens_per_second=500)
-            deployment.start_instance(f"entry-{number}", zone)
-        deployment.start_service("cues", "cue-board", ZONES)
-        names = [f"entry-{n}" for n in range(3)]
-        deployment.wait_ready(*names)
+        scenario.start_processes(deployment, engine_flags={"tokens_per_second": 500})
         script.control(deployment, "entry-0", "config", "apply", str(ROOT / "opera-evening" / "deployment.json"), "--wait")
         deployment.wait_routable("libretto-7b", "tosca-lora", "aida-lora")
         script.control(deployment, "entry-2", "status")
-        entries = [deployment.members[name].address for name in names]
+        entries = scenario.entry_addresses(deployment)
 
         script.section("a chat through the first instance")
         chat = {"model": "tosca-lora", "max_tokens": 12, "seed": 7, "messages": [{"role": "user", "content": "Act two, line 12"}]}
@@ -63,9 +55,7 @@
         for entry in entries[:2]:
             script.call("caller", entry, "POST", "/services/cue-board/cues/12", "zagreb-token", {"line": "I lived for art"}, Idempotency_Key="act2-12")
         show_logs(script, deployment.members)
-        script.section("graceful stop")
-        for name in names:
-            script.say(f"{name}: exit status {deployment.members[name].process.terminate()}")
+        scenario.stop_entries(script, deployment)
 
 
 def main():
--- a/testsuite/leaving-upstream/run.py
+++ b/testsuite/leaving-upstream/run.py
@@ -7,7 +7,7 @@
 import threading
 import time
 
-import houses
+import scenario
 import http_client as http
 from deployment import Deployment
 from transcript import Transcript
@@ -16,9 +16,9 @@
 
 
 def chat(deployment, number):
-    headers = {"Authorization": f"Bearer {houses.TOKEN}"}
+    headers = {"Authorization": f"Bearer {scenario.TOKEN}"}
     body = {"model": "tosca-lora", "prompt": f"line {number}", "max_tokens": 8, "seed": number}
-    address = deployment.members[houses.ENTRIES[number % 3]].address
+    address = deployment.members[scenario.ENTRIES[number % 3]].address
     return http.call(address, "POST", "/v1/completions", body, headers).status
 
 
@@ -30,7 +30,7 @@
     script = Transcript()
     with Deployment(folder) as deployment:
         # The list of one instance lags more than the others', so that it must learn of the mark from its peers.
-        houses.start(deployment, engine_flags={"tokens_per_second": 200})
+        scenario.start(deployment, engine_flags={"tokens_per_second": 200})
         deployment.members["entry-2"].process.terminate()
         deployment.start_instance("entry-2", "ri-1", roster_poll_interval="1m")
         deployment.wait_ready("entry-2")
@@ -41,7 +41,7 @@
         body = {"model": "tosca-lora", "prompt": "long", "max_tokens": 400, "seed": 1, "stream": True}
 
         def read_long():
-            stream = http.Stream(deployment.members["entry-0"].address, "/v1/completions", body, {"Authorization": f"Bearer {houses.TOKEN}"})
+            stream = http.Stream(deployment.members["entry-0"].address, "/v1/completions", body, {"Authorization": f"Bearer {scenario.TOKEN}"})
             stream_result.append(list(stream.events())[-1].data)
 
         readers = [threading.Thread(target=read_long) for _ in range(3)]
@@ -60,8 +60,8 @@
         leaving.process.terminate()
         deployment.unregister("engine-0")
         deployment.records.pop("engine-0")
-        again = deployment.start_engine("engine-0", "zg-1", houses.MODELS, incarnation=2, tokens_per_second=200)
-        for name in houses.ENGINES[1:]:
+        again = deployment.start_engine("engine-0", "zg-1", scenario.MODELS, incarnation=2, tokens_per_second=200)
+        for name in scenario.ENGINES[1:]:
             deployment.register(name, state="leaving")
         time.sleep(NOTICE)
         statuses = {chat(deployment, number) for number in (0, 1, 3, 4)}
--- /dev/null
+++ b/testsuite/lib/scenario.py
@@ -0,0 +1,57 @@
+"""What sessions share: the usual processes in three availability zones, a configuration, and checks."""
+
+import json
+import pathlib
+
+ZONES = ["zg-1", "st-1", "ri-1"]
+MODELS = ["libretto-7b:1:14", "tosca-lora:1:1", "aida-lora:1:1"]
+ENTRIES = ["entry-0", "entry-1", "entry-2"]
+ENGINES = ["engine-0", "engine-1", "engine-2"]
+SERVICE = "cues"
+TOKEN = "zagreb-token"
+CONFIGURATION = pathlib.Path(__file__).resolve().parent.parent / "opera-evening" / "deployment.json"
+
+
+def start_processes(deployment, engines=3, entries=3, engine_flags=None, entry_flags=None, zones=None, models=None, service="cue-board"):
+    """Starts the platform, engines, a plain service and instances, and waits until the instances are ready."""
+    zones = zones or ZONES
+    deployment.start_platform()
+    for number in range(engines):
+        flags = {"tokens_per_second": 5000, **(engine_flags or {})}
+        deployment.start_engine(ENGINES[number], zones[number], models or MODELS, **flags)
+    deployment.start_service(SERVICE, service, zones)
+    for number in range(entries):
+        deployment.start_instance(ENTRIES[number], zones[number], **(entry_flags or {}))
+    deployment.wait_ready(*ENTRIES[:entries])
+
+
+def start(deployment, **options):
+    """Starts the processes, applies the usual configuration and waits until requests can be served."""
+    start_processes(deployment, **options)
+    apply(deployment, "entry-0", json.loads(CONFIGURATION.read_text()))
+    deployment.wait_routable("libretto-7b", "tosca-lora", "aida-lora")
+
+
+def apply(deployment, instance, document):
+    """Applies a configuration file and waits until it is in force."""
+    status, output, errors = deployment.control(instance, "config", "apply", "-", "--wait", stdin=json.dumps(document))
+    if status != 0:
+        raise RuntimeError(f"config apply: {status} {output} {errors}")
+
+
+def entry_addresses(deployment):
+    """Returns the callers' addresses of the three instances."""
+    return [deployment.members[name].address for name in ENTRIES]
+
+
+def stop_entries(script, deployment):
+    """Ends the instances gracefully and prints their exit statuses."""
+    script.section("graceful shutdown")
+    for name in ENTRIES:
+        script.say(f"{name} exit status {deployment.members[name].process.terminate()}")
+
+
+def check(condition, what):
+    """Fails the session."""
+    if not condition:
+        raise AssertionError(what)
--- a/testsuite/opera-evening/run.py
+++ b/testsuite/opera-evening/run.py
@@ -1,4 +1,4 @@
-"""A rehearsal, an overnight batch and a performance of two houses on one platform of three availability zones.
+"""A rehearsal, an overnight batch and a performance of two opera houses on one platform of three availability zones.
 
 Guards against: an answer, model or cue of one house that reaches another; a cue that is published twice by a resend;
 a stream with missing, repeated or unmarked events.
@@ -6,23 +6,13 @@
 
 import pathlib
 
+import scenario
 from deployment import Deployment
 from transcript import Transcript
 
-ZONES = ["zg-1", "st-1", "ri-1"]
-MODELS = ["libretto-7b:1:14", "tosca-lora:1:1", "aida-lora:1:1"]
 HERE = pathlib.Path(__file__).parent
 
 
-def start(deployment):
-    deployment.start_platform()
-    for number, zone in enumerate(ZONES):
-        deployment.start_engine(f"drafting-{number}", zone, MODELS, tokens_per_second=5000)
-        deployment.start_instance(f"entry-{number}", zone)
-    deployment.start_service("cues", "cue-board", ZONES)
-    deployment.wait_ready("entry-0", "entry-1", "entry-2")
-
-
 def configure(script, deployment):
     script.section("the operator applies the configuration and sees it in force")
     script.control(deployment, "entry-0", "config", "apply", str(HERE / "deployment.json"), "--wait", "--output=json")
@@ -73,16 +63,14 @@
 def run(folder):
     script = Transcript()
     with Deployment(folder) as deployment:
-        start(deployment)
+        scenario.start_processes(deployment)
         configure(script, deployment)
-        members = deployment.members
-        entries = [members[f"entry-{n}"].address for n in range(3)]
+        entries = scenario.entry_addresses(deployment)
         rehearse(script, entries)
         publish(script, entries)
         intrude(script, entries)
-        script.executions("what the engines ran", [members[f"drafting-{n}"] for n in range(3)], ["event", "model", "tokens"])
-        script.executions("what the cue board ran", [members["cues"]], ["method", "path", "key"])
-        script.section("graceful shutdown")
-        for n in range(3):
-            script.say(f"entry-{n} exit status {members[f'entry-{n}'].process.terminate()}")
+        members = deployment.members
+        script.executions("what the engines ran", [members[it] for it in scenario.ENGINES], ["event", "model", "tokens"])
+        script.executions("what the cue board ran", [members[scenario.SERVICE]], ["method", "path", "key"])
+        scenario.stop_entries(script, deployment)
     return script.text()
--- a/testsuite/rolling-replacement/run.py
+++ b/testsuite/rolling-replacement/run.py
@@ -7,7 +7,7 @@
 import threading
 import time
 
-import houses
+import scenario
 import http_client as http
 from deployment import Deployment
 from transcript import Transcript
@@ -21,14 +21,14 @@
 
     def __init__(self, deployment):
         self.deployment = deployment
-        self.ready = list(houses.ENTRIES)
+        self.ready = list(scenario.ENTRIES)
         self.is_stopped = False
         self.thread = threading.Thread(target=self.poll)
         self.thread.start()
 
     def poll(self):
         while not self.is_stopped:
-            self.ready = [it for it in houses.ENTRIES
+            self.ready = [it for it in scenario.ENTRIES
                           if http.call(self.deployment.members[it].address, "GET", "/readyz", timeout=2).status == 200]
             time.sleep(BALANCER_INTERVAL)
 
@@ -65,7 +65,7 @@
                 self.failures.append(f"{kind}: {type(error).__name__} {error}")
 
     def headers(self, **more):
-        return {"Authorization": f"Bearer {houses.TOKEN}", "Bulrush-Deadline": "30s", **more}
+        return {"Authorization": f"Bearer {scenario.TOKEN}", "Bulrush-Deadline": "30s", **more}
 
     def stream(self, address):
         body = {"model": "tosca-lora", "prompt": "x", "max_tokens": 30, "seed": 1, "stream": True}
@@ -99,9 +99,9 @@
     time.sleep(0.05)
     status = process.terminate()
     # A new instance must not be ready before it knows what the engines hold.
-    for engine in houses.ENGINES:
+    for engine in scenario.ENGINES:
         deployment.members[engine].fault("report", "delay", count=20, delay_ms=150)
-    deployment.start_instance(name, houses.ZONES[houses.ENTRIES.index(name)], drain_delay="300ms")
+    deployment.start_instance(name, scenario.ZONES[scenario.ENTRIES.index(name)], drain_delay="300ms")
     deployment.wait_ready(name)
     deployment.pause_for(0.3)
     return status
@@ -111,10 +111,10 @@
     script = Transcript()
     with Deployment(folder) as deployment:
         # 30 tokens at this rate take several hundred milliseconds, so that streams are in flight at each shutdown.
-        houses.start(deployment, engine_flags={"tokens_per_second": 300}, entry_flags={"drain_delay": "300ms"})
+        scenario.start(deployment, engine_flags={"tokens_per_second": 300}, entry_flags={"drain_delay": "300ms"})
         balancer = Balancer(deployment)
         callers = [Caller(number, balancer) for number in range(THREADS)]
-        statuses = [replace(deployment, name) for name in houses.ENTRIES]
+        statuses = [replace(deployment, name) for name in scenario.ENTRIES]
         for it in callers:
             it.stop()
         balancer.stop()
--- a/testsuite/shop-till/run.py
+++ b/testsuite/shop-till/run.py
@@ -6,6 +6,7 @@
 
 import pathlib
 
+import scenario
 from deployment import Deployment
 from transcript import Transcript
 
@@ -14,15 +15,6 @@
 HERE = pathlib.Path(__file__).parent
 
 
-def start(deployment):
-    deployment.start_platform()
-    for number, zone in enumerate(ZONES):
-        deployment.start_engine(f"writing-{number}", zone, MODELS, tokens_per_second=5000)
-        deployment.start_instance(f"entry-{number}", zone)
-    deployment.start_service("orders", "shop", ZONES)
-    deployment.wait_ready("entry-0", "entry-1", "entry-2")
-
-
 def write(script, entries):
     script.section("a long campaign note, then a gift card while the customer waits")
     note = {"model": "lore-13b", "max_tokens": 40, "seed": 1, "prompt": "The tower stands in the bog. " * 40}
@@ -61,18 +53,16 @@
 def run(folder):
     script = Transcript()
     with Deployment(folder) as deployment:
-        start(deployment)
+        scenario.start_processes(deployment, zones=ZONES, models=MODELS, service="shop")
         script.section("the operator applies the configuration")
         script.control(deployment, "entry-0", "config", "apply", str(HERE / "deployment.json"), "--wait", "--output=json")
         deployment.wait_routable("lore-13b", "card-lora")
+        entries = scenario.entry_addresses(deployment)
         members = deployment.members
-        entries = [members[f"entry-{n}"].address for n in range(3)]
         write(script, entries)
-        order(script, entries, members["orders"])
+        order(script, entries, members[scenario.SERVICE])
         lose_store(script, deployment, entries)
-        script.executions("what the engines ran", [members[f"writing-{n}"] for n in range(3)], ["event", "model", "tokens"])
-        script.executions("what the shop service ran", [members["orders"]], ["method", "path", "key"])
-        script.section("graceful shutdown")
-        for n in range(3):
-            script.say(f"entry-{n} exit status {members[f'entry-{n}'].process.terminate()}")
+        script.executions("what the engines ran", [members[it] for it in scenario.ENGINES], ["event", "model", "tokens"])
+        script.executions("what the shop service ran", [members[scenario.SERVICE]], ["method", "path", "key"])
+        scenario.stop_entries(script, deployment)
     return script.text()
--- a/testsuite/silent-connections/run.py
+++ b/testsuite/silent-connections/run.py
@@ -6,7 +6,7 @@
 
 import json
 
-import houses
+import scenario
 import http_client as http
 from deployment import Deployment, HOST
 from processes import free_port
@@ -24,32 +24,32 @@
 def start(deployment):
     platform = deployment.start_platform()
     relays = {"store": relay(deployment, "relay-store", platform.address)}
-    for number, zone in enumerate(houses.ZONES):
-        engine = deployment.start_engine(houses.ENGINES[number], zone, houses.MODELS, tokens_per_second=5000)
+    for number, zone in enumerate(scenario.ZONES):
+        engine = deployment.start_engine(scenario.ENGINES[number], zone, scenario.MODELS, tokens_per_second=5000)
         relays[f"engine-{number}"] = relay(deployment, f"relay-engine-{number}", engine.address)
-        deployment.register(houses.ENGINES[number], port=relays[f"engine-{number}"].address[1])
-    cues = deployment.start_service("cues", "cue-board", houses.ZONES)
+        deployment.register(scenario.ENGINES[number], port=relays[f"engine-{number}"].address[1])
+    cues = deployment.start_service("cues", "cue-board", scenario.ZONES)
     relays["cues"] = relay(deployment, "relay-cues", cues.address)
     for number in range(3):
         deployment.register(f"cues-{number}", port=relays["cues"].address[1])
     store = f"{HOST}:{relays['store'].address[1]}"
-    for number, zone in enumerate(houses.ZONES):
-        deployment.start_instance(houses.ENTRIES[number], zone, table_service_address=store, object_store_address=store,
+    for number, zone in enumerate(scenario.ZONES):
+        deployment.start_instance(scenario.ENTRIES[number], zone, table_service_address=store, object_store_address=store,
                                   instance_list_address=store)
-    deployment.wait_ready(*houses.ENTRIES)
-    houses.apply(deployment, "entry-0", json.loads(houses.CONFIGURATION.read_text()))
+    deployment.wait_ready(*scenario.ENTRIES)
+    scenario.apply(deployment, "entry-0", json.loads(scenario.CONFIGURATION.read_text()))
     deployment.wait_routable("libretto-7b", "tosca-lora", "aida-lora")
     return relays
 
 
 def chat(address, number):
-    headers = {"Authorization": f"Bearer {houses.TOKEN}", **DEADLINE}
+    headers = {"Authorization": f"Bearer {scenario.TOKEN}", **DEADLINE}
     body = {"model": "tosca-lora", "prompt": f"line {number}", "max_tokens": 8, "seed": number}
     return http.call(address, "POST", "/v1/completions", body, headers)
 
 
 def publish(address, key):
-    headers = {"Authorization": f"Bearer {houses.TOKEN}", "Idempotency-Key": key, **DEADLINE}
+    headers = {"Authorization": f"Bearer {scenario.TOKEN}", "Idempotency-Key": key, **DEADLINE}
     return http.call(address, "POST", f"/services/cue-board/cues/{key}", {"line": key}, headers)
 
 
@@ -67,7 +67,7 @@
                 relays[name].fault("existing", "mute")
             for number in range(4):
                 answer = chat(address, 100 * step + number)
-                houses.check(answer.status == 200, f"step {step}: completion {answer.status} {answer.body}")
+                scenario.check(answer.status == 200, f"step {step}: completion {answer.status} {answer.body}")
             for number in range(3):
                 key = f"key-{step}-{number}"
                 verdicts = []
@@ -82,8 +82,8 @@
         executions = [entry["path"].rsplit("/", 1)[1] for entry in deployment.members["cues"].log() if entry.get("method") == "POST"]
         for key, verdicts in keys:
             n = executions.count(key)
-            houses.check(n <= 1, f"{key} ran {n} times")
-            houses.check(verdicts[-1] != "ran" or n == 1, f"{key}: {verdicts} but {n} executions")
-            houses.check(set(verdicts) != {"not-run"} or n == 0, f"{key}: {verdicts} but {n} executions")
+            scenario.check(n <= 1, f"{key} ran {n} times")
+            scenario.check(verdicts[-1] != "ran" or n == 1, f"{key}: {verdicts} but {n} executions")
+            scenario.check(set(verdicts) != {"not-run"} or n == 0, f"{key}: {verdicts} but {n} executions")
         script.say("publishes: none twice, verdicts agree with the service's log")
     return script.text()
--- a/testsuite/store-outage/run.py
+++ b/testsuite/store-outage/run.py
@@ -6,7 +6,7 @@
 
 import json
 
-import houses
+import scenario
 import http_client as http
 from deployment import OPERATOR_TOKEN, Deployment
 from processes import wait_until
@@ -17,12 +17,12 @@
 
 
 def readiness(deployment):
-    return [http.call(deployment.members[name].address, "GET", "/readyz").status for name in houses.ENTRIES]
+    return [http.call(deployment.members[name].address, "GET", "/readyz").status for name in scenario.ENTRIES]
 
 
 def change(deployment):
     headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
-    value = json.loads(houses.CONFIGURATION.read_text())["templates"]["opera-house"]
+    value = json.loads(scenario.CONFIGURATION.read_text())["templates"]["opera-house"]
     body = {"change_id": "during-outage", "author": "ana", "base_revision": 1,
             "edits": [{"kind": "template", "name": "other", "value": value}]}
     return http.call(deployment.members["entry-1"].operator_address, "POST", "/operator/v1/changes", body, headers)
@@ -31,27 +31,27 @@
 def run(folder):
     script = Transcript()
     with Deployment(folder) as deployment:
-        houses.start(deployment, entry_flags={"freshness_bound": f"{int(1000 * BOUND)}ms"})
+        scenario.start(deployment, entry_flags={"freshness_bound": f"{int(1000 * BOUND)}ms"})
         for point in STORE_POINTS:
             deployment.platform.fault(point, "refuse", count=1000000)
         deployment.pause_for(3 * BOUND)
         script.section("the store has been down for three times the freshness bound")
         script.say(f"readiness {readiness(deployment)}")
-        headers = {"Authorization": f"Bearer {houses.TOKEN}"}
+        headers = {"Authorization": f"Bearer {scenario.TOKEN}"}
         body = {"model": "tosca-lora", "prompt": "x", "max_tokens": 4, "seed": 1}
         script.say(f"completion {http.call(deployment.members['entry-0'].address, 'POST', '/v1/completions', body, headers).status}")
         answer = change(deployment)
         script.say(f"change {answer.status} retry-after {answer.headers.get('retry-after')}")
         script.section("one instance loses its peers as well")
-        for name in houses.ENTRIES[:2]:
+        for name in scenario.ENTRIES[:2]:
             deployment.members[name].process.pause()
         alone = deployment.members["entry-2"].address
         wait_until(lambda: http.call(alone, "GET", "/readyz").status == 503, "the instance leaves the balancer")
         script.say("not ready")
-        for name in houses.ENTRIES[:2]:
+        for name in scenario.ENTRIES[:2]:
             deployment.members[name].process.resume()
         deployment.platform.clear_faults()
-        deployment.wait_ready(*houses.ENTRIES)
+        deployment.wait_ready(*scenario.ENTRIES)
         script.section("after the outage")
         script.say(f"readiness {readiness(deployment)}, change {change(deployment).status}")
     return script.text()
--- a/testsuite/streams-under-faults/run.py
+++ b/testsuite/streams-under-faults/run.py
@@ -10,7 +10,7 @@
 import random
 import threading
 
-import houses
+import scenario
 import http_client as http
 from deployment import Deployment
 from transcript import Transcript, content
@@ -35,7 +35,7 @@
 
 def read_stream(address, number):
     """Returns (outcome, text): outcome is done, error, refused or cut."""
-    headers = {"Authorization": f"Bearer {houses.TOKEN}", **DEADLINE}
+    headers = {"Authorization": f"Bearer {scenario.TOKEN}", **DEADLINE}
     stream = http.Stream(address, "/v1/completions", body(number, True), headers)
     if stream.status != 200:
         problem = json.loads(stream.response.read())
@@ -51,12 +51,12 @@
             ids.append(event.id)
             text += content(event.data)
     stream.close()
-    houses.check(ids == [str(n) for n in range(len(ids))], f"stream {number}: offsets {ids}")
+    scenario.check(ids == [str(n) for n in range(len(ids))], f"stream {number}: offsets {ids}")
     return outcome, text
 
 
 def read_whole(address, number):
-    headers = {"Authorization": f"Bearer {houses.TOKEN}", **DEADLINE}
+    headers = {"Authorization": f"Bearer {scenario.TOKEN}", **DEADLINE}
     answer = http.call(address, "POST", "/v1/completions", body(number, False), headers)
     if answer.status != 200:
         return "refused", ""
@@ -80,10 +80,10 @@
             if number is None:
                 return None
             if self.chance.random() < 0.6:
-                engine = self.deployment.members[self.chance.choice(houses.ENGINES)]
+                engine = self.deployment.members[self.chance.choice(scenario.ENGINES)]
                 point, action = self.chance.choice(FAULTS)
                 engine.fault(point, action, delay_ms=self.chance.choice([20, 200]) if action == "delay" else 0)
-            return number, self.deployment.members[self.chance.choice(houses.ENTRIES)].address
+            return number, self.deployment.members[self.chance.choice(scenario.ENTRIES)].address
 
     def work(self):
         try:
@@ -100,7 +100,7 @@
     print(f"streams-under-faults: seed {seed}")
     script = Transcript()
     with Deployment(folder) as deployment:
-        houses.start(deployment)
+        scenario.start(deployment)
         direct = deployment.members["engine-0"].address
         texts = [expected(direct, number) for number in range(STREAMS)]
         load = Load(deployment, random.Random(seed))
@@ -113,10 +113,10 @@
             raise load.failures[0]
         for number, (outcome, text) in load.results.items():
             if outcome == "done":
-                houses.check(text == texts[number], f"request {number} is complete but differs: {text!r} {texts[number]!r}")
+                scenario.check(text == texts[number], f"request {number} is complete but differs: {text!r} {texts[number]!r}")
             else:
-                houses.check(texts[number].startswith(text), f"request {number} ({outcome}) has foreign text: {text!r}")
-            houses.check(outcome != "cut", f"stream {number} ended without an end mark or an error event")
+                scenario.check(texts[number].startswith(text), f"request {number} ({outcome}) has foreign text: {text!r}")
+            scenario.check(outcome != "cut", f"stream {number} ended without an end mark or an error event")
         counts = collections.Counter(outcome for outcome, _ in load.results.values())
         print(f"streams-under-faults: {dict(counts)}")
         script.say(f"{len(load.results)} answers: each whole and its own, or with an explicit error")
