--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 	testsuite/demo.py --bin $(BUILD)/bin
 
 bench: build
-	testsuite/bench.py --bin $(BUILD)/bin --part latency --part throughput --part memory
+	testsuite/bench.py --bin $(BUILD)/bin --part latency --part throughput --part saturation --part memory
 
 bench-capacity: build
 	testsuite/bench.py --bin $(BUILD)/bin --part peers --part upstreams --part configuration --part propagation
--- a/testsuite/bench.py
+++ b/testsuite/bench.py
@@ -101,6 +101,19 @@
                       f"result={json.dumps(result)[:700]}")
 
 
+def saturation(folder):
+    """Answered requests a second through one instance (one core), and directly at the engines, in the same run."""
+    request = {"kind": "chat", "model": "tosca-lora", "max_tokens": 1}
+    with Deployment(folder) as deployment:
+        scenario.start(deployment, engines=3, entries=1, engine_flags=FAST)
+        entry, engine = deployment.members["entry-0"], deployment.members["engine-0"]
+        for rate in (1000, 2000, 3000, 4000):
+            for name, member in (("through", entry), ("direct", engine)):
+                result, cpu = load(folder, member, rate, 3, request)
+                print(f"saturation: {name} offered={rate}/s answered={result['answered_per_second']:.0f}/s "
+                      f"{result['by_class']['chat']['by_status']} cpu={cpu / 3:.2f} cores", flush=True)
+
+
 def memory(folder):
     with Deployment(folder) as deployment:
         scenario.start(deployment, engines=1, entries=1, engine_flags={"tokens_per_second": 2000, "max_batch": 2000})
@@ -225,7 +238,7 @@
         print(f"propagation to 9 instances, {len(times)} changes: median {1000 * times[len(times) // 2]:.0f} ms, worst {1000 * times[-1]:.0f} ms")
 
 
-PARTS = {"latency": latency, "throughput": throughput, "memory": memory, "peers": peers, "upstreams": upstreams,
+PARTS = {"latency": latency, "throughput": throughput, "saturation": saturation, "memory": memory, "peers": peers, "upstreams": upstreams,
          "configuration": configuration, "propagation": propagation}
 
 
