--- a/src/bulrushctl/program_test.cpp
+++ b/src/bulrushctl/program_test.cpp
@@ -2,6 +2,7 @@
 #include "bulrushstack/kernel/ids.h"
 #include "bulrushstack/kernel/run_awaitable.h"
 #include "bulrushstack/net/http_server.h"
+#include "loopback.h"
 #include "program.h"
 
 #include <boost/test/unit_test.hpp>
@@ -83,17 +84,10 @@
         return response;
     }
 
-    static HttpServerOptions loopback()
-    {
-        HttpServerOptions serverOptions;
-        serverOptions.address = { .host = "127.0.0.1", .port = 0 };
-        return serverOptions;
-    }
-
     boost::asio::io_context context;
     SystemClock clock;
     ScriptedApi api;
-    HttpServer server { context, loopback(), api };
+    HttpServer server { context, loopbackOptions(), api };
     Address address;
     ProgramOptions options { .waitTimeout = 0ns, .author = "ana", .templateName = {}, .parameters = {} };
     std::ostringstream output;
--- a/src/bulrushd/main.cpp
+++ b/src/bulrushd/main.cpp
@@ -16,8 +16,6 @@
 namespace bulrushstack {
 namespace {
 
-constexpr std::string_view version = "0.1.0";
-
 std::vector<SettingSpec> daemonSettings()
 {
     std::vector<SettingSpec> out;
@@ -95,7 +93,7 @@
         std::cout << formatHelp("bulrushd", "Routes requests of teams to model engines and plain services.", specs);
         return 0;
     case SettingsAction::Version:
-        std::cout << "bulrushd " << version << "\n";
+        std::cout << "bulrushd " << BULRUSH_VERSION << "\n";
         return 0;
     case SettingsAction::PrintSettings:
         std::cout << formatSettings(specs, *outcome.settings);
--- a/src/libconfig/configuration_service_test.cpp
+++ b/src/libconfig/configuration_service_test.cpp
@@ -2,6 +2,7 @@
 #include "bulrushstack/kernel/run_awaitable.h"
 #include "bulrushstack/net/net_services.h"
 #include "bulrushstack/platform/platform_service.h"
+#include "loopback.h"
 #include "sample_document.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -14,12 +15,6 @@
 
 namespace {
 
-Address freeAddress(boost::asio::io_context& context)
-{
-    boost::asio::ip::tcp::acceptor acceptor(context, { boost::asio::ip::make_address("127.0.0.1"), 0 });
-    return { .host = "127.0.0.1", .port = acceptor.local_endpoint().port() };
-}
-
 /// The services of one instance up to "configuration", with a platform that cannot be reached.
 struct Instance {
     Instance(boost::asio::io_context& context, const Clock& clock, const std::string& id)
--- a/src/libexecution/execution_service.cpp
+++ b/src/libexecution/execution_service.cpp
@@ -30,7 +30,6 @@
     for (const auto& peer : directory.peers()) {
         if (peer.record.id != instanceId)
             continue;
-        request["type"] = "journal-query";
         const Address address { .host = peer.record.address.host, .port = peer.record.peerPort };
         co_return co_await mesh.request(address, std::move(request), peerTimeout);
     }
--- a/src/libexecution/execution_service_test.cpp
+++ b/src/libexecution/execution_service_test.cpp
@@ -8,9 +8,9 @@
 #include "bulrushstack/net/net_services.h"
 #include "bulrushstack/platform/platform_service.h"
 #include "caller_test_support.h"
+#include "loopback.h"
 
 #include <algorithm>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
 
 using namespace bulrushstack;
@@ -18,12 +18,6 @@
 
 namespace {
 
-Address freeAddress(boost::asio::io_context& context)
-{
-    boost::asio::ip::tcp::acceptor acceptor(context, { boost::asio::ip::make_address("127.0.0.1"), 0 });
-    return { .host = "127.0.0.1", .port = acceptor.local_endpoint().port() };
-}
-
 /// An engine that sends one event, and the rest of the stream when it is released.
 class PausingEngine final : public HttpHandler {
 public:
--- a/src/libnet/peer_mesh_test.cpp
+++ b/src/libnet/peer_mesh_test.cpp
@@ -1,5 +1,6 @@
 #include "bulrushstack/kernel/run_awaitable.h"
 #include "bulrushstack/net/peer_mesh.h"
+#include "loopback.h"
 #include "peer_envelope.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -10,19 +11,12 @@
 
 namespace {
 
-std::uint16_t freePort(boost::asio::io_context& context)
-{
-    boost::asio::ip::tcp::acceptor acceptor(context, { boost::asio::ip::make_address("127.0.0.1"), 0 });
-    return acceptor.local_endpoint().port();
-}
-
 struct TwoInstances {
     PeerMeshOptions optionsFor(std::string id, std::vector<std::string> keys)
     {
-        return { .address = { .host = "127.0.0.1", .port = freePort(context) },
-            .instanceId = std::move(id),
-            .incarnation = 7,
-            .keys = std::move(keys) };
+        return {
+            .address = freeAddress(context), .instanceId = std::move(id), .incarnation = 7, .keys = std::move(keys)
+        };
     }
 
     void connect(std::vector<std::string> keysOfA, std::vector<std::string> keysOfB)
--- a/src/libreport/operator_api_test.cpp
+++ b/src/libreport/operator_api_test.cpp
@@ -1,6 +1,7 @@
 #include "bulrushstack/config/configuration_json.h"
 #include "bulrushstack/kernel/run_awaitable.h"
 #include "bulrushstack/net/http_client.h"
+#include "loopback.h"
 #include "memory_platform.h"
 #include "operator_api.h"
 
@@ -78,13 +79,6 @@
         return call("POST", "/operator/v1/changes", toJson(change).dump());
     }
 
-    static HttpServerOptions loopback()
-    {
-        HttpServerOptions options;
-        options.address = { .host = "127.0.0.1", .port = 0 };
-        return options;
-    }
-
     boost::asio::io_context context;
     SystemClock clock;
     MemoryTableService tables;
@@ -93,7 +87,7 @@
     RuntimeService runtime { Settings(), clock, { .id = "a", .zone = "z", .incarnation = 1 } };
     FakeBackend backend { store };
     OperatorApi api { runtime, backend, "secret" };
-    HttpServer server { context, loopback(), api };
+    HttpServer server { context, loopbackOptions(), api };
     HttpClient client { context, clock };
 };
 
