--- a/src/bulrushd/main.cpp
+++ b/src/bulrushd/main.cpp
@@ -1,14 +1,19 @@
 #include "bulrushstack/config/configuration_service.h"
 #include "bulrushstack/engine/engine_service.h"
 #include "bulrushstack/execution/execution_service.h"
+#include "bulrushstack/front/front_service.h"
+#include "bulrushstack/kernel/log_output.h"
 #include "bulrushstack/kernel/runtime.h"
 #include "bulrushstack/membership/membership_service.h"
 #include "bulrushstack/net/net_services.h"
 #include "bulrushstack/platform/platform_service.h"
 #include "bulrushstack/report/operator_service.h"
+#include "platform/platform_binding.h"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <glog/logging.h>
 #include <iostream>
 #include <unistd.h>
@@ -16,15 +21,61 @@
 namespace bulrushstack {
 namespace {
 
-std::vector<SettingSpec> daemonSettings()
+constexpr std::string_view bindingFlag = "--binding";
+constexpr std::string_view settingsFileFlag = "--settings-file";
+constexpr std::string_view platformBinding = "platform";
+
+/// Pause between looks at the settings file, which may change without a signal.
+constexpr std::chrono::seconds settingsFileInterval { 2 };
+
+std::vector<SettingSpec> commonSettings()
+{
+    return {
+        { .name = "binding",
+            .kind = SettingKind::Choice,
+            .defaultValue = "standalone",
+            .help = "standalone: the project's own interfaces; platform: the users' platform (only as a flag)",
+            .choices = { "standalone", "platform" } },
+        { .name = "settings-file",
+            .kind = SettingKind::Text,
+            .help = "file with NAME=VALUE lines, spelled as the variables (only as a flag)" },
+    };
+}
+
+std::vector<SettingSpec> daemonSettings(bool isOnPlatform)
 {
+    auto parts = isOnPlatform
+        ? std::vector<std::vector<SettingSpec>> { commonSettings(), runtimeSettings(), frontSettings() }
+        : std::vector<std::vector<SettingSpec>> { commonSettings(), runtimeSettings(), peerSettings(),
+              platformSettings(), configurationSettings(), membershipSettings(), executionSettings(),
+              operatorSettings() };
     std::vector<SettingSpec> out;
-    for (const auto& part : { runtimeSettings(), peerSettings(), platformSettings(), configurationSettings(),
-             membershipSettings(), executionSettings(), operatorSettings() })
+    for (const auto& part : parts)
         out.insert(out.end(), part.begin(), part.end());
     return out;
 }
 
+/// Reads the settings from flags, variables and the settings file.
+SettingsOutcome readSettings(const std::vector<SettingSpec>& specs, const std::vector<std::string>& arguments)
+{
+    std::vector<std::string> environment;
+    for (char** it = environ; *it; ++it)
+        environment.emplace_back(*it);
+    std::vector<std::string> fileLines;
+    if (const auto path = findFlag(arguments, settingsFileFlag); !path.empty()) {
+        auto lines = readSettingsFile(path);
+        if (!lines)
+            return { .settings = std::nullopt, .error = "--settings-file: '" + path + "' cannot be read" };
+        fileLines = std::move(*lines);
+    }
+    return parseSettings(specs, arguments, environment, fileLines);
+}
+
+std::unique_ptr<FrontBinding> createPlatformBinding(HttpClient& client, const Clock& clock, Address storeAddress)
+{
+    return std::make_unique<PlatformBinding>(client, clock, std::move(storeAddress));
+}
+
 void addServices(ServiceRegistry& registry, const Settings& settings, const Clock& clock)
 {
     InstanceIdentity identity;
@@ -35,6 +86,10 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(clock.wallNow().time_since_epoch()).count());
     registry.add(std::make_unique<RuntimeService>(settings, clock, std::move(identity)));
     registry.add(std::make_unique<HttpClientService>());
+    if (settings.text("binding") == platformBinding) {
+        registry.add(std::make_unique<FrontService>(createPlatformBinding));
+        return;
+    }
     registry.add(std::make_unique<PeerMeshService>());
     registry.add(std::make_unique<PlatformService>());
     registry.add(std::make_unique<UpstreamProtocolService>());
@@ -54,10 +109,67 @@
     registry.context().stop();
 }
 
-int run(const Settings& settings)
+/// Reads the settings file again after a SIGHUP, and when its content has changed. Settings that cannot be read leave
+/// those in force as they are.
+class SettingsReloader {
+public:
+    SettingsReloader(ServiceRegistry& registry, std::vector<std::string> arguments)
+        : m_registry(registry)
+        , m_arguments(std::move(arguments))
+        , m_lines(readSettingsFile(findFlag(m_arguments, settingsFileFlag)))
+    {
+    }
+
+    boost::asio::awaitable<void> followSignals()
+    {
+        boost::asio::signal_set signals(m_registry.context(), SIGHUP);
+        for (;;) {
+            co_await signals.async_wait(boost::asio::use_awaitable);
+            LOG(INFO) << "event=reload-requested signal=SIGHUP";
+            reload();
+        }
+    }
+
+    boost::asio::awaitable<void> followFile()
+    {
+        boost::asio::steady_timer timer(m_registry.context());
+        for (;;) {
+            timer.expires_after(settingsFileInterval);
+            co_await timer.async_wait(boost::asio::use_awaitable);
+            auto lines = readSettingsFile(findFlag(m_arguments, settingsFileFlag));
+            if (lines && lines != m_lines)
+                reload();
+        }
+    }
+
+private:
+    void reload()
+    {
+        m_lines = readSettingsFile(findFlag(m_arguments, settingsFileFlag));
+        const auto outcome = readSettings(daemonSettings(true), m_arguments);
+        if (outcome.settings)
+            m_registry.find<FrontService>("front").reload(*outcome.settings);
+        else
+            LOG(ERROR) << "event=reload-failed error=\"" << outcome.error << "\"";
+    }
+
+    ServiceRegistry& m_registry;
+    std::vector<std::string> m_arguments;
+    std::optional<std::vector<std::string>> m_lines;
+};
+
+int run(const Settings& settings, const std::vector<std::string>& arguments)
 {
     boost::asio::io_context context(1);
     const SystemClock clock;
+    std::unique_ptr<LogOutput> logOutput;
+    if (settings.text("binding") == platformBinding) {
+        FLAGS_logtostderr = false;
+        FLAGS_stderrthreshold = google::NUM_SEVERITIES;
+        for (int severity = 0; severity < google::NUM_SEVERITIES; ++severity)
+            google::SetLogDestination(severity, "");
+        logOutput = std::make_unique<LogOutput>(clock, LogOutputOptions {});
+    }
     ServiceRegistry registry(context);
     addServices(registry, settings, clock);
     try {
@@ -66,6 +178,11 @@
         LOG(ERROR) << "event=start-failed error=\"" << error.what() << "\"";
         return 1;
     }
+    SettingsReloader reloader(registry, arguments);
+    if (settings.text("binding") == platformBinding) {
+        boost::asio::co_spawn(context, reloader.followSignals(), boost::asio::detached);
+        boost::asio::co_spawn(context, reloader.followFile(), boost::asio::detached);
+    }
     boost::asio::co_spawn(context, runUntilSignal(registry), [](std::exception_ptr error) {
         if (error)
             std::rethrow_exception(error);
@@ -77,11 +194,8 @@
 
 int daemonMain(const std::vector<std::string>& arguments)
 {
-    std::vector<std::string> environment;
-    for (char** it = environ; *it; ++it)
-        environment.emplace_back(*it);
-    const auto specs = daemonSettings();
-    const auto outcome = parseSettings(specs, arguments, environment);
+    const auto specs = daemonSettings(findFlag(arguments, bindingFlag) == platformBinding);
+    const auto outcome = readSettings(specs, arguments);
     if (!outcome.settings || !outcome.settings->arguments().empty()) {
         const std::string error
             = outcome.settings ? "unexpected argument '" + outcome.settings->arguments().front() + "'" : outcome.error;
@@ -104,7 +218,7 @@
     case SettingsAction::Run:
         break;
     }
-    return run(*outcome.settings);
+    return run(*outcome.settings, arguments);
 }
 
 } // namespace
--- a/src/cmake/BulrushMacros.cmake
+++ b/src/cmake/BulrushMacros.cmake
@@ -28,6 +28,9 @@
 
 # bulrush_test(NAME SOURCES ... LINKS ...): one Boost.Test program, registered with CTest.
 function(bulrush_test name)
+    if(NOT BULRUSH_TESTS)
+        return()
+    endif()
     cmake_parse_arguments(ARG "" "" "SOURCES;LINKS" ${ARGN})
     add_executable(${name} ${ARG_SOURCES})
     target_sources(${name} PRIVATE ${CMAKE_SOURCE_DIR}/src/cmake/test_main.cpp)
--- a/src/include/bulrushstack/execution/model_requests.h
+++ b/src/include/bulrushstack/execution/model_requests.h
@@ -4,7 +4,7 @@
 #include "bulrushstack/execution/alarm.h"
 #include "bulrushstack/execution/problem.h"
 #include "bulrushstack/execution/request_context.h"
-#include "bulrushstack/execution/retry_budget.h"
+#include "bulrushstack/serving/retry_budget.h"
 #include "bulrushstack/execution/upstream_selector.h"
 #include "bulrushstack/net/http_server.h"
 
--- a/src/include/bulrushstack/execution/service_calls.h
+++ b/src/include/bulrushstack/execution/service_calls.h
@@ -3,7 +3,7 @@
 #include "bulrushstack/engine/plain_service.h"
 #include "bulrushstack/execution/problem.h"
 #include "bulrushstack/execution/request_context.h"
-#include "bulrushstack/execution/retry_budget.h"
+#include "bulrushstack/serving/retry_budget.h"
 #include "bulrushstack/execution/upstream_selector.h"
 #include "bulrushstack/kernel/runtime.h"
 #include "bulrushstack/platform/table_service.h"
--- a/src/include/bulrushstack/kernel/clock.h
+++ b/src/include/bulrushstack/kernel/clock.h
@@ -15,6 +15,10 @@
     /// Returns monotonic time; used for deadlines and leases.
     virtual SteadyTime now() const = 0;
 
+    /// Returns monotonic time that also counts while the machine is suspended; used for leases, since their other
+    /// holders do not stand still meanwhile.
+    virtual SteadyTime bootNow() const = 0;
+
     /// Returns wall-clock time; used only in records that outlive the process.
     virtual WallTime wallNow() const = 0;
 };
@@ -23,6 +27,7 @@
 class SystemClock final : public Clock {
 public:
     SteadyTime now() const override;
+    SteadyTime bootNow() const override;
     WallTime wallNow() const override;
 };
 
@@ -30,12 +35,17 @@
 class ManualClock final : public Clock {
 public:
     SteadyTime now() const override;
+    SteadyTime bootNow() const override;
     WallTime wallNow() const override;
 
-    /// Moves both clocks forward by the given duration.
+    /// Moves all clocks forward by the given duration.
     void advance(std::chrono::nanoseconds duration);
 
+    /// Moves the clocks that count suspension, as a suspended machine does.
+    void suspend(std::chrono::nanoseconds duration);
+
 private:
+    std::chrono::nanoseconds m_suspended {};
     SteadyTime m_now { std::chrono::hours(1) };
     WallTime m_wallNow { std::chrono::hours(24 * 365 * 50) };
 };
--- a/src/include/bulrushstack/kernel/settings.h
+++ b/src/include/bulrushstack/kernel/settings.h
@@ -19,6 +19,7 @@
     Count, ///< a whole number
     Flag, ///< true or false
     Choice, ///< one of `choices`
+    Number, ///< a number that may have a fraction
 };
 
 /// Declaration of one setting; `--NAME` on the command line, `BULRUSH_NAME` in the environment.
@@ -32,6 +33,7 @@
     std::string minimum; ///< in the notation of the kind; empty: no bound
     std::string maximum; ///< in the notation of the kind; empty: no bound
     std::vector<std::string> choices;
+    bool isReloadable = false; ///< a change takes effect without a restart
 };
 
 /// What the command line asks for.
@@ -66,6 +68,7 @@
     std::chrono::nanoseconds duration(std::string_view name) const;
     std::uint64_t size(std::string_view name) const;
     std::uint64_t count(std::string_view name) const;
+    double number(std::string_view name) const;
     bool isSet(std::string_view name) const;
 
     SettingsAction action() const { return m_action; }
@@ -85,10 +88,18 @@
     std::string error;
 };
 
-/// Reads flags with getopt_long and variables with the prefix BULRUSH_; the flag goes before the variable.
-/// `environment` holds NAME=VALUE lines, as in environ.
+/// Reads flags with getopt_long and variables with the prefix BULRUSH_; a flag goes before a variable, and a variable
+/// before a line of the settings file. `environment` and `fileLines` hold NAME=VALUE lines, as in environ.
 SettingsOutcome parseSettings(const std::vector<SettingSpec>& specs, const std::vector<std::string>& arguments,
-    const std::vector<std::string>& environment);
+    const std::vector<std::string>& environment, const std::vector<std::string>& fileLines = {});
+
+/// Reads a settings file: NAME=VALUE lines spelled as the environment variables, empty lines and lines with '#'.
+/// Returns the lines, or an empty optional if the file cannot be read.
+std::optional<std::vector<std::string>> readSettingsFile(const std::string& path);
+
+/// Returns the value of one flag, such as "--settings-file", without checking anything else; empty if it is not there.
+/// For flags that decide which other settings there are.
+std::string findFlag(const std::vector<std::string>& arguments, std::string_view flag);
 
 /// Returns the text for --help.
 std::string formatHelp(std::string_view program, std::string_view summary, const std::vector<SettingSpec>& specs);
@@ -102,6 +113,9 @@
 /// Parses a size such as "8GiB" or "4096"; empty for anything else.
 std::optional<std::uint64_t> parseSize(std::string_view text);
 
+/// Parses a number such as "0.2"; empty for anything else, negative values included.
+std::optional<double> parseNumber(std::string_view text);
+
 /// Parses HOST:PORT with a numeric IPv4 host or an IPv6 host in brackets.
 std::optional<Address> parseAddress(std::string_view text);
 
--- a/src/include/bulrushstack/net/http_client.h
+++ b/src/include/bulrushstack/net/http_client.h
@@ -4,6 +4,7 @@
 #include "bulrushstack/net/http.h"
 
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <memory>
 
 namespace bulrushstack {
@@ -12,6 +13,22 @@
 class ConnectionPool;
 }
 
+/// Ends a call from outside, at whatever point it is. One object serves any number of calls, one after the other.
+class HttpCancellation {
+public:
+    /// Closes the connection of the call under way; later calls fail at once with Errc::Cancelled.
+    void cancel();
+
+    bool isCancelled() const { return m_isCancelled; }
+
+    /// Sets what closes the connection of the call under way; used by HttpClient.
+    void arm(std::function<void()> close) { m_close = std::move(close); }
+
+private:
+    std::function<void()> m_close;
+    bool m_isCancelled = false;
+};
+
 struct HttpCallOptions {
     /// Point in time at which the whole call fails with Errc::Timeout.
     SteadyTime deadline = SteadyTime::max();
@@ -22,6 +39,19 @@
     /// Longest idle time of a pooled connection that the call may use; zero: always a new connection.
     std::chrono::nanoseconds maxIdle = std::chrono::seconds(30);
 
+    /// Longest time to establish a new connection; zero: no limit but the deadline.
+    std::chrono::nanoseconds connectTimeout {};
+
+    /// Accepts a response without a marked length, which ends when the other end closes the connection in order.
+    bool isUnframedAccepted = false;
+
+    /// Makes a connection fail that has not been acknowledged for this time, also while it is idle; zero: only the
+    /// limits of the operating system. Probes are answered by the other end's kernel and cost no request.
+    std::chrono::milliseconds silenceTimeout {};
+
+    /// Ends the call when it is cancelled; null: the call cannot be cancelled.
+    std::shared_ptr<HttpCancellation> cancellation;
+
     /// Largest body that call() accepts, in bytes.
     std::uint64_t bodyLimit = 64 * 1024 * 1024;
 };
@@ -34,10 +64,17 @@
     virtual unsigned status() const = 0;
     virtual const HttpHeaders& headers() const = 0;
 
+    /// Returns whether the request went out on a connection that had carried others before.
+    virtual bool isReusedConnection() const = 0;
+
     /// Returns the next part of the body, or an empty optional at the marked end of the body. A connection that
     /// closes before the marked end is a failure. Every failure has the verdict MayHaveRun.
     virtual boost::asio::awaitable<Result<std::optional<std::string>>> read() = 0;
 
+    /// Discards this response and reads the header of the one behind it on the same connection. For a response that
+    /// belongs to an earlier request.
+    virtual boost::asio::awaitable<Result<void>> next() = 0;
+
     /// Reads the rest of the body, up to the limit of the options.
     virtual boost::asio::awaitable<Result<std::string>> readAll() = 0;
 
@@ -65,6 +102,9 @@
     boost::asio::awaitable<Result<std::unique_ptr<HttpStream>>> open(
         Address address, HttpRequest request, HttpCallOptions options = {});
 
+    /// Returns whether something accepts connections at the address; nothing is sent.
+    boost::asio::awaitable<bool> isListening(Address address, std::chrono::nanoseconds timeout);
+
     /// Closes every idle connection to the address, since one that went silent suggests that all of them did.
     void retireIdle(const Address& address);
 
--- a/src/include/bulrushstack/net/http_server.h
+++ b/src/include/bulrushstack/net/http_server.h
@@ -24,6 +24,10 @@
     /// Returns whether the client is known to have closed the connection; checked without blocking.
     virtual bool isClientGone() = 0;
 
+    /// Calls the function once when the client closes the connection while the request is being answered. The default
+    /// never calls it. A client that sends its next request early is no longer watched.
+    virtual void onClientGone(std::function<void()>) { }
+
     virtual boost::asio::awaitable<std::error_code> respond(HttpResponse response) = 0;
 
     /// Sends the header of a chunked response.
@@ -81,6 +85,13 @@
     /// Returns how many requests are being answered.
     std::size_t activeRequests() const;
 
+    /// Answers with "Connection: close" from now on, but goes on accepting, for a load balancer that still sends
+    /// connections.
+    void announceClose();
+
+    /// Replaces the limits for requests that begin to be read after the call; the address stays.
+    void setLimits(const HttpServerOptions& limits);
+
     /// Stops accepting, answers what is in flight with "Connection: close", and completes when no request is being
     /// answered any more. Connections without a request are closed at once.
     boost::asio::awaitable<void> drain();
--- /dev/null
+++ b/src/include/bulrushstack/platform/table_feed.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "bulrushstack/platform/table_service.h"
+
+namespace bulrushstack {
+
+/// Rows of a table, and the version of the table at which they were read.
+struct TableSnapshot {
+    std::vector<Row> rows; ///< a value that cannot be read as JSON is discarded (nlohmann::json::is_discarded())
+    RowVersion version = 0;
+
+    friend bool operator==(const TableSnapshot&, const TableSnapshot&) = default;
+};
+
+/// Rows that changed, in the order of their changes.
+struct TableChanges {
+    std::vector<Row> rows; ///< with version 0 if the row was removed
+    RowVersion version = 0; ///< where the next call goes on
+
+    friend bool operator==(const TableChanges&, const TableChanges&) = default;
+};
+
+/// Reads a table as a whole and follows its changes.
+class TableFeed {
+public:
+    virtual ~TableFeed() = default;
+
+    /// Reads the whole table. Several readings are joined if the table is long; what changes meanwhile is in the
+    /// changes after the version of the first one.
+    virtual boost::asio::awaitable<Result<TableSnapshot>> snapshot(std::string table, SteadyTime deadline) = 0;
+
+    /// Waits for changes after a version, at most for the given time; then there are none. Fails with Errc::NotFound
+    /// if the history does not reach back that far, so that the table has to be read as a whole.
+    virtual boost::asio::awaitable<Result<TableChanges>> changes(
+        std::string table, RowVersion after, std::chrono::milliseconds wait)
+        = 0;
+};
+
+} // namespace bulrushstack
--- /dev/null
+++ b/src/include/bulrushstack/serving/placement_planner.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "bulrushstack/serving/model_demand.h"
+#include "bulrushstack/serving/residency_ledger.h"
+
+#include <set>
+#include <string>
+#include <vector>
+
+namespace bulrushstack {
+
+struct PlannerOptions {
+    /// Work per copy, in milliseconds per second, above which a model gets another copy in free memory.
+    double busyCopyWork = 250;
+
+    /// How many times the work per copy must exceed what remains for the copies of the model that gives way, so that
+    /// models do not alternate.
+    double replaceRatio = 2.0;
+};
+
+/// A change that the planner wants. Unloads make room for a load that the next plan brings.
+struct PlannedChange {
+    OrderKind kind = OrderKind::Load;
+    std::string upstreamId;
+    std::string model;
+    double workPerCopy = 0; ///< of the model that needs the room
+
+    friend bool operator==(const PlannedChange&, const PlannedChange&) = default;
+};
+
+/// Decides which models of one service are loaded and unloaded next.
+///
+/// Answers two loads: demand that moves between models within seconds, and upstreams that come back empty. A model
+/// without a copy comes first; then copies follow demand, one step at a time. The last copy of a model is never
+/// unloaded. `leaving` names upstreams that are draining: their copies count for nothing.
+std::vector<PlannedChange> planPlacement(const std::string& service, const ResidencyLedger& ledger,
+    const DemandEstimate& demand, const std::set<std::string>& leaving, const PlannerOptions& options);
+
+/// Chooses the upstream that loads an adapter: one that holds the model and has a free place, else the one whose
+/// adapter was asked for least recently gives way. `asked` holds when each adapter was last asked for.
+struct AdapterChoice {
+    std::string upstreamId; ///< empty if no upstream holds the model
+    AdapterName evicted; ///< both empty if there is a free place
+};
+AdapterChoice chooseAdapterPlace(const ResidencyLedger& ledger, const AdapterName& adapter,
+    const std::map<AdapterName, SteadyTime>& asked, const std::set<std::string>& leaving);
+
+} // namespace bulrushstack
--- a/src/include/bulrushstack/execution/retry_budget.h
+++ b/src/include/bulrushstack/serving/retry_budget.h
@@ -20,6 +20,9 @@
     /// Returns whether a retry may be made now, and takes it from the budget.
     bool tryTake();
 
+    /// Limits what may be saved up, when the number of instances that share the budget changes.
+    void setBurst(double burst);
+
     /// Returns the retries that may be made now.
     double balance() const { return m_balance; }
 
--- /dev/null
+++ b/src/libfront/directory_keeper.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "front_metrics.h"
+#include "front_state.h"
+#include "table_follower.h"
+
+#include <functional>
+
+namespace bulrushstack {
+
+/// Keeps the configuration and the directory of upstreams of a FrontState up to date from the platform's store.
+class DirectoryKeeper {
+public:
+    DirectoryKeeper(FrontState& state, FrontBinding& binding, FrontMetrics& metrics);
+
+    void start();
+    void stop();
+
+    std::function<void()> onFirstReading; ///< called once, when the upstreams were read
+    std::function<void(const ServingConfiguration&)> onConfiguration; ///< called for each version that comes in force
+
+private:
+    class ConfigurationObserver;
+    class UpstreamObserver;
+
+    boost::asio::awaitable<void> expire();
+
+    FrontState& m_state;
+    FrontBinding& m_binding;
+    FrontMetrics& m_metrics;
+    std::unique_ptr<TableObserver> m_configurationObserver;
+    std::unique_ptr<TableObserver> m_upstreamObserver;
+    TableFollower m_configurationFollower;
+    TableFollower m_upstreamFollower;
+    bool m_isStopped = false;
+};
+
+} // namespace bulrushstack
--- /dev/null
+++ b/src/libfront/front_metrics.cpp
@@ -0,0 +1,102 @@
+#include "front_metrics.h"
+
+namespace bulrushstack {
+
+namespace {
+
+using prometheus::BuildCounter;
+using prometheus::BuildGauge;
+using prometheus::BuildHistogram;
+
+/// Upper bounds in seconds; the objectives of the deployments lie between 0.1 s and 5 s.
+prometheus::Histogram::BucketBoundaries latencyBounds()
+{
+    return { 0.01, 0.03, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2, 3, 5, 8, 15 };
+}
+
+double seconds(std::chrono::nanoseconds duration) { return std::chrono::duration<double>(duration).count(); }
+
+prometheus::Gauge& gauge(prometheus::Registry& registry, const char* name, const char* help)
+{
+    return BuildGauge().Name(name).Help(help).Register(registry).Add({});
+}
+
+} // namespace
+
+FrontMetrics::FrontMetrics(prometheus::Registry& registry)
+    : m_requests(BuildCounter()
+                     .Name("bulrush_front_requests_total")
+                     .Help("Requests that have ended, by kind of call and outcome")
+                     .Register(registry))
+    , m_durations(BuildHistogram()
+                      .Name("bulrush_front_request_seconds")
+                      .Help("Time from the request to the end of its answer, by kind of call")
+                      .Register(registry))
+    , m_attempts(BuildCounter()
+                     .Name("bulrush_front_attempts_total")
+                     .Help("Attempts at upstreams, by outcome")
+                     .Register(registry))
+    , m_retries(BuildCounter()
+                    .Name("bulrush_front_retries_total")
+                    .Help("Decisions after a failed attempt")
+                    .Register(registry))
+    , m_orders(BuildCounter()
+                   .Name("bulrush_front_orders_total")
+                   .Help("Orders to upstreams, by kind and answer")
+                   .Register(registry))
+    , m_storeFailures(BuildCounter()
+                          .Name("bulrush_front_store_failures_total")
+                          .Help("Times that the shared store was lost, by table")
+                          .Register(registry))
+    , m_firstEvents(BuildHistogram()
+                        .Name("bulrush_front_first_event_seconds")
+                        .Help("Time from the request to the first event of its stream")
+                        .Register(registry)
+                        .Add({}, latencyBounds()))
+    , m_version(gauge(registry, "bulrush_front_configuration_version", "Version of the configuration in force"))
+    , m_upstreams(gauge(registry, "bulrush_front_upstreams", "Upstreams in the directory"))
+    , m_holder(gauge(registry, "bulrush_front_placement_holder", "1 while this instance holds the placement lease"))
+{
+}
+
+prometheus::Counter& FrontMetrics::counter(
+    prometheus::Family<prometheus::Counter>& family, const std::map<std::string, std::string>& labels)
+{
+    return family.Add(labels);
+}
+
+void FrontMetrics::noteRequest(std::string_view kind, std::string_view outcome, std::chrono::nanoseconds duration)
+{
+    counter(m_requests, { { "kind", std::string(kind) }, { "outcome", std::string(outcome) } }).Increment();
+    m_durations.Add({ { "kind", std::string(kind) } }, latencyBounds()).Observe(seconds(duration));
+}
+
+void FrontMetrics::noteFirstEvent(std::chrono::nanoseconds duration) { m_firstEvents.Observe(seconds(duration)); }
+
+void FrontMetrics::noteAttempt(std::string_view outcome)
+{
+    counter(m_attempts, { { "outcome", std::string(outcome) } }).Increment();
+}
+
+void FrontMetrics::noteRetry(std::string_view reason)
+{
+    counter(m_retries, { { "decision", std::string(reason) } }).Increment();
+}
+
+void FrontMetrics::noteOrder(std::string_view kind, std::string_view answer)
+{
+    counter(m_orders, { { "kind", std::string(kind) }, { "answer", std::string(answer) } }).Increment();
+}
+
+void FrontMetrics::noteStoreFailure(std::string_view table)
+{
+    counter(m_storeFailures, { { "table", std::string(table) } }).Increment();
+}
+
+void FrontMetrics::setConfigurationVersion(std::uint64_t version) { m_version.Set(static_cast<double>(version)); }
+
+void FrontMetrics::setUpstreams(std::size_t usable) { m_upstreams.Set(static_cast<double>(usable)); }
+
+void FrontMetrics::setHolder(bool isHolder) { m_holder.Set(isHolder ? 1 : 0); }
+
+} // namespace bulrushstack
--- /dev/null
+++ b/src/libfront/front_state.cpp
@@ -0,0 +1,154 @@
+#include "front_state.h"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <glog/logging.h>
+
+namespace bulrushstack {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr double budgetShare = 0.8; ///< of the retry budget that the instances use, with a reserve for their changes
+constexpr double paceRise = 0.02; ///< weight of an observation above the pace, which other work may have caused
+constexpr double paceFall = 0.3;
+constexpr double firstEventBaseMs = 12; ///< of a prompt that is already in the cache
+constexpr double tokensForPace = 300; ///< fewer say little about the time for each
+
+} // namespace
+
+FrontState::FrontState(asio::io_context& context, const Clock& clock, std::string instanceId, std::string zone,
+    FrontBounds bounds)
+    : m_context(context)
+    , m_clock(clock)
+    , m_instanceId(std::move(instanceId))
+    , m_zone(std::move(zone))
+    , m_bounds(bounds)
+    , m_directory(clock)
+    , m_loads(clock)
+    , m_hints(clock)
+    , m_suspects(clock)
+{
+}
+
+void FrontState::setBounds(const FrontBounds& bounds)
+{
+    m_bounds = bounds;
+    m_budgets.clear();
+}
+
+bool FrontState::offerConfiguration(ServingConfigurationPtr configuration)
+{
+    if (m_configuration && configuration->version() <= m_configuration->version())
+        return false;
+    m_configuration = std::move(configuration);
+    wakeWaiting();
+    return true;
+}
+
+RetryBudget& FrontState::budget(const std::string& service)
+{
+    auto it = m_budgets.find(service);
+    if (it == m_budgets.end()) {
+        // Before the number of instances is known, the slack is left to the others.
+        const double burst = m_instances == 0 ? 1 : std::max(1.0, budgetShare * m_bounds.retrySlack / m_instances);
+        const RetryBudgetOptions options { .ratio = budgetShare * m_bounds.retryRatio, .burst = burst };
+        it = m_budgets.emplace(service, RetryBudget(options)).first;
+    }
+    return it->second;
+}
+
+void FrontState::setInstances(unsigned instances)
+{
+    if (instances == m_instances || instances == 0)
+        return;
+    m_instances = instances;
+    for (auto& [service, budget] : m_budgets)
+        budget.setBurst(std::max(1.0, budgetShare * m_bounds.retrySlack / instances));
+}
+
+std::vector<const UpstreamEntry*> FrontState::holders(const std::string& service, const ServingRequest& request) const
+{
+    auto out = m_directory.usable(service);
+    if (request.model.empty())
+        return out;
+    std::erase_if(out, [&](const UpstreamEntry* it) {
+        if (m_retiring.count({ it->id, request.model }))
+            return true;
+        if (const auto hint = m_hints.find(it->id, request.model, request.adapter))
+            return !*hint || !it->findModel(request.model);
+        return !it->holds(request.model, request.adapter);
+    });
+    return out;
+}
+
+void FrontState::setRetiring(const std::vector<RetiringCopy>& copies)
+{
+    m_retiring.clear();
+    for (const auto& it : copies)
+        m_retiring.insert({ it.upstream, it.model });
+}
+
+double FrontState::prefillMsPerToken(const std::string& model) const
+{
+    auto it = m_paces.find(model);
+    return it == m_paces.end() ? ModelPace().prefillMsPerToken : it->second.prefillMsPerToken;
+}
+
+void FrontState::noteFirstEvent(const std::string& model, double tokens, std::chrono::nanoseconds duration)
+{
+    if (tokens < tokensForPace)
+        return;
+    const double ms = std::chrono::duration<double, std::milli>(duration).count();
+    const double sample = std::max(0.0, ms - firstEventBaseMs) / tokens;
+    auto& pace = m_paces[model].prefillMsPerToken;
+    pace += (sample < pace ? paceFall : paceRise) * (sample - pace);
+}
+
+void FrontState::noteDemand(
+    const std::string& service, const ServingRequest& request, double workMs, bool isPlaced)
+{
+    auto& demand = m_demand[{ service, request.model }];
+    demand.service = service;
+    demand.model = request.model;
+    ++demand.requests;
+    demand.workMs += workMs;
+    if (!isPlaced) {
+        ++demand.unplaced;
+        m_hasUrgentDemand = true;
+    }
+    if (!request.adapter.empty())
+        m_adapterDemand.insert({ service, request.model, request.adapter });
+}
+
+DemandMessage FrontState::takeDemand()
+{
+    DemandMessage out { .instance = m_instanceId };
+    for (auto& [key, demand] : m_demand)
+        out.models.push_back(std::move(demand));
+    for (const auto& [service, model, adapter] : m_adapterDemand)
+        out.adapters.push_back({ .service = service, .model = model, .adapter = adapter });
+    out.crashes = m_suspects.takeNews();
+    m_demand.clear();
+    m_adapterDemand.clear();
+    m_hasUrgentDemand = false;
+    return out;
+}
+
+void FrontState::wakeWaiting()
+{
+    for (auto* it : m_waiting)
+        it->cancel();
+}
+
+asio::awaitable<void> FrontState::waitForChange(SteadyTime deadline)
+{
+    asio::steady_timer timer(m_context, deadline);
+    m_waiting.insert(&timer);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    m_waiting.erase(&timer);
+}
+
+} // namespace bulrushstack
--- /dev/null
+++ b/src/libfront/front_state.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "bulrushstack/front/front_binding.h"
+#include "bulrushstack/front/placement_messages.h"
+#include "bulrushstack/kernel/clock.h"
+#include "bulrushstack/serving/residency_hints.h"
+#include "bulrushstack/serving/retry_budget.h"
+#include "bulrushstack/serving/suspect_requests.h"
+#include "table_follower.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+
+namespace bulrushstack {
+
+/// Limits that the platform states for this deployment.
+struct FrontBounds {
+    double retryRatio = 0.1; ///< repeated arrivals per request, over all instances
+    double retrySlack = 10; ///< repeated arrivals beside the ratio in each window, over all instances
+    std::chrono::nanoseconds stablePeriod = std::chrono::seconds(3); ///< after which a repaired dependency counts
+    std::chrono::nanoseconds configurationPeriod = std::chrono::seconds(2); ///< until a change is in force
+    std::chrono::nanoseconds leasePeriod = std::chrono::seconds(3); ///< between orders of two holders
+    std::chrono::nanoseconds drainPeriod = std::chrono::seconds(2);
+    std::chrono::nanoseconds gracePeriod = std::chrono::seconds(8); ///< between SIGTERM and SIGKILL
+
+    friend bool operator==(const FrontBounds&, const FrontBounds&) = default;
+};
+
+/// What the requests for a model took when the upstream had little else to do.
+struct ModelPace {
+    double prefillMsPerToken = 0.02;
+};
+
+/// What one instance of the front knows, shared by its requests and its placement agent. One thread.
+class FrontState {
+public:
+    FrontState(boost::asio::io_context& context, const Clock& clock, std::string instanceId, std::string zone,
+        FrontBounds bounds);
+
+    const Clock& clock() const { return m_clock; }
+    boost::asio::io_context& context() { return m_context; }
+    const std::string& instanceId() const { return m_instanceId; }
+    const std::string& zone() const { return m_zone; }
+    const FrontBounds& bounds() const { return m_bounds; }
+    void setBounds(const FrontBounds& bounds);
+
+    /// The configuration in force; null until the first one was read.
+    const ServingConfigurationPtr& configuration() const { return m_configuration; }
+
+    /// Takes a configuration unless it is older than the one in force. Returns whether it was taken.
+    bool offerConfiguration(ServingConfigurationPtr configuration);
+
+    ServingDirectory& directory() { return m_directory; }
+    UpstreamLoads& loads() { return m_loads; }
+    ResidencyHints& hints() { return m_hints; }
+    SuspectRequests& suspects() { return m_suspects; }
+    RetryBudget& budget(const std::string& service);
+
+    /// Sets how many instances share the retry budgets.
+    void setInstances(unsigned instances);
+    unsigned instances() const { return m_instances; }
+
+    /// Returns the upstreams of the service that hold the model and the adapter, as far as is known.
+    std::vector<const UpstreamEntry*> holders(const std::string& service, const ServingRequest& request) const;
+
+    /// Sets the copies that get no new requests, as the holder of the placement lease stated them.
+    void setRetiring(const std::vector<RetiringCopy>& copies);
+
+    double prefillMsPerToken(const std::string& model) const;
+
+    /// Notes how long the first event took for a prompt of which `tokens` had to be read.
+    void noteFirstEvent(const std::string& model, double tokens, std::chrono::nanoseconds duration);
+
+    /// Counts a request for a model for the next message to the holder.
+    void noteDemand(const std::string& service, const ServingRequest& request, double workMs, bool isPlaced);
+
+    /// Returns what was counted since the last call.
+    DemandMessage takeDemand();
+    bool hasUrgentDemand() const { return m_hasUrgentDemand; }
+
+    /// Wakes the requests that wait for a change of the directory or of the hints.
+    void wakeWaiting();
+
+    /// Completes at the next wakeWaiting(), or at the deadline.
+    boost::asio::awaitable<void> waitForChange(SteadyTime deadline);
+
+    std::uint64_t random() { return m_random(); }
+
+private:
+    boost::asio::io_context& m_context;
+    const Clock& m_clock;
+    std::string m_instanceId;
+    std::string m_zone;
+    FrontBounds m_bounds;
+    ServingConfigurationPtr m_configuration;
+    ServingDirectory m_directory;
+    UpstreamLoads m_loads;
+    ResidencyHints m_hints;
+    SuspectRequests m_suspects;
+    std::map<std::string, RetryBudget> m_budgets;
+    unsigned m_instances = 0; ///< 0: not known yet
+    std::set<std::pair<std::string, std::string>> m_retiring;
+    std::map<std::string, ModelPace> m_paces;
+    std::map<ModelKey, ModelDemand> m_demand;
+    std::set<std::tuple<std::string, std::string, std::string>> m_adapterDemand;
+    bool m_hasUrgentDemand = false;
+    std::set<boost::asio::steady_timer*> m_waiting;
+    std::mt19937_64 m_random { std::random_device()() };
+};
+
+} // namespace bulrushstack
--- /dev/null
+++ b/src/libfront/placement_agent.cpp
@@ -0,0 +1,514 @@
+#include "placement_agent.h"
+
+#include "spawn_logged.h"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <glog/logging.h>
+
+namespace bulrushstack {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::string_view demandPath = "/v1/placement/demand";
+constexpr std::string_view adapterPath = "/v1/placement/adapter";
+const RowId leaseRow { .table = "placement", .key = "lease" };
+
+constexpr std::chrono::milliseconds leaseTick { 100 };
+constexpr std::chrono::milliseconds leaseStartSpread { 250 }; ///< instances start together; one of them writes first
+constexpr std::chrono::milliseconds leaseCallTimeout { 900 };
+constexpr std::chrono::milliseconds leaseReadInterval { 800 };
+constexpr std::chrono::milliseconds leaseFailurePause { 250 };
+constexpr std::chrono::milliseconds handoverMargin { 400 }; ///< beside the period that the platform demands
+constexpr std::chrono::milliseconds contactTimeout { 1200 };
+
+constexpr std::chrono::milliseconds planInterval { 150 };
+constexpr std::chrono::milliseconds orderTimeout { 700 };
+constexpr std::chrono::milliseconds reportTimeout { 500 };
+constexpr std::chrono::seconds longestBusy { 10 }; ///< then the state of the upstream is read again
+
+constexpr std::chrono::milliseconds shortestReportInterval { 400 };
+constexpr std::chrono::milliseconds reportIntervalPerInstance { 20 };
+constexpr std::chrono::milliseconds urgentReportInterval { 60 };
+constexpr std::chrono::milliseconds demandTimeout { 500 };
+constexpr std::chrono::seconds reporterLifetime { 6 };
+constexpr std::size_t crashCountsInReply = 32;
+
+constexpr std::chrono::milliseconds adapterArrival { 16 }; ///< after the order, until requests are accepted
+constexpr std::chrono::milliseconds adapterPoll { 6 };
+
+Failure unavailable(std::string detail)
+{
+    return { .code = Errc::Unavailable, .verdict = Verdict::NotRun, .detail = std::move(detail) };
+}
+
+LeaseOptions leaseOptions(const FrontState& state)
+{
+    return { .instanceId = state.instanceId(),
+        .validity = state.bounds().leasePeriod,
+        .handoverPause = state.bounds().leasePeriod + handoverMargin };
+}
+
+HttpResponse jsonRefusal(unsigned status, std::string_view reason)
+{
+    return jsonResponse(status, nlohmann::json { { "error", reason } }.dump());
+}
+
+} // namespace
+
+PlacementAgent::PlacementAgent(FrontState& state, HttpClient& client, FrontBinding& binding, FrontMetrics& metrics,
+    Address controlAddress)
+    : m_state(state)
+    , m_client(client)
+    , m_binding(binding)
+    , m_metrics(metrics)
+    , m_controlAddress(std::move(controlAddress))
+    , m_lease(leaseOptions(state))
+    , m_demand(state.clock())
+{
+}
+
+void PlacementAgent::start()
+{
+    spawnLogged(m_state.context(), keepLease(), "placement");
+    spawnLogged(m_state.context(), reportDemand(), "placement");
+    spawnLogged(m_state.context(), keepPlacement(), "placement");
+}
+
+asio::awaitable<void> PlacementAgent::stop()
+{
+    const bool isHolder = m_lease.isHolder(m_state.clock().bootNow());
+    m_isStopped = true;
+    if (!isHolder)
+        co_return;
+    Transaction release { .conditions = { { .id = leaseRow, .version = m_lease.expectedVersion() } },
+        .writes = { { .id = leaseRow, .value = nlohmann::json { { "holder", "" }, { "address", "" } } } } };
+    auto released = co_await m_binding.tables().commit(std::move(release), m_state.clock().now() + leaseCallTimeout);
+    LOG(INFO) << "event=lease-released fence=" << m_lease.fence() << " error=\""
+              << (released ? "" : released.error().detail) << "\"";
+}
+
+asio::awaitable<void> PlacementAgent::pause(std::chrono::milliseconds duration)
+{
+    asio::steady_timer timer(m_state.context(), duration);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+bool PlacementAgent::mayOrder() const { return !m_isStopped && m_lease.mayOrder(m_state.clock().bootNow()); }
+
+bool PlacementAgent::isInContact() const
+{
+    return m_lastContact && m_state.clock().now() - *m_lastContact < contactTimeout;
+}
+
+asio::awaitable<void> PlacementAgent::keepLease()
+{
+    co_await pause(std::chrono::milliseconds(m_state.random() % leaseStartSpread.count()));
+    while (!m_isStopped) {
+        const auto now = m_state.clock().bootNow();
+        const bool isHolder = m_lease.isHolder(now);
+        if (isHolder != m_wasHolder) {
+            LOG(INFO) << "event=" << (isHolder ? "lease-acquired" : "lease-lost") << " fence=" << m_lease.fence()
+                      << " version=" << m_lease.expectedVersion();
+            m_metrics.setHolder(isHolder);
+            m_wasHolder = isHolder;
+        }
+        const bool isReadDue = now - m_lastLeaseRead >= leaseReadInterval;
+        if (m_mustReadLease || (!isHolder && !isInContact() && isReadDue))
+            co_await readLease();
+        if (m_lease.shouldWrite(m_state.clock().bootNow()) && (isHolder || !isInContact()))
+            co_await writeLease();
+        co_await pause(leaseTick);
+    }
+}
+
+asio::awaitable<void> PlacementAgent::readLease()
+{
+    m_lastLeaseRead = m_state.clock().bootNow();
+    auto row = co_await m_binding.tables().read(leaseRow, m_state.clock().now() + leaseCallTimeout);
+    if (!row) {
+        co_await pause(leaseFailurePause);
+        co_return;
+    }
+    m_mustReadLease = false;
+    const auto now = m_state.clock().bootNow();
+    if (!*row) {
+        m_lease.observe(std::nullopt, now);
+        co_return;
+    }
+    const auto& value = (*row)->value;
+    LeaseRecord record { .version = (*row)->version };
+    if (value.is_object()) {
+        record.holder = value.value("holder", "");
+        record.address = parseAddress(value.value("address", "")).value_or(Address());
+    }
+    const bool isOwnWrite = m_unansweredWrite && record.holder == m_state.instanceId()
+        && record.version > m_lease.expectedVersion();
+    if (isOwnWrite)
+        m_lease.noteWritten(record.version, m_controlAddress, *m_unansweredWrite);
+    else
+        m_lease.observe(std::move(record), now);
+    m_unansweredWrite.reset();
+}
+
+asio::awaitable<void> PlacementAgent::writeLease()
+{
+    const auto sentAt = m_state.clock().bootNow();
+    Transaction write { .conditions = { { .id = leaseRow, .version = m_lease.expectedVersion() } },
+        .writes = { { .id = leaseRow,
+            .value = nlohmann::json {
+                { "holder", m_state.instanceId() }, { "address", m_controlAddress.toString() } } } } };
+    auto version = co_await m_binding.tables().commit(std::move(write), m_state.clock().now() + leaseCallTimeout);
+    if (version) {
+        m_lease.noteWritten(*version, m_controlAddress, sentAt);
+        co_return;
+    }
+    LOG(INFO) << "event=lease-write-failed version=" << m_lease.expectedVersion() << " error=\""
+              << version.error().code.message() << ": " << version.error().detail << "\"";
+    m_mustReadLease = true;
+    if (version.error().code == Errc::Conflict) {
+        m_lease.noteLost();
+        co_return;
+    }
+    m_unansweredWrite = sentAt;
+    co_await pause(leaseFailurePause);
+}
+
+std::chrono::milliseconds PlacementAgent::reportInterval() const
+{
+    if (m_state.hasUrgentDemand())
+        return urgentReportInterval;
+    return std::max<std::chrono::milliseconds>(
+        shortestReportInterval, reportIntervalPerInstance * static_cast<int>(m_state.instances()));
+}
+
+asio::awaitable<void> PlacementAgent::reportDemand()
+{
+    auto lastReport = m_state.clock().now();
+    while (!m_isStopped) {
+        co_await pause(urgentReportInterval);
+        if (m_state.clock().now() - lastReport < reportInterval())
+            continue;
+        lastReport = m_state.clock().now();
+        co_await sendDemand();
+    }
+}
+
+asio::awaitable<void> PlacementAgent::sendDemand()
+{
+    if (m_lease.isHolder(m_state.clock().bootNow())) {
+        const auto reply = takeDemand(m_state.takeDemand());
+        m_state.setInstances(reply.instances);
+        m_state.setRetiring(reply.retiring);
+        m_lastContact = m_state.clock().now();
+        co_return;
+    }
+    const auto& holder = m_lease.record();
+    if (!holder || holder->holder.empty() || holder->holder == m_state.instanceId())
+        co_return;
+    HttpRequest request { .method = "POST", .target = std::string(demandPath), .body = encode(m_state.takeDemand()) };
+    HttpCallOptions options;
+    options.deadline = m_state.clock().now() + demandTimeout;
+    const bool wasInContact = isInContact();
+    auto response = co_await m_client.call(holder->address, std::move(request), options);
+    if (!response) {
+        // A connection that went silent is not used again, since the next one may work.
+        m_client.retireIdle(holder->address);
+        if (wasInContact && !isInContact())
+            LOG(WARNING) << "event=dependency-lost dependency=placement-holder holder=" << holder->holder
+                         << " version=" << holder->version << " error=\"" << response.error().detail << "\"";
+        co_return;
+    }
+    auto reply = decodeDemandReply(response->body);
+    if (response->status != 200 || !reply || !reply->isHolder) {
+        m_lastContact.reset();
+        m_mustReadLease = true;
+        co_return;
+    }
+    if (!wasInContact)
+        LOG(INFO) << "event=dependency-regained dependency=placement-holder holder=" << holder->holder
+                  << " version=" << holder->version;
+    m_lastContact = m_state.clock().now();
+    m_state.setInstances(reply->instances);
+    m_state.setRetiring(reply->retiring);
+    m_state.suspects().merge(reply->crashes);
+}
+
+DemandReply PlacementAgent::takeDemand(const DemandMessage& message)
+{
+    const auto now = m_state.clock().now();
+    m_demand.add(message.models);
+    for (const auto& it : message.adapters) {
+        if (auto* placement = findPlacement(it.service))
+            placement->asked[{ it.model, it.adapter }] = now;
+    }
+    for (const auto& it : message.crashes) {
+        if (message.instance == m_state.instanceId())
+            continue;
+        for (std::uint32_t i = 0; i < it.crashes; ++i)
+            m_state.suspects().noteCrash(it.digest);
+    }
+    m_reporters[message.instance] = now;
+    std::erase_if(m_reporters, [&](const auto& it) { return now - it.second > reporterLifetime; });
+    DemandReply out { .isHolder = true, .instances = static_cast<unsigned>(m_reporters.size()) };
+    for (const auto& [service, placement] : m_services) {
+        for (const auto& [id, upstream] : placement.ledger.upstreams()) {
+            for (const auto& model : upstream.unloading)
+                out.retiring.push_back({ .upstream = id, .model = model });
+        }
+    }
+    out.crashes = m_state.suspects().counts(crashCountsInReply);
+    return out;
+}
+
+asio::awaitable<void> PlacementAgent::handle(HttpExchange& exchange)
+{
+    const auto& request = exchange.request();
+    const bool isHolder = m_lease.isHolder(m_state.clock().bootNow());
+    if (request.method == "POST" && request.path() == demandPath) {
+        auto message = decodeDemandMessage(request.body);
+        if (!message) {
+            co_await exchange.respond(jsonRefusal(400, message.error().detail));
+            co_return;
+        }
+        const auto reply = isHolder ? takeDemand(*message) : DemandReply();
+        co_await exchange.respond(jsonResponse(200, encode(reply)));
+        co_return;
+    }
+    if (request.method == "POST" && request.path() == adapterPath) {
+        auto adapter = decodeAdapterDemand(request.body);
+        if (!adapter) {
+            co_await exchange.respond(jsonRefusal(400, adapter.error().detail));
+            co_return;
+        }
+        auto placed = co_await placeHere(std::move(*adapter), m_state.clock().now() + orderTimeout);
+        auto response = placed ? jsonResponse(200, encode(AdapterReply { .upstream = *placed }))
+                               : jsonRefusal(503, placed.error().detail);
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
+    co_await exchange.respond(jsonRefusal(404, "there is nothing at this path"));
+}
+
+asio::awaitable<Result<std::string>> PlacementAgent::placeAdapter(AdapterDemand adapter, SteadyTime deadline)
+{
+    if (m_lease.isHolder(m_state.clock().bootNow()))
+        co_return co_await placeHere(std::move(adapter), deadline);
+    const auto holder = m_lease.record();
+    if (!holder || holder->holder.empty() || holder->holder == m_state.instanceId())
+        co_return unavailable("no instance holds the placement lease");
+    HttpRequest request { .method = "POST", .target = std::string(adapterPath), .body = encode(adapter) };
+    HttpCallOptions options;
+    options.deadline = deadline;
+    auto response = co_await m_client.call(holder->address, std::move(request), options);
+    if (!response)
+        co_return response.error();
+    auto reply = decodeAdapterReply(response->body);
+    if (response->status != 200 || !reply)
+        co_return unavailable("the holder answered " + std::to_string(response->status) + " " + response->body);
+    co_return reply->upstream;
+}
+
+asio::awaitable<Result<std::string>> PlacementAgent::placeHere(AdapterDemand adapter, SteadyTime deadline)
+{
+    const AdapterName name { adapter.model, adapter.adapter };
+    if (auto* placement = findPlacement(adapter.service)) {
+        placement->asked[name] = m_state.clock().now();
+        if (!adapter.refusedBy.empty())
+            placement->ledger.noteAdapterAbsent(adapter.refusedBy, name);
+    }
+    while (m_state.clock().now() < deadline) {
+        auto* placement = findPlacement(adapter.service);
+        if (!placement || !mayOrder())
+            co_return unavailable("this instance may not give orders now");
+        if (!placement->placing.count(name)) {
+            const auto holder = placement->ledger.findAdapter(name, placement->leaving);
+            if (!holder.empty())
+                co_return holder;
+            auto choice = chooseAdapterPlace(placement->ledger, name, placement->asked, placement->leaving);
+            if (!choice.upstreamId.empty()) {
+                placement->placing.insert(name);
+                const bool isLoaded = co_await loadAdapter(adapter.service, name, choice);
+                if (auto* after = findPlacement(adapter.service))
+                    after->placing.erase(name);
+                if (isLoaded)
+                    co_return choice.upstreamId;
+            }
+        }
+        co_await pause(adapterPoll);
+    }
+    co_return unavailable("no upstream with the model could load the adapter in time");
+}
+
+asio::awaitable<bool> PlacementAgent::loadAdapter(std::string service, AdapterName adapter, AdapterChoice choice)
+{
+    if (!choice.evicted.first.empty()) {
+        UpstreamOrder unload { .kind = OrderKind::Unload,
+            .upstreamId = choice.upstreamId,
+            .model = choice.evicted.first,
+            .adapter = choice.evicted.second };
+        const auto answer = co_await giveOrder(service, std::move(unload), "adapter-evicted");
+        if (answer != OrderAnswer::Accepted && answer != OrderAnswer::AlreadyHolds)
+            co_return false;
+    }
+    UpstreamOrder load { .kind = OrderKind::Load,
+        .upstreamId = choice.upstreamId,
+        .model = adapter.first,
+        .adapter = adapter.second };
+    const auto answer = co_await giveOrder(std::move(service), std::move(load), "adapter-asked");
+    if (answer == OrderAnswer::Accepted)
+        co_await pause(adapterArrival);
+    co_return answer == OrderAnswer::Accepted || answer == OrderAnswer::AlreadyHolds;
+}
+
+PlacementAgent::ServicePlacement* PlacementAgent::findPlacement(const std::string& service)
+{
+    auto it = m_services.find(service);
+    return it == m_services.end() ? nullptr : &it->second;
+}
+
+void PlacementAgent::beginTerm()
+{
+    m_term = m_lease.fence();
+    for (auto& [service, placement] : m_services) {
+        placement.ledger.reset();
+        assumeLoadsOfLastHolder(placement);
+    }
+    LOG(INFO) << "event=placement-term fence=" << m_term << " services=" << m_services.size();
+}
+
+void PlacementAgent::assumeLoadsOfLastHolder(ServicePlacement& placement)
+{
+    if (m_lease.origin() == LeaseOrigin::EarlierProcess)
+        placement.ledger.assumeRecentLoads(std::chrono::nanoseconds(0));
+    if (m_lease.origin() == LeaseOrigin::OtherInstance)
+        placement.ledger.assumeRecentLoads(leaseOptions(m_state).handoverPause);
+}
+
+asio::awaitable<void> PlacementAgent::keepPlacement()
+{
+    while (!m_isStopped) {
+        co_await pause(planInterval);
+        if (!mayOrder() || !m_state.configuration())
+            continue;
+        if (m_term != m_lease.fence())
+            beginTerm();
+        const auto configuration = m_state.configuration();
+        for (const auto& service : configuration->services()) {
+            if (!service.engine)
+                continue;
+            updateService(service);
+            auto& placement = m_services.at(service.name);
+            readUnknown(service.name, placement);
+            giveUnsettled(service.name, placement);
+            planService(service.name, placement);
+        }
+    }
+}
+
+void PlacementAgent::updateService(const ServiceSpec& service)
+{
+    auto it = m_services.find(service.name);
+    if (it == m_services.end()) {
+        it = m_services.emplace(service.name, ServicePlacement(m_state.clock(), *service.engine)).first;
+        assumeLoadsOfLastHolder(it->second);
+    }
+    auto& placement = it->second;
+    placement.ledger.setEngine(*service.engine);
+    std::vector<const UpstreamEntry*> entries;
+    placement.leaving.clear();
+    for (const auto* entry : m_state.directory().all()) {
+        if (entry->service != service.name)
+            continue;
+        entries.push_back(entry);
+        if (entry->isDraining)
+            placement.leaving.insert(entry->id);
+    }
+    placement.ledger.update(entries);
+}
+
+void PlacementAgent::readUnknown(const std::string& service, ServicePlacement& placement)
+{
+    const auto now = m_state.clock().now();
+    for (const auto& [id, upstream] : placement.ledger.upstreams()) {
+        if (upstream.isBusy && upstream.busySince && now - *upstream.busySince > longestBusy)
+            placement.ledger.distrust(id);
+        const bool isDue = !upstream.isKnown && !upstream.isOrdering && !placement.leaving.count(id)
+            && (!upstream.retryFrom || *upstream.retryFrom <= now);
+        if (isDue && placement.reading.insert(id).second)
+            spawnLogged(m_state.context(), readUpstream(service, id), "placement");
+    }
+}
+
+asio::awaitable<void> PlacementAgent::readUpstream(std::string service, std::string upstream)
+{
+    const auto* entry = m_state.directory().find(upstream);
+    if (entry) {
+        const auto deadline = m_state.clock().now() + reportTimeout;
+        auto report = co_await m_binding.control().report(entry->address, upstream, deadline);
+        auto* placement = findPlacement(service);
+        if (report && placement) {
+            placement->ledger.noteReport(upstream, *report);
+            LOG(INFO) << "event=upstream-report upstream=" << upstream << " orders=" << report->ordersAccepted
+                      << " busy=" << report->isBusy << " models=" << report->models.size();
+        } else if (!report) {
+            LOG(INFO) << "event=upstream-report-failed upstream=" << upstream << " error=\"" << report.error().detail
+                      << "\"";
+            co_await pause(reportTimeout);
+        }
+    }
+    if (auto* placement = findPlacement(service))
+        placement->reading.erase(upstream);
+}
+
+void PlacementAgent::giveUnsettled(const std::string& service, ServicePlacement& placement)
+{
+    const auto now = m_state.clock().now();
+    for (const auto& [id, upstream] : placement.ledger.upstreams()) {
+        if (upstream.retryFrom && *upstream.retryFrom > now)
+            continue;
+        if (auto order = placement.ledger.unsettled(id))
+            spawnLogged(m_state.context(), giveOrder(service, *order, "answer-lost"), "order");
+    }
+}
+
+void PlacementAgent::planService(const std::string& service, ServicePlacement& placement)
+{
+    for (const auto& change : planPlacement(service, placement.ledger, m_demand, placement.leaving, {})) {
+        UpstreamOrder order { .kind = change.kind, .upstreamId = change.upstreamId, .model = change.model };
+        const std::string reason = "work-per-copy-" + std::to_string(static_cast<int>(change.workPerCopy));
+        spawnLogged(m_state.context(), giveOrder(service, std::move(order), reason), "order");
+    }
+}
+
+asio::awaitable<OrderAnswer> PlacementAgent::giveOrder(std::string service, UpstreamOrder order, std::string reason)
+{
+    auto* placement = findPlacement(service);
+    const auto* entry = m_state.directory().find(order.upstreamId);
+    if (!placement || !entry || !mayOrder())
+        co_return OrderAnswer::Rejected;
+    const auto* residency = placement->ledger.find(order.upstreamId);
+    if (!residency || residency->isOrdering || !placement->ledger.fits(order))
+        co_return OrderAnswer::Rejected;
+    order.holder = m_state.instanceId();
+    order.fence = m_lease.fence();
+    order = placement->ledger.begin(std::move(order));
+    const auto started = m_state.clock().now();
+    const auto answer = co_await m_binding.control().give(entry->address, order, started + orderTimeout);
+    if (auto* after = findPlacement(service))
+        after->ledger.finish(order, answer);
+    m_metrics.noteOrder(toString(order.kind), toString(answer));
+    LOG(INFO) << "event=order kind=" << toString(order.kind) << " upstream=" << order.upstreamId
+              << " model=" << order.model << " adapter=" << order.adapter << " expected=" << order.expectedOrders
+              << " fence=" << order.fence << " lease_version=" << m_lease.expectedVersion() << " reason=" << reason
+              << " answer=" << toString(answer) << " ms="
+              << std::chrono::duration_cast<std::chrono::milliseconds>(m_state.clock().now() - started).count();
+    if (order.kind == OrderKind::Unload && order.adapter.empty() && answer == OrderAnswer::Accepted)
+        m_state.hints().noteAbsent(order.upstreamId, order.model, "");
+    co_return answer;
+}
+
+} // namespace bulrushstack
--- /dev/null
+++ b/src/libfront/placement_agent.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "bulrushstack/net/http_client.h"
+#include "bulrushstack/net/http_server.h"
+#include "bulrushstack/serving/model_demand.h"
+#include "bulrushstack/serving/placement_lease.h"
+#include "bulrushstack/serving/placement_planner.h"
+#include "front_metrics.h"
+#include "front_state.h"
+#include "request_run.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace bulrushstack {
+
+/// Keeps the placement lease, gives orders to the upstreams while this instance holds it, and reports the demand of
+/// this instance to the holder otherwise. Other instances reach it through its HttpHandler.
+class PlacementAgent final : public AdapterPlacement, public HttpHandler {
+public:
+    PlacementAgent(FrontState& state, HttpClient& client, FrontBinding& binding, FrontMetrics& metrics,
+        Address controlAddress);
+
+    /// Starts the loops; they run until stop().
+    void start();
+
+    /// Stops giving orders and gives the lease back.
+    boost::asio::awaitable<void> stop();
+
+    boost::asio::awaitable<Result<std::string>> placeAdapter(AdapterDemand adapter, SteadyTime deadline) override;
+    boost::asio::awaitable<void> handle(HttpExchange& exchange) override;
+
+private:
+    struct ServicePlacement {
+        ServicePlacement(const Clock& clock, const EngineSpec& engine)
+            : ledger(clock, engine)
+        {
+        }
+
+        ResidencyLedger ledger;
+        std::map<AdapterName, SteadyTime> asked; ///< when each adapter was last asked for
+        std::set<std::string> leaving; ///< upstreams that are draining
+        std::set<std::string> reading; ///< upstreams whose state is being read
+        std::set<AdapterName> placing; ///< adapters that are being loaded
+    };
+
+    boost::asio::awaitable<void> keepLease();
+    boost::asio::awaitable<void> readLease();
+    boost::asio::awaitable<void> writeLease();
+    boost::asio::awaitable<void> reportDemand();
+    boost::asio::awaitable<void> sendDemand();
+    boost::asio::awaitable<void> keepPlacement();
+
+    bool mayOrder() const;
+    bool isInContact() const;
+    std::chrono::milliseconds reportInterval() const;
+    void beginTerm();
+    void assumeLoadsOfLastHolder(ServicePlacement& placement);
+    void updateService(const ServiceSpec& service);
+    void planService(const std::string& service, ServicePlacement& placement);
+    void giveUnsettled(const std::string& service, ServicePlacement& placement);
+    void readUnknown(const std::string& service, ServicePlacement& placement);
+    ServicePlacement* findPlacement(const std::string& service);
+
+    boost::asio::awaitable<OrderAnswer> giveOrder(std::string service, UpstreamOrder order, std::string reason);
+    boost::asio::awaitable<void> readUpstream(std::string service, std::string upstream);
+    boost::asio::awaitable<Result<std::string>> placeHere(AdapterDemand adapter, SteadyTime deadline);
+    boost::asio::awaitable<bool> loadAdapter(std::string service, AdapterName adapter, AdapterChoice choice);
+    DemandReply takeDemand(const DemandMessage& message);
+    boost::asio::awaitable<void> pause(std::chrono::milliseconds duration);
+
+    FrontState& m_state;
+    HttpClient& m_client;
+    FrontBinding& m_binding;
+    FrontMetrics& m_metrics;
+    Address m_controlAddress;
+    PlacementLease m_lease;
+    std::optional<SteadyTime> m_unansweredWrite; ///< when a write of the lease was sent that got no answer
+    bool m_mustReadLease = true;
+    bool m_isStopped = false;
+    bool m_wasHolder = false;
+    std::uint64_t m_term = 0; ///< fence of the term for which the ledgers were read
+    std::optional<SteadyTime> m_lastContact; ///< with the holder
+    SteadyTime m_lastLeaseRead {};
+    DemandEstimate m_demand;
+    std::map<std::string, SteadyTime> m_reporters; ///< instances, by when they last reported
+    std::map<std::string, ServicePlacement> m_services;
+};
+
+} // namespace bulrushstack
--- /dev/null
+++ b/src/libfront/request_run.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "bulrushstack/execution/problem.h"
+#include "bulrushstack/net/http_client.h"
+#include "bulrushstack/net/http_server.h"
+#include "bulrushstack/serving/retry_policy.h"
+#include "bulrushstack/serving/upstream_selection.h"
+#include "event_splitter.h"
+#include "front_metrics.h"
+#include "front_state.h"
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace bulrushstack {
+
+/// Asks for adapters to be loaded; implemented by the placement agent.
+class AdapterPlacement {
+public:
+    virtual ~AdapterPlacement() = default;
+
+    /// Returns the id of an upstream that holds the adapter now. Fails with Errc::Unavailable if there is no holder of
+    /// the placement lease, or no upstream with the model.
+    virtual boost::asio::awaitable<Result<std::string>> placeAdapter(AdapterDemand adapter, SteadyTime deadline) = 0;
+};
+
+/// What the runs of all requests use.
+struct RequestServices {
+    FrontState& state;
+    HttpClient& client;
+    const RequestFormat& format;
+    AdapterPlacement& adapters;
+    FrontMetrics& metrics;
+};
+
+/// The life of one request: admission, choice of upstreams, attempts, relay of the answer.
+class RequestRun {
+public:
+    RequestRun(RequestServices services, HttpExchange& exchange);
+
+    boost::asio::awaitable<void> run();
+
+private:
+    struct Attempt;
+
+    boost::asio::awaitable<void> runAdmitted();
+    boost::asio::awaitable<std::optional<RatedUpstream>> chooseUpstream();
+    boost::asio::awaitable<bool> waitForResidency();
+    boost::asio::awaitable<std::optional<Failure>> attempt(const RatedUpstream& chosen);
+    boost::asio::awaitable<std::optional<Failure>> open(Attempt& attempt);
+    boost::asio::awaitable<std::optional<Failure>> judgeHead(Attempt& attempt);
+    boost::asio::awaitable<std::optional<Failure>> relayWhole(Attempt& attempt);
+    boost::asio::awaitable<std::optional<Failure>> relayEvents(Attempt& attempt);
+    boost::asio::awaitable<std::optional<Failure>> deliver(HttpResponse response, Attempt& attempt);
+    void suspectCrash(const Attempt& attempt);
+    boost::asio::awaitable<void> refuse(Problem problem, std::optional<Milliseconds> retryAfter);
+    boost::asio::awaitable<void> giveUp(Failure failure);
+
+    void noteFirstAnswer(Attempt& attempt);
+    void finishAttempt(Attempt& attempt, const std::optional<Failure>& failure);
+    bool mayTryAgain(const Failure& failure);
+    std::vector<RatedUpstream> rate() const;
+    SteadyTime attemptDeadline() const;
+    Milliseconds timeLeft() const;
+    SteadyTime residencyDeadline() const;
+    std::optional<Problem> admissionProblem();
+    unsigned urgency() const;
+    double workMs() const;
+    void logEnd(std::string_view outcome, unsigned status, const std::string& detail);
+
+    RequestServices m_services;
+    FrontState& m_state;
+    HttpExchange& m_exchange;
+    SteadyTime m_received;
+    SteadyTime m_deadline {};
+    ServingRequest m_request;
+    ServingConfigurationPtr m_configuration;
+    const RouteSpec* m_route = nullptr;
+    const ServiceSpec* m_service = nullptr;
+    std::string m_digest;
+    std::shared_ptr<HttpCancellation> m_cancellation = std::make_shared<HttpCancellation>();
+    bool m_isClientGone = false;
+    bool m_isDone = false; ///< the caller has its answer, or there is nobody to give it to
+    bool m_isStreaming = false; ///< the header of the answer went out
+    EventSplitter m_events;
+    std::set<std::string, std::less<>> m_tried;
+    unsigned m_upstreamsTried = 0;
+    unsigned m_upstreamsRun = 0;
+    unsigned m_connectFailures = 0;
+    unsigned m_adapterRequests = 0;
+    Verdict m_verdict = Verdict::NotRun;
+    bool m_wasSent = false; ///< by the last attempt
+    std::string m_lastUpstream;
+    std::string m_adapterRefusedBy; ///< upstream that did not hold the adapter although it was expected to
+    std::optional<HttpResponse> m_failedAnswer; ///< an error of an upstream that ran the request
+    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
+};
+
+} // namespace bulrushstack
--- /dev/null
+++ b/src/libfront/spawn_logged.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <exception>
+#include <glog/logging.h>
+#include <string>
+
+namespace bulrushstack {
+
+/// Runs a task on its own; its value is not used. An exception ends the task and is logged under its name.
+template <typename T>
+void spawnLogged(boost::asio::io_context& context, boost::asio::awaitable<T> task, std::string name)
+{
+    boost::asio::co_spawn(context, std::move(task), [name = std::move(name)](std::exception_ptr error, auto&&...) {
+        if (!error)
+            return;
+        try {
+            std::rethrow_exception(error);
+        } catch (const std::exception& exception) {
+            LOG(ERROR) << "event=task-failed task=" << name << " error=\"" << exception.what() << "\"";
+        }
+    });
+}
+
+} // namespace bulrushstack
--- /dev/null
+++ b/src/libfront/table_follower.cpp
@@ -0,0 +1,97 @@
+#include "table_follower.h"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <glog/logging.h>
+
+namespace bulrushstack {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::chrono::milliseconds snapshotTimeout { 1500 };
+constexpr std::chrono::milliseconds firstPause { 40 };
+constexpr std::chrono::milliseconds longestPause { 400 };
+
+} // namespace
+
+TableFollower::TableFollower(asio::io_context& context, const Clock& clock, TableFeed& feed,
+    TableFollowerOptions options, TableObserver& observer)
+    : m_clock(clock)
+    , m_feed(feed)
+    , m_options(std::move(options))
+    , m_observer(observer)
+    , m_timer(context)
+    , m_random(m_options.randomSeed)
+{
+}
+
+void TableFollower::stop()
+{
+    m_isStopped = true;
+    m_timer.cancel();
+}
+
+asio::awaitable<void> TableFollower::run()
+{
+    while (!m_isStopped) {
+        auto done = co_await step();
+        if (done) {
+            if (m_failures > 0) {
+                LOG(INFO) << "event=dependency-regained dependency=store table=" << m_options.table
+                          << " failed_calls=" << m_failures << " version=" << m_version;
+                m_observer.onStoreRegained();
+            }
+            m_failures = 0;
+            continue;
+        }
+        if (done.error().code == Errc::NotFound) {
+            LOG(INFO) << "event=history-lost table=" << m_options.table << " version=" << m_version;
+            m_isSynchronized = false;
+            continue;
+        }
+        if (m_failures++ == 0) {
+            LOG(WARNING) << "event=dependency-lost dependency=store table=" << m_options.table
+                         << " version=" << m_version << " error=\"" << done.error().code.message() << ": "
+                         << done.error().detail << "\"";
+            m_observer.onStoreLost(done.error());
+        }
+        co_await pauseAfterFailure();
+    }
+}
+
+asio::awaitable<Result<void>> TableFollower::step()
+{
+    if (!m_isSynchronized) {
+        auto snapshot = co_await m_feed.snapshot(m_options.table, m_clock.now() + snapshotTimeout);
+        if (!snapshot)
+            co_return snapshot.error();
+        if (m_failures > 0)
+            m_observer.onStoreRegained();
+        m_observer.onSnapshot(*snapshot);
+        m_version = snapshot->version;
+        m_isSynchronized = true;
+        co_return Result<void>();
+    }
+    auto changes = co_await m_feed.changes(m_options.table, m_version, m_options.wait);
+    if (!changes)
+        co_return changes.error();
+    if (m_failures > 0)
+        m_observer.onStoreRegained();
+    m_version = std::max(m_version, changes->version);
+    if (!changes->rows.empty())
+        m_observer.onChanges(*changes);
+    co_return Result<void>();
+}
+
+asio::awaitable<void> TableFollower::pauseAfterFailure()
+{
+    const auto pause = std::min(longestPause, firstPause * (1 << std::min(m_failures, 4U)));
+    std::uniform_int_distribution<std::int64_t> jitter(pause.count() / 2, pause.count());
+    m_timer.expires_after(std::chrono::milliseconds(jitter(m_random)));
+    co_await m_timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+} // namespace bulrushstack
--- /dev/null
+++ b/src/libfront/table_follower.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "bulrushstack/kernel/clock.h"
+#include "bulrushstack/platform/table_feed.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <random>
+#include <string>
+
+namespace bulrushstack {
+
+/// Takes what a TableFollower reads.
+class TableObserver {
+public:
+    virtual ~TableObserver() = default;
+
+    /// Takes the whole table; rows that are not in it do not exist.
+    virtual void onSnapshot(const TableSnapshot& snapshot) = 0;
+
+    /// Takes changes in their order.
+    virtual void onChanges(const TableChanges& changes) = 0;
+
+    virtual void onStoreLost(const Failure& failure) = 0;
+    virtual void onStoreRegained() = 0;
+};
+
+struct TableFollowerOptions {
+    std::string table;
+    std::chrono::milliseconds wait { 4000 }; ///< longest time of one call for changes
+    std::uint64_t randomSeed = 0; ///< of the pauses between failed calls
+};
+
+/// Follows one table: reads it as a whole, then takes its changes, and reads it again when the store no longer has the
+/// history. Failed calls are repeated after a growing pause.
+class TableFollower {
+public:
+    TableFollower(
+        boost::asio::io_context& context, const Clock& clock, TableFeed& feed, TableFollowerOptions options,
+        TableObserver& observer);
+
+    /// Runs until stop().
+    boost::asio::awaitable<void> run();
+
+    void stop();
+
+private:
+    boost::asio::awaitable<Result<void>> step();
+    boost::asio::awaitable<void> pauseAfterFailure();
+
+    const Clock& m_clock;
+    TableFeed& m_feed;
+    TableFollowerOptions m_options;
+    TableObserver& m_observer;
+    boost::asio::steady_timer m_timer;
+    std::mt19937_64 m_random;
+    bool m_isSynchronized = false;
+    bool m_isStopped = false;
+    RowVersion m_version = 0;
+    unsigned m_failures = 0;
+};
+
+} // namespace bulrushstack
--- a/src/libkernel/settings.cpp
+++ b/src/libkernel/settings.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <fstream>
 #include <getopt.h>
 #include <sstream>
 #include <stdexcept>
@@ -55,6 +56,8 @@
         return "a size" + describeRange(spec) + " in bytes or with unit KiB, MiB, GiB or TiB, such as 8MiB";
     case SettingKind::Count:
         return "a whole number" + describeRange(spec);
+    case SettingKind::Number:
+        return "a number that is not negative";
     case SettingKind::Flag:
         return "true or false";
     case SettingKind::Choice: {
@@ -87,6 +90,8 @@
         auto n = numericValue(spec.kind, value);
         return n && isInRange(spec, *n);
     }
+    case SettingKind::Number:
+        return parseNumber(value).has_value();
     case SettingKind::Flag:
         return value == "true" || value == "false";
     case SettingKind::Choice:
@@ -157,21 +162,53 @@
     return out;
 }
 
+/// Adds the variables of bulrushstack to the map; a later value replaces an earlier one.
+void takeVariables(const std::vector<std::string>& lines, std::map<std::string, std::string>& out)
+{
+    for (const auto& it : lines) {
+        const auto equals = it.find('=');
+        if (equals != std::string::npos && std::string_view(it).starts_with(environmentPrefix))
+            out[it.substr(0, equals)] = it.substr(equals + 1);
+    }
+}
+
 } // namespace
 
+std::optional<std::vector<std::string>> readSettingsFile(const std::string& path)
+{
+    std::ifstream file(path);
+    if (!file)
+        return std::nullopt;
+    std::vector<std::string> out;
+    for (std::string line; std::getline(file, line);) {
+        if (!line.empty() && line.front() != '#')
+            out.push_back(std::move(line));
+    }
+    return file.bad() ? std::nullopt : std::optional(std::move(out));
+}
+
+std::string findFlag(const std::vector<std::string>& arguments, std::string_view flag)
+{
+    for (std::size_t i = 0; i < arguments.size(); ++i) {
+        const std::string_view word = arguments[i];
+        if (word == flag && i + 1 < arguments.size())
+            return arguments[i + 1];
+        if (word.starts_with(flag) && word.size() > flag.size() && word[flag.size()] == '=')
+            return std::string(word.substr(flag.size() + 1));
+    }
+    return {};
+}
+
 SettingsOutcome parseSettings(const std::vector<SettingSpec>& specs, const std::vector<std::string>& arguments,
-    const std::vector<std::string>& environment)
+    const std::vector<std::string>& environment, const std::vector<std::string>& fileLines)
 {
     CommandLine line = readCommandLine(specs, arguments);
     if (!line.error.empty())
         return refuse(line.error);
 
     std::map<std::string, std::string> fromEnvironment;
-    for (const auto& it : environment) {
-        const auto equals = it.find('=');
-        if (equals != std::string::npos && std::string_view(it).starts_with(environmentPrefix))
-            fromEnvironment[it.substr(0, equals)] = it.substr(equals + 1);
-    }
+    takeVariables(fileLines, fromEnvironment);
+    takeVariables(environment, fromEnvironment);
 
     std::map<std::string, std::string> values;
     for (const auto& spec : specs) {
@@ -252,6 +289,8 @@
 
 std::uint64_t Settings::size(std::string_view name) const { return parseSize(text(name)).value_or(0); }
 
+double Settings::number(std::string_view name) const { return parseNumber(text(name)).value_or(0); }
+
 std::uint64_t Settings::count(std::string_view name) const { return size(name); }
 
 bool Settings::isSet(std::string_view name) const
--- a/src/libkernel/settings_values.cpp
+++ b/src/libkernel/settings_values.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
+#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -10,23 +11,23 @@
 
 namespace {
 
-struct Number {
+struct Quantity {
     std::uint64_t value = 0;
     std::string_view unit;
 };
 
-std::optional<Number> parseNumber(std::string_view text)
+std::optional<Quantity> parseQuantity(std::string_view text)
 {
     std::uint64_t value = 0;
     auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
     if (ec != std::errc() || end == text.data())
         return std::nullopt;
-    return Number { value, text.substr(static_cast<std::size_t>(end - text.data())) };
+    return Quantity { value, text.substr(static_cast<std::size_t>(end - text.data())) };
 }
 
 template <std::size_t N>
 std::optional<std::uint64_t> scale(
-    const Number& number, const std::array<std::pair<std::string_view, std::uint64_t>, N>& units)
+    const Quantity& number, const std::array<std::pair<std::string_view, std::uint64_t>, N>& units)
 {
     for (const auto& [unit, factor] : units) {
         if (number.unit != unit)
@@ -58,9 +59,18 @@
 
 } // namespace
 
+std::optional<double> parseNumber(std::string_view text)
+{
+    double value = 0;
+    auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (ec != std::errc() || end != text.data() + text.size() || !std::isfinite(value) || value < 0)
+        return std::nullopt;
+    return value;
+}
+
 std::optional<std::chrono::nanoseconds> parseDuration(std::string_view text)
 {
-    auto number = parseNumber(text);
+    auto number = parseQuantity(text);
     if (!number)
         return std::nullopt;
     auto n = scale(*number, durationUnits);
@@ -71,7 +81,7 @@
 
 std::optional<std::uint64_t> parseSize(std::string_view text)
 {
-    auto number = parseNumber(text);
+    auto number = parseQuantity(text);
     return number ? scale(*number, sizeUnits) : std::nullopt;
 }
 
@@ -88,10 +98,10 @@
     const auto address = boost::asio::ip::make_address(std::string(host), ec);
     if (ec || address.is_v6() != isBracketed)
         return std::nullopt;
-    auto number = parseNumber(text.substr(colon + 1));
-    if (!number || !number->unit.empty() || number->value > std::numeric_limits<std::uint16_t>::max())
+    auto quantity = parseQuantity(text.substr(colon + 1));
+    if (!quantity || !quantity->unit.empty() || quantity->value > std::numeric_limits<std::uint16_t>::max())
         return std::nullopt;
-    return Address { .host = std::string(host), .port = static_cast<std::uint16_t>(number->value) };
+    return Address { .host = std::string(host), .port = static_cast<std::uint16_t>(quantity->value) };
 }
 
 std::string Address::toString() const
--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -3,8 +3,12 @@
 #include "http_beast.h"
 
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/connect.hpp>
+#include <boost/asio/detached.hpp>
+#include <charconv>
 #include <map>
+#include <netinet/tcp.h>
 
 namespace bulrushstack {
 
@@ -22,9 +26,45 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     SteadyTime idleSince {};
+    std::chrono::nanoseconds idleLimit = std::chrono::nanoseconds::max(); ///< as the other end announced
+    bool isReused = false;
+    bool isSending = false; ///< a request is still being written
 };
 
-using ClientConnectionPtr = std::unique_ptr<ClientConnection>;
+/// Returns how long a connection may stay idle according to the header Keep-Alive. The other end closes after the
+/// time it states; a request that is sent at that moment may be lost, so the time is cut by a margin.
+std::chrono::nanoseconds announcedIdleLimit(const HttpHeaders& headers)
+{
+    static constexpr std::string_view parameter = "timeout=";
+    static constexpr std::chrono::milliseconds margin { 700 };
+    const auto value = headers.find("Keep-Alive");
+    const auto start = value ? value->find(parameter) : std::string::npos;
+    if (start == std::string::npos)
+        return std::chrono::nanoseconds::max();
+    unsigned seconds = 0;
+    const char* first = value->data() + start + parameter.size();
+    const auto [end, ec] = std::from_chars(first, value->data() + value->size(), seconds);
+    if (ec != std::errc())
+        return std::chrono::nanoseconds::max();
+    return std::max<std::chrono::nanoseconds>(std::chrono::seconds(seconds) - margin, std::chrono::nanoseconds(0));
+}
+
+/// Lets the kernel probe the connection, so that one that went silent fails within the given time.
+void setSilenceTimeout(asio::ip::tcp::socket& socket, std::chrono::milliseconds timeout)
+{
+    const int fd = socket.native_handle();
+    const int enabled = 1;
+    const int probeSeconds = 1;
+    const int probes = std::max(1, static_cast<int>(timeout / std::chrono::seconds(probeSeconds)));
+    const auto milliseconds = static_cast<unsigned>(timeout.count());
+    ::setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &enabled, sizeof(enabled));
+    ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &probeSeconds, sizeof(probeSeconds));
+    ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &probeSeconds, sizeof(probeSeconds));
+    ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+    ::setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof(milliseconds));
+}
+
+using ClientConnectionPtr = std::shared_ptr<ClientConnection>;
 
 /// Idle connections by address, newest last.
 class ConnectionPool {
@@ -47,8 +87,11 @@
                 return nullptr;
             auto connection = std::move(newest);
             it->second.pop_back();
-            if (!isUnusable(connection->stream.socket()))
+            const bool isExpired = m_clock.now() - connection->idleSince >= connection->idleLimit;
+            if (!isExpired && !isUnusable(connection->stream.socket())) {
+                connection->isReused = true;
                 return connection;
+            }
         }
         return nullptr;
     }
@@ -116,6 +159,20 @@
     return { .code = Errc::Timeout, .verdict = verdict, .detail = "the deadline has passed" };
 }
 
+Failure cancelled(Verdict verdict)
+{
+    return { .code = Errc::Cancelled, .verdict = verdict, .detail = "the call was cancelled" };
+}
+
+/// Returns a function that closes the connection if it still exists.
+std::function<void()> closerOf(const ClientConnectionPtr& connection)
+{
+    return [weak = std::weak_ptr(connection)] {
+        if (auto alive = weak.lock())
+            alive->stream.close();
+    };
+}
+
 http::request<http::string_body> toMessage(const Address& address, HttpRequest request)
 {
     http::request<http::string_body> message;
@@ -123,8 +180,12 @@
     message.method_string(request.method);
     message.target(request.target);
     message.set(http::field::host, address.toString());
-    for (const auto& [name, value] : request.headers)
-        message.insert(name, value);
+    for (const auto& [name, value] : request.headers) {
+        if (beast::iequals(name, "Host"))
+            message.set(name, value);
+        else
+            message.insert(name, value);
+    }
     message.body() = std::move(request.body);
     message.prepare_payload();
     return message;
@@ -140,11 +201,22 @@
         , m_address(std::move(address))
         , m_options(options)
         , m_connection(std::move(connection))
+        , m_isReused(m_connection->isReused)
     {
     }
 
+    ~PooledStream() override
+    {
+        if (m_connection)
+            m_connection->stream.close();
+    }
+
+    PooledStream(const PooledStream&) = delete;
+    PooledStream& operator=(const PooledStream&) = delete;
+
     unsigned status() const override { return m_parser->get().result_int(); }
     const HttpHeaders& headers() const override { return m_headers; }
+    bool isReusedConnection() const override { return m_isReused; }
 
     /// Reads header blocks until one is final; interim responses (1xx) are skipped.
     asio::awaitable<Result<void>> readHeader(bool isHead)
@@ -161,7 +233,12 @@
                 co_return failureOf(ec, Verdict::MayHaveRun, "reading the response header");
         } while (status() / 100 == 1);
         m_headers = copyFields(m_parser->get().base());
-        if (m_parser->need_eof())
+        m_connection->idleLimit = announcedIdleLimit(m_headers);
+        if (m_headers.count("Transfer-Encoding") > 0 && !m_parser->chunked())
+            co_return Failure {
+                .code = Errc::Malformed, .verdict = Verdict::MayHaveRun, .detail = "unknown transfer coding"
+            };
+        if (m_parser->need_eof() && !m_options.isUnframedAccepted)
             co_return Failure {
                 .code = Errc::Malformed, .verdict = Verdict::MayHaveRun, .detail = "the response has no marked end"
             };
@@ -189,7 +266,8 @@
         }
         if (!body.empty())
             co_return Part(std::exchange(body, std::string()));
-        releaseConnection();
+        if (!m_isKept)
+            releaseConnection();
         co_return Part();
     }
 
@@ -210,6 +288,20 @@
         }
     }
 
+    asio::awaitable<Result<void>> next() override
+    {
+        if (m_parser->need_eof() || !m_parser->keep_alive())
+            co_return Failure {
+                .code = Errc::Malformed, .verdict = Verdict::MayHaveRun, .detail = "a stray response ends the connection"
+            };
+        m_isKept = true;
+        auto rest = co_await readAll();
+        m_isKept = false;
+        if (!rest)
+            co_return rest.error();
+        co_return co_await readHeader(false);
+    }
+
     void close() override
     {
         m_isClosed = true;
@@ -220,10 +312,15 @@
 private:
     void releaseConnection()
     {
-        const bool isReusable
-            = !m_isClosed && m_connection && m_parser->keep_alive() && m_connection->buffer.size() == 0;
+        if (m_options.cancellation)
+            m_options.cancellation->arm(nullptr);
+        // A connection on which the request is still being written would carry the rest of it as the next request.
+        const bool isReusable = !m_isClosed && m_connection && m_parser->keep_alive() && !m_parser->need_eof()
+            && m_connection->buffer.size() == 0 && !m_connection->isSending;
         if (isReusable)
             m_pool->put(m_address, std::move(m_connection));
+        else if (m_connection)
+            m_connection->stream.close();
         m_connection.reset();
     }
 
@@ -233,9 +330,38 @@
     ClientConnectionPtr m_connection;
     std::optional<Parser> m_parser;
     HttpHeaders m_headers;
+    bool m_isReused;
+    bool m_isKept = false; ///< the connection is used on after the end of the body
     bool m_isClosed = false;
 };
 
+using RequestMessage = http::request<http::string_body>;
+
+/// Writes the request while its response may already be read.
+asio::awaitable<void> sendBeside(ClientConnectionPtr connection, std::shared_ptr<const RequestMessage> message)
+{
+    auto [ec, n] = co_await http::async_write(connection->stream, *message, asTuple);
+    connection->isSending = false;
+    // The reader sees the same closed connection; a request that was cut short must not stay open.
+    if (ec && ec != asio::error::operation_aborted && connection->stream.socket().is_open())
+        connection->stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+}
+
+/// Sends the request. One that is longer than what the kernel buffers for certain is sent beside the reading of the
+/// response, since the other end may answer before it has read everything.
+asio::awaitable<beast::error_code> sendRequest(ClientConnectionPtr connection, RequestMessage message)
+{
+    static constexpr std::size_t certainlyBuffered = 4096; ///< bytes
+    auto shared = std::make_shared<const RequestMessage>(std::move(message));
+    if (shared->body().size() <= certainlyBuffered) {
+        auto [ec, n] = co_await http::async_write(connection->stream, *shared, asTuple);
+        co_return ec;
+    }
+    connection->isSending = true;
+    asio::co_spawn(connection->stream.get_executor(), sendBeside(connection, std::move(shared)), asio::detached);
+    co_return beast::error_code();
+}
+
 asio::awaitable<Result<ClientConnectionPtr>> connect(
     std::shared_ptr<ConnectionPool> pool, Address address, HttpCallOptions options)
 {
@@ -245,19 +371,33 @@
         co_return Failure { .code = Errc::InvalidArgument,
             .verdict = Verdict::NotRun,
             .detail = "the host '" + address.host + "' is not numeric" };
-    auto connection = std::make_unique<ClientConnection>(pool->context());
-    if (!pool->arm(connection->stream, options))
+    auto connection = std::make_shared<ClientConnection>(pool->context());
+    auto limits = options;
+    if (options.connectTimeout > std::chrono::nanoseconds(0))
+        limits.progressTimeout = options.connectTimeout;
+    if (!pool->arm(connection->stream, limits))
         co_return deadlinePassed(Verdict::NotRun);
+    if (options.cancellation)
+        options.cancellation->arm(closerOf(connection));
     const tcp::endpoint endpoint(host, address.port);
     std::tie(ec) = co_await connection->stream.async_connect(endpoint, asTuple);
     if (ec)
         co_return failureOf(ec, Verdict::NotRun, "connecting to " + address.toString());
     connection->stream.socket().set_option(tcp::no_delay(true), ec);
+    if (options.silenceTimeout > std::chrono::milliseconds(0))
+        setSilenceTimeout(connection->stream.socket(), options.silenceTimeout);
     co_return connection;
 }
 
 } // namespace
 
+void HttpCancellation::cancel()
+{
+    m_isCancelled = true;
+    if (auto close = std::exchange(m_close, nullptr))
+        close();
+}
+
 HttpClient::HttpClient(asio::io_context& context, const Clock& clock)
     : m_pool(std::make_shared<ConnectionPool>(context, clock))
 {
@@ -269,6 +409,8 @@
     Address address, HttpRequest request, HttpCallOptions options)
 {
     auto pool = m_pool;
+    if (options.cancellation && options.cancellation->isCancelled())
+        co_return cancelled(Verdict::NotRun);
     auto connection = pool->take(address, options.maxIdle);
     if (!connection) {
         auto connected = co_await connect(pool, address, options);
@@ -278,9 +420,13 @@
     }
     if (!pool->arm(connection->stream, options))
         co_return deadlinePassed(Verdict::NotRun);
+    if (options.cancellation) {
+        if (options.cancellation->isCancelled())
+            co_return cancelled(Verdict::NotRun);
+        options.cancellation->arm(closerOf(connection));
+    }
     const bool isHead = request.method == "HEAD";
-    const auto message = toMessage(address, std::move(request));
-    auto [ec, n] = co_await http::async_write(connection->stream, message, asTuple);
+    auto ec = co_await sendRequest(connection, toMessage(address, std::move(request)));
     if (ec)
         co_return failureOf(ec, Verdict::MayHaveRun, "sending the request");
     auto stream = std::make_unique<PooledStream>(std::move(pool), std::move(address), options, std::move(connection));
@@ -305,6 +451,14 @@
     co_return response;
 }
 
+asio::awaitable<bool> HttpClient::isListening(Address address, std::chrono::nanoseconds timeout)
+{
+    HttpCallOptions options;
+    options.connectTimeout = timeout;
+    auto connection = co_await connect(m_pool, std::move(address), options);
+    co_return connection.has_value();
+}
+
 void HttpClient::retireIdle(const Address& address) { m_pool->retire(address); }
 
 } // namespace bulrushstack
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -16,7 +16,9 @@
 
 namespace {
 
-struct Connection {
+constexpr std::size_t readSize = 4096; ///< bytes; the size of one read of a header
+
+struct Connection : std::enable_shared_from_this<Connection> {
     explicit Connection(tcp::socket socket)
         : stream(std::move(socket))
     {
@@ -25,8 +27,45 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     bool isBusy = false;
+    std::uint64_t requestNumber = 0; ///< tells the watch of one request from that of the next
 };
 
+/// Calls the function once the client closes the connection, unless another request has begun meanwhile.
+void watchClient(std::shared_ptr<Connection> connection, std::uint64_t requestNumber, std::function<void()> callback)
+{
+    auto& socket = connection->stream.socket();
+    socket.async_wait(tcp::socket::wait_read,
+        [connection = std::move(connection), requestNumber, callback = std::move(callback)](beast::error_code ec) {
+            if (ec || connection->requestNumber != requestNumber || !isPeerClosed(connection->stream.socket()))
+                return;
+            callback();
+        });
+}
+
+/// Returns why the header section is refused although a lenient parser accepts it; empty if it is proper. Folded lines
+/// and bare line ends are read differently by different programs, which lets one request hide in another.
+std::string_view findHeaderFault(std::string_view header)
+{
+    for (std::size_t i = header.find('\n'); i != std::string_view::npos; i = header.find('\n', i + 1)) {
+        if (i == 0 || header[i - 1] != '\r')
+            return "a line of the header ends without CR";
+        if (i + 1 < header.size() && (header[i + 1] == ' ' || header[i + 1] == '\t'))
+            return "folded header lines are not accepted";
+    }
+    return {};
+}
+
+/// Returns the status that refuses the framing of a request, or 0 if it is accepted.
+unsigned refuseFraming(const http::fields& fields)
+{
+    const auto codings = fields.count(http::field::transfer_encoding);
+    if (codings == 0)
+        return 0;
+    if (codings > 1 || fields.count(http::field::content_length) > 0)
+        return 400;
+    return beast::iequals(fields[http::field::transfer_encoding], "chunked") ? 0 : 501;
+}
+
 } // namespace
 
 struct HttpServer::State : std::enable_shared_from_this<HttpServer::State> {
@@ -42,6 +81,7 @@
     asio::awaitable<void> refuseConnection(tcp::socket socket);
     asio::awaitable<void> serve(std::shared_ptr<Connection> connection);
     asio::awaitable<bool> serveRequest(Connection& connection);
+    asio::awaitable<beast::error_code> readHeaderSection(Connection& connection, std::string_view& fault);
     asio::awaitable<void> answerProtocolError(Connection& connection, unsigned status, std::string detail);
     void requestEnded();
 
@@ -52,17 +92,18 @@
     std::set<std::shared_ptr<Connection>> connections;
     std::size_t activeRequests = 0;
     bool isDraining = false;
+    bool isClosing = false; ///< answers carry "Connection: close"
 };
 
 namespace {
 
 class Exchange final : public HttpExchange {
 public:
-    Exchange(Connection& connection, const HttpServerOptions& options, const bool& isDraining, HttpRequest request,
+    Exchange(Connection& connection, const HttpServerOptions& options, const bool& isClosing, HttpRequest request,
         unsigned version, bool isKeptAlive)
         : m_connection(connection)
         , m_options(options)
-        , m_isDraining(isDraining)
+        , m_isClosing(isClosing)
         , m_request(std::move(request))
         , m_version(version)
         , m_isKeptAlive(isKeptAlive)
@@ -73,6 +114,12 @@
     bool isStarted() const override { return m_isStarted; }
     bool isClientGone() override { return isPeerClosed(m_connection.stream.socket()); }
 
+    void onClientGone(std::function<void()> callback) override
+    {
+        if (m_connection.buffer.size() == 0)
+            watchClient(m_connection.shared_from_this(), m_connection.requestNumber, std::move(callback));
+    }
+
     asio::awaitable<std::error_code> respond(HttpResponse response) override
     {
         http::response<http::string_body> message;
@@ -147,7 +194,7 @@
     template <typename Message> void prepare(Message& message, unsigned status, const HttpHeaders& headers)
     {
         m_isStarted = true;
-        m_isKeptAlive = m_isKeptAlive && !m_isDraining;
+        m_isKeptAlive = m_isKeptAlive && !m_isClosing;
         message.version(m_version);
         message.result(status);
         for (const auto& [name, value] : headers)
@@ -157,7 +204,7 @@
 
     Connection& m_connection;
     const HttpServerOptions& m_options;
-    const bool& m_isDraining;
+    const bool& m_isClosing;
     HttpRequest m_request;
     unsigned m_version;
     bool m_isKeptAlive;
@@ -236,13 +283,33 @@
     connections.erase(connection);
 }
 
+asio::awaitable<beast::error_code> HttpServer::State::readHeaderSection(
+    Connection& connection, std::string_view& fault)
+{
+    static constexpr std::string_view endOfHeader = "\r\n\r\n";
+    for (;;) {
+        const auto data = connection.buffer.data();
+        const std::string_view text(static_cast<const char*>(data.data()), data.size());
+        const auto end = text.find(endOfHeader);
+        fault = findHeaderFault(text.substr(0, end));
+        if (!fault.empty() || end != std::string_view::npos)
+            co_return beast::error_code();
+        if (text.size() > options.headerLimit)
+            co_return http::error::header_limit;
+        auto [ec, n] = co_await connection.stream.async_read_some(connection.buffer.prepare(readSize), asTuple);
+        if (ec)
+            co_return ec == asio::error::eof ? beast::error_code(http::error::partial_message) : ec;
+        connection.buffer.commit(n);
+    }
+}
+
 asio::awaitable<bool> HttpServer::State::serveRequest(Connection& connection)
 {
     auto& stream = connection.stream;
+    ++connection.requestNumber;
     if (connection.buffer.size() == 0) {
-        static constexpr std::size_t firstReadSize = 4096;
         stream.expires_after(options.idleTimeout);
-        auto [ec, n] = co_await stream.async_read_some(connection.buffer.prepare(firstReadSize), asTuple);
+        auto [ec, n] = co_await stream.async_read_some(connection.buffer.prepare(readSize), asTuple);
         if (ec)
             co_return false;
         connection.buffer.commit(n);
@@ -252,7 +319,21 @@
     parser.header_limit(static_cast<std::uint32_t>(options.headerLimit));
     parser.body_limit(options.bodyLimit);
     stream.expires_after(options.readTimeout);
-    auto [ec, n] = co_await http::async_read_header(stream, connection.buffer, parser, asTuple);
+    std::string_view fault;
+    auto ec = co_await readHeaderSection(connection, fault);
+    if (!fault.empty()) {
+        co_await answerProtocolError(connection, 400, std::string(fault));
+        co_return false;
+    }
+    std::size_t n = 0;
+    if (!ec)
+        std::tie(ec, n) = co_await http::async_read_header(stream, connection.buffer, parser, asTuple);
+    if (!ec) {
+        if (const unsigned status = refuseFraming(parser.get().base())) {
+            co_await answerProtocolError(connection, status, "the transfer coding is not accepted");
+            co_return false;
+        }
+    }
     if (!ec && beast::iequals(parser.get()[http::field::expect], "100-continue")) {
         http::response<http::empty_body> proceed(http::status::continue_, parser.get().version());
         std::tie(ec, std::ignore) = co_await http::async_write(stream, proceed, asTuple);
@@ -271,7 +352,7 @@
     request.target = std::string(message.target());
     request.headers = copyFields(message);
     request.body = std::move(message.body());
-    Exchange exchange(connection, options, isDraining, std::move(request), message.version(), message.keep_alive());
+    Exchange exchange(connection, options, isClosing, std::move(request), message.version(), message.keep_alive());
 
     connection.isBusy = true;
     ++activeRequests;
@@ -293,7 +374,7 @@
 asio::awaitable<void> HttpServer::State::answerProtocolError(
     Connection& connection, unsigned status, std::string detail)
 {
-    Exchange exchange(connection, options, isDraining, HttpRequest(), 11, false);
+    Exchange exchange(connection, options, isClosing, HttpRequest(), 11, false);
     auto response = handler.protocolError(status, detail);
     auto ec = co_await exchange.respond(std::move(response));
     if (!ec)
@@ -346,9 +427,19 @@
 
 std::size_t HttpServer::activeRequests() const { return m_state->activeRequests; }
 
+void HttpServer::announceClose() { m_state->isClosing = true; }
+
+void HttpServer::setLimits(const HttpServerOptions& limits)
+{
+    auto address = m_state->options.address;
+    m_state->options = limits;
+    m_state->options.address = std::move(address);
+}
+
 asio::awaitable<void> HttpServer::drain()
 {
     auto state = m_state;
+    state->isClosing = true;
     state->isDraining = true;
     beast::error_code ec;
     state->acceptor.close(ec);
--- /dev/null
+++ b/src/libserving/placement_lease.cpp
@@ -0,0 +1,65 @@
+#include "bulrushstack/serving/placement_lease.h"
+
+namespace bulrushstack {
+
+namespace {
+
+SteadyTime after(SteadyTime time, std::chrono::nanoseconds duration)
+{
+    return time + std::chrono::duration_cast<SteadyTime::duration>(duration);
+}
+
+} // namespace
+
+PlacementLease::PlacementLease(LeaseOptions options)
+    : m_options(std::move(options))
+{
+}
+
+void PlacementLease::observe(std::optional<LeaseRecord> record, SteadyTime now)
+{
+    const std::uint64_t known = expectedVersion();
+    const std::uint64_t seen = record ? record->version : 0;
+    if (m_isObserved && seen == known)
+        return;
+    if (m_isObserved && seen < known)
+        return; // an answer that was overtaken
+    m_isObserved = true;
+    m_record = std::move(record);
+    m_recordSeen = now;
+    if (!isOwn())
+        m_validUntil.reset();
+}
+
+bool PlacementLease::shouldWrite(SteadyTime now) const
+{
+    if (!m_isObserved)
+        return false;
+    if (isHolder(now))
+        return now >= after(m_lastWrite, m_options.renewInterval);
+    // The row of an earlier process on this instance is taken at once: it cannot give orders any more.
+    return !m_record || m_record->holder.empty() || isOwn() || now >= after(m_recordSeen, m_options.validity);
+}
+
+void PlacementLease::noteWritten(std::uint64_t version, const Address& address, SteadyTime sentAt)
+{
+    const bool isRenewal = m_validUntil.has_value();
+    if (!isRenewal)
+        m_origin = !m_record ? LeaseOrigin::New : isOwn() ? LeaseOrigin::EarlierProcess : LeaseOrigin::OtherInstance;
+    m_record = LeaseRecord { .holder = m_options.instanceId, .address = address, .version = version };
+    m_recordSeen = sentAt;
+    m_lastWrite = sentAt;
+    m_validUntil = after(sentAt, m_options.validity);
+    if (isRenewal)
+        return;
+    m_fence = version;
+    m_orderFrom = m_origin == LeaseOrigin::OtherInstance ? after(sentAt, m_options.handoverPause) : sentAt;
+}
+
+void PlacementLease::noteLost() { m_validUntil.reset(); }
+
+bool PlacementLease::isHolder(SteadyTime now) const { return m_validUntil && now < *m_validUntil; }
+
+bool PlacementLease::mayOrder(SteadyTime now) const { return isHolder(now) && now >= m_orderFrom; }
+
+} // namespace bulrushstack
--- a/src/libexecution/retry_budget.cpp
+++ b/src/libserving/retry_budget.cpp
@@ -1,4 +1,4 @@
-#include "bulrushstack/execution/retry_budget.h"
+#include "bulrushstack/serving/retry_budget.h"
 
 #include <algorithm>
 
@@ -12,6 +12,12 @@
 
 void RetryBudget::noteRequest() { m_balance = std::min(m_options.burst, m_balance + m_options.ratio); }
 
+void RetryBudget::setBurst(double burst)
+{
+    m_options.burst = burst;
+    m_balance = std::min(m_balance, burst);
+}
+
 bool RetryBudget::tryTake()
 {
     if (m_balance < 1)
--- /dev/null
+++ b/src/libserving/serving_request.cpp
@@ -0,0 +1,34 @@
+#include "bulrushstack/serving/serving_request.h"
+
+#include <array>
+#include <xxhash.h>
+
+namespace bulrushstack {
+
+std::string prefixKey(const ServingRequest& request)
+{
+    std::string out = request.model + "/" + request.adapter;
+    for (std::size_t i = 0; i + 1 < request.prompt.size(); ++i)
+        out += "," + request.prompt[i].id;
+    return out;
+}
+
+std::string requestDigest(const ServingRequest& request, const std::string& target, const std::string& body)
+{
+    const std::string head = request.host + "\n" + target + "\n" + request.model + "/" + request.adapter + "\n";
+    XXH3_state_t state;
+    XXH3_128bits_reset(&state);
+    XXH3_128bits_update(&state, head.data(), head.size());
+    XXH3_128bits_update(&state, body.data(), body.size());
+    XXH128_canonical_t canonical;
+    XXH128_canonicalFromHash(&canonical, XXH3_128bits_digest(&state));
+    static constexpr std::array<char, 17> digits { "0123456789abcdef" };
+    std::string out;
+    for (const unsigned char c : canonical.digest) {
+        out += digits[c >> 4];
+        out += digits[c & 15];
+    }
+    return out;
+}
+
+} // namespace bulrushstack
