Do not take an upstream's heartbeat count for its count of orders

Cause: the row's count rises with every heartbeat, so each report looked older than what was known, no upstream ever became orderable, and each was asked for its state every 150 ms. Ruled out: a restart of the upstreams (their start times stay).

--- a/src/include/bulrushstack/serving/upstream_directory.h
+++ b/src/include/bulrushstack/serving/upstream_directory.h
@@ -30,7 +30,6 @@
     unsigned slots = 1;
     bool isDraining = false;
     std::uint64_t startedAt = 0; ///< Unix milliseconds; tells two processes under one id apart
-    std::uint64_t ordersAccepted = 0; ///< since its start
     std::vector<HeldModel> models;
     std::vector<std::string> modelsInHostMemory; ///< copies that load fastest
     std::vector<std::string> modelsOnDisk; ///< copies that load without the weight store
@@ -55,7 +54,7 @@
 public:
     explicit ServingDirectory(const Clock& clock, DirectoryTimes times = {});
 
-    /// Takes an entry. Returns whether anything but its count of orders changed.
+    /// Takes an entry. Returns whether anything changed.
     bool apply(UpstreamEntry entry);
 
     /// Takes the removal of entries that one reading showed. Entries that were draining go at once.
--- a/src/libserving/residency_ledger.cpp
+++ b/src/libserving/residency_ledger.cpp
@@ -50,11 +50,10 @@
             upstream = UpstreamResidency { .id = entry->id, .startedAt = entry->startedAt };
             member = Member {};
         }
-        const bool isNews = member.shown != entry->models || entry->ordersAccepted > upstream.ordersAccepted;
+        const bool isNews = member.shown != entry->models;
         member.onDisk.clear();
         member.onDisk.insert(entry->modelsOnDisk.begin(), entry->modelsOnDisk.end());
         member.onDisk.insert(entry->modelsInHostMemory.begin(), entry->modelsInHostMemory.end());
-        upstream.ordersAccepted = std::max(upstream.ordersAccepted, entry->ordersAccepted);
         if (isNewProcess || isNews)
             showModels(upstream, member, entry->models);
     }
--- a/src/libserving/upstream_directory.cpp
+++ b/src/libserving/upstream_directory.cpp
@@ -34,9 +34,7 @@
 bool ServingDirectory::apply(UpstreamEntry entry)
 {
     auto& member = m_members[entry.id];
-    auto known = member.entry;
-    known.ordersAccepted = entry.ordersAccepted;
-    const bool isChanged = known != entry || member.lapsedUntil;
+    const bool isChanged = member.entry != entry || member.lapsedUntil;
     member.entry = std::move(entry);
     member.lapsedUntil.reset();
     if (isChanged)
