Take from an upstream's description only what ends a load

Descriptions now only end loads; whatever would free memory is read from the upstream first. Adapters follow the reports and the holder's own orders. Ruled out: lost version checks (versions never went back).

--- a/src/include/bulrushstack/serving/residency_ledger.h
+++ b/src/include/bulrushstack/serving/residency_ledger.h
@@ -109,15 +109,14 @@
 
 private:
     struct Member {
-        std::vector<HeldModel> shown; ///< as last shown by the upstream
-        std::set<std::string> onDisk;
+        std::vector<HeldModel> described; ///< models in the last description
+        std::set<std::string> atHand; ///< copies in host memory or on disk
         std::optional<UpstreamOrder> pending; ///< sent, not settled
-        std::map<AdapterName, SteadyTime> recentAdapterOrders; ///< accepted and perhaps not shown yet
-        std::set<AdapterName> recentAdapterUnloads;
     };
 
-    void showModels(UpstreamResidency& upstream, Member& member, const std::vector<HeldModel>& models);
-    void applyAccepted(UpstreamResidency& upstream, Member& member, const UpstreamOrder& order, bool isCarriedOut);
+    void takeDescription(UpstreamResidency& upstream, const std::vector<HeldModel>& models);
+    static void endBusy(UpstreamResidency& upstream);
+    void applyAccepted(UpstreamResidency& upstream, const UpstreamOrder& order, bool isCarriedOut) const;
     double sizeOf(const std::string& model) const;
 
     const Clock& m_clock;
--- a/src/libfront/table_follower.cpp
+++ b/src/libfront/table_follower.cpp
@@ -11,7 +11,7 @@
 
 namespace asio = boost::asio;
 
-constexpr std::chrono::milliseconds snapshotTimeout { 1500 };
+constexpr std::chrono::milliseconds snapshotTimeout { 1000 };
 constexpr std::chrono::milliseconds firstPause { 40 };
 constexpr std::chrono::milliseconds longestPause { 400 };
 
@@ -75,7 +75,9 @@
         m_isSynchronized = true;
         co_return Result<void>();
     }
-    auto changes = co_await m_feed.changes(m_options.table, m_version, m_options.wait);
+    // A store that has not answered is asked in short calls: a long one could hang beyond the store's return.
+    const auto wait = m_failures > 0 ? std::chrono::milliseconds(0) : m_options.wait;
+    auto changes = co_await m_feed.changes(m_options.table, m_version, wait);
     if (!changes)
         co_return changes.error();
     if (m_failures > 0)
--- a/src/libserving/residency_ledger.cpp
+++ b/src/libserving/residency_ledger.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-/// Time in which an upstream shows an order that it accepted.
-constexpr std::chrono::milliseconds showTime { 2500 };
-
 /// Pause before an order is tried again after a conflict or a lost answer.
 constexpr std::chrono::milliseconds retryPause { 300 };
 
@@ -45,55 +42,49 @@
         present.insert(entry->id);
         auto& upstream = m_upstreams[entry->id];
         auto& member = m_members[entry->id];
-        const bool isNewProcess = upstream.startedAt != entry->startedAt;
-        if (isNewProcess) {
+        member.atHand.clear();
+        member.atHand.insert(entry->modelsOnDisk.begin(), entry->modelsOnDisk.end());
+        member.atHand.insert(entry->modelsInHostMemory.begin(), entry->modelsInHostMemory.end());
+        if (upstream.startedAt != entry->startedAt) {
             upstream = UpstreamResidency { .id = entry->id, .startedAt = entry->startedAt };
-            member = Member {};
+            member.pending.reset();
+            for (const auto& it : entry->models)
+                upstream.held.insert(it.name);
+        } else if (member.described != entry->models) {
+            takeDescription(upstream, entry->models);
         }
-        const bool isNews = member.shown != entry->models;
-        member.onDisk.clear();
-        member.onDisk.insert(entry->modelsOnDisk.begin(), entry->modelsOnDisk.end());
-        member.onDisk.insert(entry->modelsInHostMemory.begin(), entry->modelsInHostMemory.end());
-        if (isNewProcess || isNews)
-            showModels(upstream, member, entry->models);
+        member.described = entry->models;
     }
     std::erase_if(m_upstreams, [&](const auto& it) { return !present.count(it.first); });
     std::erase_if(m_members, [&](const auto& it) { return !present.count(it.first); });
 }
 
-void ResidencyLedger::showModels(UpstreamResidency& upstream, Member& member, const std::vector<HeldModel>& models)
+/// A description may be older than what was ordered or reported since. It therefore only tells that a load has ended;
+/// whatever would free memory is asked for first.
+void ResidencyLedger::takeDescription(UpstreamResidency& upstream, const std::vector<HeldModel>& models)
 {
-    const auto now = m_clock.now();
-    member.shown = models;
     std::set<std::string> shown;
-    for (const auto& it : models)
-        shown.insert(it.name);
-    for (auto it = upstream.loading.begin(); it != upstream.loading.end();)
-        it = shown.count(*it) ? upstream.loading.erase(it) : std::next(it);
-    for (auto it = upstream.unloading.begin(); it != upstream.unloading.end();)
-        it = shown.count(*it) ? std::next(it) : upstream.unloading.erase(it);
-    upstream.held.clear();
-    for (const auto& it : shown) {
-        if (!upstream.unloading.count(it))
-            upstream.held.insert(it);
-    }
-    if (upstream.loading.empty() && upstream.unloading.empty()) {
-        upstream.isBusy = false;
-        upstream.busySince.reset();
-    }
-    std::erase_if(member.recentAdapterOrders, [&](const auto& it) { return now - it.second >= showTime; });
-    upstream.adapters.clear();
     for (const auto& it : models) {
-        for (const auto& adapter : it.adapters)
-            upstream.adapters.insert({ it.name, adapter });
+        shown.insert(it.name);
+        if (upstream.loading.erase(it.name)) {
+            upstream.held.insert(it.name);
+        } else if (!upstream.charges(it.name)) {
+            upstream.held.insert(it.name);
+            upstream.isKnown = false;
+        }
     }
-    // What was ordered a moment ago is newer than what the upstream shows.
-    for (const auto& [name, time] : member.recentAdapterOrders) {
-        if (member.recentAdapterUnloads.count(name))
-            upstream.adapters.erase(name);
-        else
-            upstream.adapters.insert(name);
+    for (const auto* part : { &upstream.held, &upstream.unloading }) {
+        for (const auto& model : *part)
+            upstream.isKnown = upstream.isKnown && shown.count(model);
     }
+    if (upstream.loading.empty() && upstream.unloading.empty())
+        endBusy(upstream);
+}
+
+void ResidencyLedger::endBusy(UpstreamResidency& upstream)
+{
+    upstream.isBusy = false;
+    upstream.busySince.reset();
 }
 
 void ResidencyLedger::noteReport(const std::string& id, const UpstreamReport& report)
@@ -102,27 +93,39 @@
     if (it == m_upstreams.end())
         return;
     auto& upstream = it->second;
-    auto& member = m_members[id];
-    const bool isOld = report.ordersAccepted < upstream.ordersAccepted;
-    upstream.ordersAccepted = std::max(upstream.ordersAccepted, report.ordersAccepted);
-    if (isOld)
-        return;
-    upstream.isKnown = true;
-    if (!report.isBusy && !member.pending) {
+    const auto& pending = m_members[id].pending;
+    upstream.retryFrom = m_clock.now() + retryPause;
+    if (report.ordersAccepted < upstream.ordersAccepted)
+        return; // reports lag behind; this one does not know the last order yet
+    upstream.ordersAccepted = report.ordersAccepted;
+    if (!report.isBusy && !pending) {
         upstream.loading.clear();
         upstream.unloading.clear();
     }
-    showModels(upstream, member, report.models);
-    upstream.isBusy = report.isBusy;
-    if (!report.isBusy)
-        upstream.busySince.reset();
-    else if (!upstream.busySince)
-        upstream.busySince = m_clock.now();
+    upstream.held.clear();
+    upstream.adapters.clear();
+    for (const auto& model : report.models) {
+        upstream.loading.erase(model.name);
+        if (!upstream.unloading.count(model.name))
+            upstream.held.insert(model.name);
+        for (const auto& adapter : model.adapters)
+            upstream.adapters.insert({ model.name, adapter });
+    }
     for (const auto& name : report.arrivingAdapters) {
         const auto slash = name.find('/');
         if (slash != std::string::npos)
             upstream.adapters.insert({ name.substr(0, slash), name.substr(slash + 1, name.find('@') - slash - 1) });
     }
+    if (pending && pending->kind == OrderKind::Load && !pending->adapter.empty())
+        upstream.adapters.insert({ pending->model, pending->adapter });
+    upstream.isBusy = report.isBusy;
+    if (!report.isBusy)
+        endBusy(upstream);
+    else if (!upstream.busySince)
+        upstream.busySince = m_clock.now();
+    // A load that another holder ordered is not named; its memory is not known until it has ended. An unload that is
+    // still under way is asked for again as well.
+    upstream.isKnown = !report.isBusy || !upstream.loading.empty();
 }
 
 double ResidencyLedger::freeMb(const std::string& id) const
@@ -154,7 +157,6 @@
     auto it = m_upstreams.find(id);
     if (it == m_upstreams.end() || !it->second.adapters.count(adapter) || it->second.isOrdering)
         return;
-    m_members[id].recentAdapterOrders.erase(adapter);
     it->second.isKnown = false;
 }
 
@@ -215,18 +217,12 @@
     return order;
 }
 
-void ResidencyLedger::applyAccepted(
-    UpstreamResidency& upstream, Member& member, const UpstreamOrder& order, bool isCarriedOut)
+void ResidencyLedger::applyAccepted(UpstreamResidency& upstream, const UpstreamOrder& order, bool isCarriedOut) const
 {
     const AdapterName name { order.model, order.adapter };
     if (!order.adapter.empty()) {
-        member.recentAdapterOrders[name] = m_clock.now();
-        if (order.kind == OrderKind::Load) {
-            member.recentAdapterUnloads.erase(name);
-        } else {
-            member.recentAdapterUnloads.insert(name);
+        if (order.kind == OrderKind::Unload)
             upstream.adapters.erase(name);
-        }
         return;
     }
     if (!isCarriedOut) {
@@ -255,14 +251,14 @@
     switch (answer) {
     case OrderAnswer::Accepted:
         upstream.ordersAccepted = std::max(upstream.ordersAccepted, order.expectedOrders + 1);
-        applyAccepted(upstream, member, order, false);
+        applyAccepted(upstream, order, false);
         member.pending.reset();
         break;
     case OrderAnswer::AlreadyHolds:
         // Unloading an adapter is carried out at once and counts as an accepted order.
         if (order.kind == OrderKind::Unload && !order.adapter.empty())
             upstream.ordersAccepted = std::max(upstream.ordersAccepted, order.expectedOrders + 1);
-        applyAccepted(upstream, member, order, true);
+        applyAccepted(upstream, order, true);
         member.pending.reset();
         break;
     case OrderAnswer::Rejected:
@@ -289,7 +285,7 @@
 bool ResidencyLedger::isStoreLoad(const std::string& id, const std::string& model) const
 {
     auto it = m_members.find(id);
-    return it == m_members.end() || !it->second.onDisk.count(model);
+    return it == m_members.end() || !it->second.atHand.count(model);
 }
 
 unsigned ResidencyLedger::storeLoadAllowance() const
