--- a/src/libnet/http_client_test.cpp
+++ b/src/libnet/http_client_test.cpp
@@ -1,3 +1,4 @@
+#include "raw_server.h"
 #include "test_server.h"
 
 #include <boost/test/unit_test.hpp>
@@ -65,4 +66,130 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+namespace {
+
+struct RawFixture {
+    boost::asio::io_context context;
+    SystemClock clock;
+    HttpClient client { context, clock };
+
+    Result<HttpResponse> call(const RawServer& server, HttpCallOptions options = {}, std::string body = {})
+    {
+        HttpRequest request;
+        request.method = body.empty() ? "GET" : "POST";
+        request.body = std::move(body);
+        options.deadline = clock.now() + 10s;
+        return runAwaitable(context, client.call(server.address(), std::move(request), options));
+    }
+};
+
+const std::string answerOf(std::string_view body, std::string_view fields = "")
+{
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" + std::string(fields) + "\r\n"
+        + std::string(body);
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(Connections, RawFixture)
+
+BOOST_AUTO_TEST_CASE(AreReused)
+{
+    RawServer server(context, { answerOf("a"), answerOf("b") });
+    BOOST_TEST(call(server)->body == "a");
+    BOOST_TEST(call(server)->body == "b");
+    BOOST_TEST(server.connections() == 1u);
+}
+
+// Guards against a request that is lost because the other end closes the connection as it arrives.
+BOOST_AUTO_TEST_CASE(AreNotReusedAtTheEndOfTheIdleTimeThatWasAnnounced)
+{
+    RawServer server(context, { answerOf("a", "Keep-Alive: timeout=0\r\n"), answerOf("b") });
+    BOOST_TEST(call(server)->body == "a");
+    BOOST_TEST(call(server)->body == "b");
+    BOOST_TEST(server.connections() == 2u);
+}
+
+// Guards against the rest of a long request that is taken for the beginning of the next one.
+BOOST_AUTO_TEST_CASE(AreNotReusedWhenTheAnswerCameBeforeTheRequestWasSent)
+{
+    RawServer server(context, { answerOf("early"), answerOf("b") }, false, 1);
+    BOOST_TEST(call(server, {}, std::string(16 * 1024 * 1024, 'x'))->body == "early");
+    BOOST_TEST(call(server)->body == "b");
+    BOOST_TEST(server.connections() == 2u);
+}
+
+// Guards against bytes behind an answer that are taken for the answer to the next request.
+BOOST_AUTO_TEST_CASE(AreNotReusedWithBytesBehindTheAnswer)
+{
+    RawServer server(context, { answerOf("a") + "HTTP/1.1 200 OK\r\n", answerOf("b") });
+    BOOST_TEST(call(server)->body == "a");
+    BOOST_TEST(call(server)->body == "b");
+    BOOST_TEST(server.connections() == 2u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(AnswersWithoutALength, RawFixture)
+
+const std::string unframed = "HTTP/1.1 200 OK\r\n\r\nwhole";
+
+BOOST_AUTO_TEST_CASE(AreFailuresUnlessAsked)
+{
+    RawServer server(context, { unframed }, true);
+    BOOST_TEST(call(server).has_error());
+}
+
+BOOST_AUTO_TEST_CASE(EndWithTheConnection)
+{
+    RawServer server(context, { unframed }, true);
+    auto response = call(server, { .isUnframedAccepted = true });
+    BOOST_REQUIRE(response);
+    BOOST_TEST(response->body == "whole");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(AStrayAnswer, RawFixture)
+
+// Guards against the late answer of an earlier request that reaches the caller of this one.
+BOOST_AUTO_TEST_CASE(CanBeSkippedForTheOneBehindIt)
+{
+    RawServer server(context, { answerOf("stray", "X-Id: 1\r\n") + answerOf("own", "X-Id: 2\r\n") });
+    auto stream = runAwaitable(context, client.open(server.address(), HttpRequest(), {}));
+    BOOST_REQUIRE(stream);
+    BOOST_TEST((*stream)->headers().find("X-Id").value() == "1");
+    BOOST_REQUIRE(runAwaitable(context, (*stream)->next()));
+    BOOST_TEST((*stream)->headers().find("X-Id").value() == "2");
+    BOOST_TEST(runAwaitable(context, (*stream)->readAll()).value() == "own");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(Cancellation, ServerFixture)
+
+// Guards against an upstream that works on for a caller who has left.
+BOOST_AUTO_TEST_CASE(EndsACallThatWaitsForItsAnswer)
+{
+    auto cancellation = std::make_shared<HttpCancellation>();
+    std::optional<Result<HttpResponse>> response;
+    HttpRequest request;
+    request.target = "/slow";
+    HttpCallOptions options;
+    options.cancellation = cancellation;
+    boost::asio::co_spawn(context, client.call(address, request, options),
+        [&](std::exception_ptr, Result<HttpResponse> result) { response = std::move(result); });
+    while (server.activeRequests() == 0)
+        context.run_one();
+    cancellation->cancel();
+    while (!response)
+        context.run_one();
+    BOOST_TEST(response->has_error());
+    auto later = call("GET", "/echo", {}, options);
+    BOOST_REQUIRE(later.has_error());
+    BOOST_CHECK(later.error().verdict == Verdict::NotRun);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libnet/http_server_test.cpp
+++ b/src/libnet/http_server_test.cpp
@@ -60,6 +60,38 @@
     BOOST_TEST(handler.requests() == 0);
 }
 
+// Guards against a transfer coding that one program takes for a body and another for none, which hides a request.
+BOOST_AUTO_TEST_CASE(UnknownTransferCodingsAreRefused)
+{
+    for (const std::string coding : { "xchunked", "chunked, identity", "gzip, chunked", "identity" }) {
+        const auto answer
+            = sendRaw("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: " + coding + "\r\n\r\n0\r\n\r\n");
+        const bool isRefused = answer.starts_with("HTTP/1.1 501") || answer.starts_with("HTTP/1.1 400");
+        BOOST_TEST(isRefused, coding);
+    }
+    const std::string two
+        = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+    BOOST_TEST(sendRaw(two).starts_with("HTTP/1.1 400"));
+    BOOST_TEST(handler.requests() == 0);
+}
+
+// Guards against a header field that hides in the line before it.
+BOOST_AUTO_TEST_CASE(FoldedLinesAndBareLineEndsAreRefused)
+{
+    for (const std::string header : { "X-A: 1\r\n X-B: 2\r\n", "X-A: 1\r\n\tX-B: 2\r\n", "X-A: 1\nX-B: 2\r\n" }) {
+        const auto answer = sendRaw("GET / HTTP/1.1\r\nHost: a\r\n" + header + "\r\n");
+        BOOST_TEST(answer.starts_with("HTTP/1.1 400"), header);
+    }
+    BOOST_TEST(handler.requests() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(ChunkedBodiesAreRead)
+{
+    const auto answer = sendRaw("POST /echo HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+    BOOST_TEST(answer.ends_with("abcde"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(Limits, TightServer)
--- /dev/null
+++ b/src/libnet/testing/raw_server.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "bulrushstack/kernel/settings.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <string>
+#include <vector>
+
+namespace bulrushstack {
+
+/// Answers each request on a connection with the next of some given texts, byte for byte, and closes the connection
+/// after the last one if asked to. Requests are told apart by what one read returns, which is enough on loopback.
+class RawServer {
+public:
+    RawServer(boost::asio::io_context& context, std::vector<std::string> answers, bool isClosing = false,
+        std::size_t answersPerConnection = SIZE_MAX)
+        : m_acceptor(context, { boost::asio::ip::make_address("127.0.0.1"), 0 })
+        , m_answers(std::move(answers))
+        , m_isClosing(isClosing)
+        , m_answersPerConnection(answersPerConnection)
+    {
+        boost::asio::co_spawn(context, accept(), boost::asio::detached);
+    }
+
+    Address address() const { return { .host = "127.0.0.1", .port = m_acceptor.local_endpoint().port() }; }
+
+    /// Returns what was received, one text for each answer.
+    const std::vector<std::string>& received() const { return m_received; }
+
+    unsigned connections() const { return m_connections; }
+
+private:
+    using Socket = boost::asio::ip::tcp::socket;
+
+    boost::asio::awaitable<void> accept()
+    {
+        for (;;) {
+            Socket socket = co_await m_acceptor.async_accept(boost::asio::use_awaitable);
+            ++m_connections;
+            boost::asio::co_spawn(m_acceptor.get_executor(), serve(std::move(socket)), boost::asio::detached);
+        }
+    }
+
+    boost::asio::awaitable<void> serve(Socket socket)
+    {
+        std::string buf(65536, '\0');
+        for (std::size_t i = 0; i < m_answersPerConnection && m_next < m_answers.size(); ++i) {
+            boost::system::error_code ec;
+            auto token = boost::asio::redirect_error(boost::asio::use_awaitable, ec);
+            const auto n = co_await socket.async_read_some(boost::asio::buffer(buf), token);
+            if (ec)
+                co_return;
+            m_received.push_back(buf.substr(0, n));
+            const std::string answer = m_answers[m_next++];
+            co_await boost::asio::async_write(socket, boost::asio::buffer(answer), token);
+        }
+        if (m_isClosing)
+            co_return;
+        m_kept.push_back(std::move(socket));
+    }
+
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::vector<std::string> m_answers;
+    bool m_isClosing;
+    std::size_t m_answersPerConnection;
+    std::size_t m_next = 0;
+    std::vector<std::string> m_received;
+    std::vector<Socket> m_kept;
+    unsigned m_connections = 0;
+};
+
+} // namespace bulrushstack
--- /dev/null
+++ b/src/libserving/placement_lease_test.cpp
@@ -0,0 +1,132 @@
+#include "bulrushstack/serving/placement_lease.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace bulrushstack;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Address address { .host = "127.0.0.1", .port = 1 };
+
+struct Instance {
+    explicit Instance(std::string id, const Clock& instanceClock)
+        : lease({ .instanceId = std::move(id), .validity = 3s, .handoverPause = 3300ms })
+        , clock(instanceClock)
+    {
+    }
+
+    bool mayOrder() const { return lease.mayOrder(clock.bootNow()); }
+    bool shouldWrite() const { return lease.shouldWrite(clock.bootNow()); }
+
+    PlacementLease lease;
+    const Clock& clock;
+};
+
+struct Fixture {
+    ManualClock clock;
+    Instance first { "first", clock };
+    Instance second { "second", clock };
+
+    /// Lets the instance write the row, and the other one read it.
+    void write(Instance& writer, Instance& reader, std::uint64_t version)
+    {
+        writer.lease.noteWritten(version, address, clock.bootNow());
+        reader.lease.observe(writer.lease.record(), clock.bootNow());
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(APlacementLease, Fixture)
+
+BOOST_AUTO_TEST_CASE(IsTakenAtOnceWhereNobodyHeldIt)
+{
+    BOOST_TEST(!first.shouldWrite());
+    first.lease.observe(std::nullopt, clock.bootNow());
+    BOOST_TEST(first.shouldWrite());
+    BOOST_TEST(first.lease.expectedVersion() == 0u);
+    first.lease.noteWritten(7, address, clock.bootNow());
+    BOOST_TEST(first.mayOrder());
+    BOOST_TEST(first.lease.fence() == 7u);
+}
+
+BOOST_AUTO_TEST_CASE(KeepsItsFenceWhileItIsRenewed)
+{
+    first.lease.observe(std::nullopt, clock.bootNow());
+    first.lease.noteWritten(7, address, clock.bootNow());
+    BOOST_TEST(!first.shouldWrite());
+    clock.advance(1s);
+    BOOST_TEST(first.shouldWrite());
+    first.lease.noteWritten(9, address, clock.bootNow());
+    BOOST_TEST(first.lease.fence() == 7u);
+    BOOST_TEST(first.lease.expectedVersion() == 9u);
+}
+
+// Guards against two holders whose orders take turns.
+BOOST_AUTO_TEST_CASE(PassesOnOnlyAfterItsEndAndAPause)
+{
+    first.lease.observe(std::nullopt, clock.bootNow());
+    second.lease.observe(std::nullopt, clock.bootNow());
+    write(first, second, 1);
+    clock.advance(2999ms);
+    BOOST_TEST(first.mayOrder());
+    BOOST_TEST(!second.shouldWrite());
+    clock.advance(1ms);
+    BOOST_TEST(!first.mayOrder());
+    BOOST_TEST(second.shouldWrite());
+    write(second, first, 2);
+    clock.advance(3299ms);
+    BOOST_TEST(!second.mayOrder());
+    clock.advance(1ms);
+    second.lease.noteWritten(3, address, clock.bootNow());
+    BOOST_TEST(second.mayOrder());
+    BOOST_TEST(second.lease.fence() == 2u);
+    BOOST_TEST(!first.mayOrder());
+}
+
+BOOST_AUTO_TEST_CASE(IsNotTakenWhileItIsRenewed)
+{
+    write(first, second, 1);
+    clock.advance(2s);
+    write(first, second, 2);
+    clock.advance(2s);
+    BOOST_TEST(!second.shouldWrite());
+}
+
+// Guards against a holder that was suspended and goes on as if no time had passed.
+BOOST_AUTO_TEST_CASE(EndsForAHolderThatWasSuspended)
+{
+    write(first, second, 1);
+    clock.suspend(10s);
+    BOOST_TEST(!first.mayOrder());
+}
+
+// Guards against seconds without a holder when its process is restarted.
+BOOST_AUTO_TEST_CASE(IsTakenBackAtOnceByANewProcessOnTheSameInstance)
+{
+    const LeaseRecord record { .holder = "first", .address = address, .version = 4 };
+    first.lease.observe(record, clock.bootNow());
+    BOOST_TEST(first.shouldWrite());
+    first.lease.noteWritten(5, address, clock.bootNow());
+    BOOST_TEST(first.mayOrder());
+    BOOST_CHECK(first.lease.origin() == LeaseOrigin::EarlierProcess);
+}
+
+BOOST_AUTO_TEST_CASE(ThatWasGivenBackIsFreeButKeepsThePause)
+{
+    second.lease.observe(LeaseRecord { .holder = "", .version = 4 }, clock.bootNow());
+    BOOST_TEST(second.shouldWrite());
+    second.lease.noteWritten(5, address, clock.bootNow());
+    BOOST_TEST(!second.mayOrder());
+}
+
+// Guards against an answer that was overtaken by a newer one.
+BOOST_AUTO_TEST_CASE(IgnoresOlderReadings)
+{
+    second.lease.observe(LeaseRecord { .holder = "first", .version = 4 }, clock.bootNow());
+    second.lease.observe(LeaseRecord { .holder = "third", .version = 3 }, clock.bootNow());
+    BOOST_TEST(second.lease.record()->holder == "first");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/libserving/placement_planner_test.cpp
@@ -0,0 +1,194 @@
+#include "bulrushstack/serving/placement_planner.h"
+
+#include <boost/test/unit_test.hpp>
+#include <list>
+
+using namespace bulrushstack;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Upstreams of one service that carry out orders after a while, driven by plans every 150 ms.
+struct Fixture {
+    ManualClock clock;
+    DemandEstimate demand { clock };
+    ResidencyLedger ledger { clock, spec() };
+    std::list<UpstreamEntry> entries;
+    std::map<std::string, std::uint64_t> orders;
+    std::set<std::string> leaving;
+    struct Running {
+        PlannedChange change;
+        SteadyTime until;
+    };
+    std::vector<Running> running;
+    unsigned loads = 0;
+
+    static EngineSpec spec()
+    {
+        EngineSpec out { .slots = 8, .weightsMb = 100, .adapterSlots = 2, .loadsPerSecond = 2 };
+        for (const auto* name : { "a", "b", "c", "d", "e" })
+            out.models.push_back({ .name = name, .weightsMb = 40, .adapterMb = 1 });
+        return out;
+    }
+
+    void add(std::string id, std::vector<std::string> models)
+    {
+        UpstreamEntry entry { .id = std::move(id), .service = "s" };
+        for (auto& it : models)
+            entry.models.push_back({ .name = std::move(it) });
+        entries.push_back(entry);
+        update();
+        ledger.noteReport(entry.id, { .models = entry.models });
+    }
+
+    void update()
+    {
+        std::vector<const UpstreamEntry*> all;
+        for (const auto& it : entries)
+            all.push_back(&it);
+        ledger.update(all);
+    }
+
+    void ask(const std::string& model, double workPerSecond)
+    {
+        demand.add({ { .service = "s", .model = model, .requests = 1, .workMs = workPerSecond * 0.15 } });
+    }
+
+    unsigned copies(const std::string& model) const
+    {
+        unsigned out = 0;
+        for (const auto& [id, upstream] : ledger.upstreams())
+            out += leaving.count(id) ? 0 : upstream.held.count(model);
+        return out;
+    }
+
+    void step()
+    {
+        clock.advance(150ms);
+        for (auto it = running.begin(); it != running.end();) {
+            if (it->until > clock.now()) {
+                ++it;
+                continue;
+            }
+            complete(it->change);
+            it = running.erase(it);
+        }
+        update();
+        for (const auto& change : planPlacement("s", ledger, demand, leaving, {})) {
+            UpstreamOrder order { .kind = change.kind, .upstreamId = change.upstreamId, .model = change.model };
+            BOOST_REQUIRE(ledger.fits(order));
+            ledger.finish(ledger.begin(order), OrderAnswer::Accepted);
+            ++orders[change.upstreamId];
+            loads += change.kind == OrderKind::Load;
+            running.push_back({ change, clock.now() + (change.kind == OrderKind::Load ? 2s : 0s) });
+        }
+    }
+
+    void complete(const PlannedChange& change)
+    {
+        for (auto& it : entries) {
+            if (it.id != change.upstreamId)
+                continue;
+            if (change.kind == OrderKind::Load)
+                it.models.push_back({ .name = change.model });
+            else
+                std::erase_if(it.models, [&](const HeldModel& model) { return model.name == change.model; });
+            update();
+            ledger.noteReport(it.id, { .ordersAccepted = orders[it.id], .models = it.models });
+        }
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(APlan, Fixture)
+
+// Guards against a model that nobody can reach.
+BOOST_AUTO_TEST_CASE(LoadsAModelWithoutACopyFirst)
+{
+    add("u0", { "a" });
+    add("u1", { "b", "a" });
+    add("u2", { "c", "a" });
+    add("u3", { "d" });
+    ask("a", 5000);
+    const auto plan = planPlacement("s", ledger, demand, leaving, {});
+    BOOST_REQUIRE(!plan.empty());
+    BOOST_TEST(plan.front().model == "e");
+}
+
+BOOST_AUTO_TEST_CASE(MovesCopiesWithTheDemand)
+{
+    add("u0", { "a", "b" });
+    add("u1", { "a", "c" });
+    add("u2", { "a", "d" });
+    add("u3", { "a", "e" });
+    for (int i = 0; i < 60; ++i) {
+        ask("b", 1500);
+        step();
+    }
+    BOOST_TEST(copies("b") >= 3u);
+    for (const auto* model : { "a", "b", "c", "d", "e" })
+        BOOST_TEST(copies(model) >= 1u);
+}
+
+// Guards against loads without end between models whose demand is alike.
+BOOST_AUTO_TEST_CASE(RestsWhenDemandIsSpreadEvenly)
+{
+    add("u0", { "a", "b" });
+    add("u1", { "a", "c" });
+    add("u2", { "b", "d" });
+    add("u3", { "c", "e" });
+    for (int i = 0; i < 100; ++i) {
+        for (const auto* model : { "a", "b", "c" })
+            ask(model, 900 + (i % 7) * 40);
+        step();
+    }
+    BOOST_TEST(loads <= 2u);
+}
+
+BOOST_AUTO_TEST_CASE(NeverUnloadsALastCopy)
+{
+    add("u0", { "a", "b" });
+    add("u1", { "c", "d" });
+    add("u2", { "e" });
+    for (int i = 0; i < 60; ++i) {
+        ask("a", 5000);
+        step();
+        BOOST_TEST(copies("b") + copies("c") + copies("d") + copies("e") >= 4u);
+    }
+}
+
+// Guards against a model whose only copy leaves with its upstream.
+BOOST_AUTO_TEST_CASE(ReplacesCopiesOfALeavingUpstream)
+{
+    add("u0", { "a", "b" });
+    add("u1", { "c", "d" });
+    add("u2", { "e" });
+    add("u3", {});
+    leaving.insert("u0");
+    for (int i = 0; i < 60; ++i)
+        step();
+    BOOST_TEST(copies("a") == 1u);
+    BOOST_TEST(copies("b") == 1u);
+}
+
+BOOST_AUTO_TEST_SUITE(ForAnAdapter)
+
+BOOST_AUTO_TEST_CASE(TakesAFreePlaceAndThenTheOneThatWasAskedForLongestAgo)
+{
+    add("u0", { "a" });
+    const std::map<AdapterName, SteadyTime> asked { { { "a", "x1" }, clock.now() }, { { "a", "x2" }, clock.now() - 1s } };
+    for (const auto* adapter : { "x1", "x2" }) {
+        const auto choice = chooseAdapterPlace(ledger, { "a", adapter }, asked, leaving);
+        BOOST_TEST(choice.upstreamId == "u0");
+        BOOST_TEST(choice.evicted.first.empty());
+        auto order = ledger.begin({ .upstreamId = "u0", .model = "a", .adapter = adapter });
+        ledger.finish(order, OrderAnswer::Accepted);
+    }
+    const auto choice = chooseAdapterPlace(ledger, { "a", "x3" }, asked, leaving);
+    BOOST_TEST(choice.evicted.second == "x2");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/libserving/residency_ledger.cpp
+++ b/src/libserving/residency_ledger.cpp
@@ -40,16 +40,17 @@
     std::set<std::string> present;
     for (const auto* entry : entries) {
         present.insert(entry->id);
-        auto& upstream = m_upstreams[entry->id];
+        auto [it, isNew] = m_upstreams.try_emplace(entry->id);
+        auto& upstream = it->second;
         auto& member = m_members[entry->id];
         member.atHand.clear();
         member.atHand.insert(entry->modelsOnDisk.begin(), entry->modelsOnDisk.end());
         member.atHand.insert(entry->modelsInHostMemory.begin(), entry->modelsInHostMemory.end());
-        if (upstream.startedAt != entry->startedAt) {
+        if (isNew || upstream.startedAt != entry->startedAt) {
             upstream = UpstreamResidency { .id = entry->id, .startedAt = entry->startedAt };
             member.pending.reset();
-            for (const auto& it : entry->models)
-                upstream.held.insert(it.name);
+            for (const auto& model : entry->models)
+                upstream.held.insert(model.name);
         } else if (member.described != entry->models) {
             takeDescription(upstream, entry->models);
         }
--- /dev/null
+++ b/src/libserving/retry_policy_test.cpp
@@ -0,0 +1,87 @@
+#include "bulrushstack/serving/retry_policy.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace bulrushstack;
+using namespace std::chrono_literals;
+
+namespace {
+
+RouteSpec route(CallKind kind, unsigned maxAttempts, bool isResumable = false)
+{
+    return { .kind = kind, .maxAttempts = maxAttempts, .isResumable = isResumable };
+}
+
+const auto once = route(CallKind::NonIdempotent, 3);
+
+const FailedAttempt refused { .verdict = Verdict::NotRun, .upstreamsTried = 1, .timeLeft = 1s };
+const FailedAttempt unreachable {
+    .verdict = Verdict::NotRun, .wasSent = false, .upstreamsTried = 0, .connectFailures = 1, .timeLeft = 1s
+};
+const FailedAttempt lost { .verdict = Verdict::MayHaveRun, .upstreamsTried = 1, .upstreamsRun = 1, .timeLeft = 1s };
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(AfterAFailedAttempt)
+
+BOOST_AUTO_TEST_SUITE(ACallThatMayRunOnlyOnce)
+
+// Guards against a call that runs twice.
+BOOST_AUTO_TEST_CASE(EndsIfItMayHaveRun) { BOOST_CHECK(decideNextStep(once, lost) == NextStep::GiveUp); }
+
+BOOST_AUTO_TEST_CASE(GoesElsewhereIfItHasCertainlyNotRun)
+{
+    BOOST_CHECK(decideNextStep(once, refused) == NextStep::TryElsewhereOnBudget);
+    BOOST_CHECK(decideNextStep(once, unreachable) == NextStep::TryElsewhere);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ARepeatableCall)
+
+const auto repeatable = route(CallKind::Idempotent, 2);
+
+BOOST_AUTO_TEST_CASE(GoesElsewhereWithinItsAttempts)
+{
+    BOOST_CHECK(decideNextStep(repeatable, lost) == NextStep::TryElsewhereOnBudget);
+    auto second = lost;
+    second.upstreamsRun = 2;
+    BOOST_CHECK(decideNextStep(repeatable, second) == NextStep::GiveUp);
+}
+
+BOOST_AUTO_TEST_CASE(EndsWhenTheTimeIsOver)
+{
+    auto late = lost;
+    late.timeLeft = 1ms;
+    BOOST_CHECK(decideNextStep(repeatable, late) == NextStep::GiveUp);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(AStream)
+
+// Guards against a stream that is joined from two runs.
+BOOST_AUTO_TEST_CASE(EndsOnceEventsWentOutUnlessItCanBeContinued)
+{
+    auto cut = lost;
+    cut.hasOutput = true;
+    BOOST_CHECK(decideNextStep(route(CallKind::Stream, 2), cut) == NextStep::GiveUp);
+    BOOST_CHECK(decideNextStep(route(CallKind::Stream, 2, true), cut) == NextStep::GiveUp);
+    cut.canContinue = true;
+    BOOST_CHECK(decideNextStep(route(CallKind::Stream, 2, true), cut) == NextStep::TryElsewhereOnBudget);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// Guards against requests that try one full upstream after the other.
+BOOST_AUTO_TEST_CASE(RefusalsAndFailedConnectionsAreLimited)
+{
+    auto many = refused;
+    many.upstreamsTried = 3;
+    BOOST_CHECK(decideNextStep(once, many) == NextStep::GiveUp);
+    auto dead = unreachable;
+    dead.connectFailures = 4;
+    BOOST_CHECK(decideNextStep(once, dead) == NextStep::GiveUp);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/libserving/upstream_selection_test.cpp
@@ -0,0 +1,145 @@
+#include "bulrushstack/serving/upstream_selection.h"
+
+#include <boost/test/unit_test.hpp>
+#include <numeric>
+
+using namespace bulrushstack;
+using namespace std::chrono_literals;
+
+namespace {
+
+ServingRequest promptWith(std::string shared)
+{
+    return { .model = "tosca",
+        .prompt = { { .id = std::move(shared), .tokens = 6000 }, { .id = "own", .tokens = 1000 } },
+        .promptTokens = 7000 };
+}
+
+/// Some upstreams and the instances that send requests to them, each with its own view of the loads.
+struct Fixture {
+    ManualClock clock;
+    EngineSpec engine;
+    std::vector<UpstreamEntry> upstreams;
+    std::vector<UpstreamLoads> instances;
+
+    Fixture()
+    {
+        for (int i = 0; i < 6; ++i)
+            upstreams.push_back({ .id = "u" + std::to_string(i), .zone = "z", .slots = 16 });
+        for (int i = 0; i < 3; ++i)
+            instances.emplace_back(clock);
+    }
+
+    std::vector<const UpstreamEntry*> candidates() const
+    {
+        std::vector<const UpstreamEntry*> out;
+        for (const auto& it : upstreams)
+            out.push_back(&it);
+        return out;
+    }
+
+    std::vector<RatedUpstream> rate(const ServingRequest& request, const UpstreamLoads& loads) const
+    {
+        const SelectionInput input { .request = request,
+            .zone = "z",
+            .engine = request.model.empty() ? nullptr : &engine,
+            .latencyObjective = 500ms,
+            .prefillMsPerToken = 0.02 };
+        return rateUpstreams(input, candidates(), loads);
+    }
+
+    std::string best(const ServingRequest& request, const UpstreamLoads& loads) const
+    {
+        return rate(request, loads).front().upstream->id;
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ASelection, Fixture)
+
+BOOST_AUTO_TEST_SUITE(OnFewHotPrefixes)
+
+// Guards against each instance warming another upstream for the same prompt.
+BOOST_AUTO_TEST_CASE(IsAlikeOnAllInstances)
+{
+    for (int i = 0; i < 20; ++i) {
+        const auto request = promptWith("part" + std::to_string(i));
+        BOOST_TEST(best(request, instances[0]) == best(request, instances[1]));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(SpreadsDifferentPrefixes)
+{
+    std::set<std::string> used;
+    for (int i = 0; i < 50; ++i)
+        used.insert(best(promptWith("part" + std::to_string(i)), instances[0]));
+    BOOST_TEST(used.size() == upstreams.size());
+}
+
+// Guards against one hot prefix that queues on one upstream while others are idle.
+BOOST_AUTO_TEST_CASE(SpillsOverWhenReadingThePromptAgainIsFaster)
+{
+    const auto request = promptWith("hot");
+    std::map<std::string, int> chosen;
+    for (int i = 0; i < 60; ++i) {
+        const auto id = best(request, instances[0]);
+        instances[0].begin(id, 1000);
+        instances[0].notePrefix(id, prefixKey(request));
+        ++chosen[id];
+    }
+    BOOST_TEST(chosen.size() > 1u);
+    for (const auto& [id, n] : chosen)
+        BOOST_TEST(n < 40);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(OfPlainServices)
+
+const ServingRequest plain {};
+
+BOOST_AUTO_TEST_CASE(PrefersTheLeastLoaded)
+{
+    for (int i = 0; i < 5; ++i)
+        instances[0].begin("u" + std::to_string(i), 0);
+    BOOST_TEST(best(plain, instances[0]) == "u5");
+}
+
+BOOST_AUTO_TEST_CASE(BelievesAStatedLoadWhileItIsFresh)
+{
+    for (int i = 0; i < 5; ++i)
+        instances[0].noteFirstAnswer("u" + std::to_string(i), 0, StatedLoad { .running = 16, .waiting = 9 });
+    BOOST_TEST(best(plain, instances[0]) == "u5");
+    BOOST_TEST(instances[0].estimatedRequests("u0") > 20);
+    clock.advance(20s);
+    BOOST_TEST(instances[0].estimatedRequests("u0") < 1);
+}
+
+// Guards against an upstream that fails part of its calls and is taken for idle because it fails fast.
+BOOST_AUTO_TEST_CASE(AvoidsAnUpstreamThatFails)
+{
+    for (int round = 0; round < 3; ++round) {
+        instances[0].begin("u0", 0);
+        instances[0].end("u0", 0, true, AttemptOutcome::Failed);
+    }
+    for (int i = 1; i < 6; ++i)
+        instances[0].begin("u" + std::to_string(i), 0);
+    BOOST_TEST(rate(plain, instances[0]).back().upstream->id == "u0");
+    clock.advance(30s);
+    BOOST_TEST(rate(plain, instances[0]).front().upstream->id == "u0");
+}
+
+// Guards against no upstream at all when every one has refused.
+BOOST_AUTO_TEST_CASE(KeepsRefusedUpstreamsAsTheLastChoice)
+{
+    for (const auto& it : upstreams) {
+        instances[0].begin(it.id, 0);
+        instances[0].end(it.id, 0, false, AttemptOutcome::Refused);
+    }
+    BOOST_TEST(rate(plain, instances[0]).size() == upstreams.size());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
