--- a/src/include/bulrushstack/engine/model_engine.h
+++ b/src/include/bulrushstack/engine/model_engine.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "bulrushstack/serving/upstream_order.h"
 #include "bulrushstack/kernel/clock.h"
 #include "bulrushstack/kernel/result.h"
 #include "bulrushstack/kernel/settings.h"
 #include "bulrushstack/net/http.h"
+#include "bulrushstack/serving/upstream_order.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
--- a/src/include/bulrushstack/execution/model_requests.h
+++ b/src/include/bulrushstack/execution/model_requests.h
@@ -4,9 +4,9 @@
 #include "bulrushstack/execution/alarm.h"
 #include "bulrushstack/execution/problem.h"
 #include "bulrushstack/execution/request_context.h"
-#include "bulrushstack/serving/retry_budget.h"
 #include "bulrushstack/execution/upstream_selector.h"
 #include "bulrushstack/net/http_server.h"
+#include "bulrushstack/serving/retry_budget.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
--- a/src/include/bulrushstack/execution/service_calls.h
+++ b/src/include/bulrushstack/execution/service_calls.h
@@ -3,10 +3,10 @@
 #include "bulrushstack/engine/plain_service.h"
 #include "bulrushstack/execution/problem.h"
 #include "bulrushstack/execution/request_context.h"
-#include "bulrushstack/serving/retry_budget.h"
 #include "bulrushstack/execution/upstream_selector.h"
 #include "bulrushstack/kernel/runtime.h"
 #include "bulrushstack/platform/table_service.h"
+#include "bulrushstack/serving/retry_budget.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
--- a/src/include/bulrushstack/front/front_binding.h
+++ b/src/include/bulrushstack/front/front_binding.h
@@ -59,8 +59,7 @@
 
     /// Completes an error answer of the front itself; `retryAfter` is empty if another try is of no use.
     virtual void finishRefusal(HttpResponse& response, const std::string& requestId,
-        std::optional<std::chrono::milliseconds> retryAfter) const
-        = 0;
+        std::optional<std::chrono::milliseconds> retryAfter) const = 0;
 
     /// Returns whether the headers announce a series of events.
     virtual bool isEventStream(const HttpHeaders& headers) const = 0;
--- a/src/include/bulrushstack/serving/serving_configuration.h
+++ b/src/include/bulrushstack/serving/serving_configuration.h
@@ -79,10 +79,7 @@
     std::vector<WeightedService> services;
 
     /// Returns whether one request may run more than once.
-    bool isRepeatable() const
-    {
-        return kind == CallKind::Idempotent || (kind == CallKind::Stream && isResumable);
-    }
+    bool isRepeatable() const { return kind == CallKind::Idempotent || (kind == CallKind::Stream && isResumable); }
 
     friend bool operator==(const RouteSpec&, const RouteSpec&) = default;
 };
@@ -103,8 +100,8 @@
 /// One version of the routes and services. Immutable; shared by the requests that were admitted under it.
 class ServingConfiguration {
 public:
-    ServingConfiguration(std::uint64_t version, std::vector<RouteSpec> routes, std::vector<ServiceSpec> services,
-        RequestLimits limits);
+    ServingConfiguration(
+        std::uint64_t version, std::vector<RouteSpec> routes, std::vector<ServiceSpec> services, RequestLimits limits);
 
     std::uint64_t version() const { return m_version; }
     const std::vector<RouteSpec>& routes() const { return m_routes; }
--- a/src/libfront/directory_keeper.cpp
+++ b/src/libfront/directory_keeper.cpp
@@ -24,9 +24,9 @@
     // A call that a dead store never answers must end before a change that follows the store's return is due.
     const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(
         state.bounds().stablePeriod + state.bounds().configurationPeriod - callMargin);
-    return { .table = std::move(table),
-        .wait = std::clamp(wait, callMargin, longestWait),
-        .randomSeed = state.random() };
+    return {
+        .table = std::move(table), .wait = std::clamp(wait, callMargin, longestWait), .randomSeed = state.random()
+    };
 }
 
 } // namespace
--- a/src/libfront/front_service.cpp
+++ b/src/libfront/front_service.cpp
@@ -169,8 +169,7 @@
         keeper.onFirstReading = [this] { runtime.setReady("directory", true); };
         keeper.onConfiguration = [this](const ServingConfiguration& configuration) {
             runtime.setReady("configuration", true);
-            ingressServer.setLimits(
-                ingressOptions(settings.address("listen-address"), configuration.limits()));
+            ingressServer.setLimits(ingressOptions(settings.address("listen-address"), configuration.limits()));
         };
     }
 
@@ -268,10 +267,7 @@
             .kind = SettingKind::Address,
             .help = "where other instances reach this one",
             .required = true },
-        { .name = "metrics-address",
-            .kind = SettingKind::Address,
-            .help = "where metrics are read",
-            .required = true },
+        { .name = "metrics-address", .kind = SettingKind::Address, .help = "where metrics are read", .required = true },
         { .name = "store-address",
             .kind = SettingKind::Address,
             .help = "the platform's store",
--- a/src/libfront/front_state.cpp
+++ b/src/libfront/front_state.cpp
@@ -19,8 +19,8 @@
 
 } // namespace
 
-FrontState::FrontState(asio::io_context& context, const Clock& clock, std::string instanceId, std::string zone,
-    FrontBounds bounds)
+FrontState::FrontState(
+    asio::io_context& context, const Clock& clock, std::string instanceId, std::string zone, FrontBounds bounds)
     : m_context(context)
     , m_clock(clock)
     , m_instanceId(std::move(instanceId))
@@ -107,8 +107,7 @@
     pace += (sample < pace ? paceFall : paceRise) * (sample - pace);
 }
 
-void FrontState::noteDemand(
-    const std::string& service, const ServingRequest& request, double workMs, bool isPlaced)
+void FrontState::noteDemand(const std::string& service, const ServingRequest& request, double workMs, bool isPlaced)
 {
     auto& demand = m_demand[{ service, request.model }];
     demand.service = service;
--- a/src/libfront/placement_agent.cpp
+++ b/src/libfront/placement_agent.cpp
@@ -59,8 +59,8 @@
 
 } // namespace
 
-PlacementAgent::PlacementAgent(FrontState& state, HttpClient& client, FrontBinding& binding, FrontMetrics& metrics,
-    Address controlAddress)
+PlacementAgent::PlacementAgent(
+    FrontState& state, HttpClient& client, FrontBinding& binding, FrontMetrics& metrics, Address controlAddress)
     : m_state(state)
     , m_client(client)
     , m_binding(binding)
@@ -145,8 +145,8 @@
         record.holder = value.value("holder", "");
         record.address = parseAddress(value.value("address", "")).value_or(Address());
     }
-    const bool isOwnWrite = m_unansweredWrite && record.holder == m_state.instanceId()
-        && record.version > m_lease.expectedVersion();
+    const bool isOwnWrite
+        = m_unansweredWrite && record.holder == m_state.instanceId() && record.version > m_lease.expectedVersion();
     if (isOwnWrite)
         m_lease.noteWritten(record.version, m_controlAddress, *m_unansweredWrite);
     else
@@ -159,8 +159,8 @@
     const auto sentAt = m_state.clock().bootNow();
     Transaction write { .conditions = { { .id = leaseRow, .version = m_lease.expectedVersion() } },
         .writes = { { .id = leaseRow,
-            .value = nlohmann::json {
-                { "holder", m_state.instanceId() }, { "address", m_controlAddress.toString() } } } } };
+            .value
+            = nlohmann::json { { "holder", m_state.instanceId() }, { "address", m_controlAddress.toString() } } } } };
     auto version = co_await m_binding.tables().commit(std::move(write), m_state.clock().now() + leaseCallTimeout);
     if (version) {
         m_lease.noteWritten(*version, m_controlAddress, sentAt);
@@ -354,10 +354,9 @@
         if (answer != OrderAnswer::Accepted && answer != OrderAnswer::AlreadyHolds)
             co_return false;
     }
-    UpstreamOrder load { .kind = OrderKind::Load,
-        .upstreamId = choice.upstreamId,
-        .model = adapter.first,
-        .adapter = adapter.second };
+    UpstreamOrder load {
+        .kind = OrderKind::Load, .upstreamId = choice.upstreamId, .model = adapter.first, .adapter = adapter.second
+    };
     const auto answer = co_await giveOrder(std::move(service), std::move(load), "adapter-asked");
     if (answer == OrderAnswer::Accepted)
         co_await pause(adapterArrival);
--- a/src/libfront/placement_agent.h
+++ b/src/libfront/placement_agent.h
@@ -21,8 +21,8 @@
 /// this instance to the holder otherwise. Other instances reach it through its HttpHandler.
 class PlacementAgent final : public AdapterPlacement, public HttpHandler {
 public:
-    PlacementAgent(FrontState& state, HttpClient& client, FrontBinding& binding, FrontMetrics& metrics,
-        Address controlAddress);
+    PlacementAgent(
+        FrontState& state, HttpClient& client, FrontBinding& binding, FrontMetrics& metrics, Address controlAddress);
 
     /// Starts the loops; they run until stop().
     void start();
--- a/src/libfront/request_run.cpp
+++ b/src/libfront/request_run.cpp
@@ -118,8 +118,7 @@
     m_state.budget(m_service->name).noteRequest();
     if (m_service->engine) {
         const ServingRequest base { .model = m_request.model };
-        m_state.noteDemand(
-            m_service->name, m_request, workMs(), !m_state.holders(m_service->name, base).empty());
+        m_state.noteDemand(m_service->name, m_request, workMs(), !m_state.holders(m_service->name, base).empty());
     }
     for (;;) {
         const auto chosen = co_await chooseUpstream();
@@ -230,8 +229,7 @@
     const double own = m_request.prompt.empty() ? m_request.promptTokens : m_request.prompt.back().tokens;
     const double shared = std::max(0.0, m_request.promptTokens - own);
     const double output = m_request.expectedOutputTokens.value_or(m_request.outputTokens);
-    return (own + sharedPartWork * shared + outputTokenWork * output)
-        * m_state.prefillMsPerToken(m_request.model);
+    return (own + sharedPartWork * shared + outputTokenWork * output) * m_state.prefillMsPerToken(m_request.model);
 }
 
 asio::awaitable<std::optional<Failure>> RequestRun::attempt(const RatedUpstream& chosen)
@@ -445,11 +443,10 @@
         if (co_await services.client.isListening(address, crashProbeTimeout))
             co_return;
         services.state.suspects().noteCrash(digest);
-        LOG(WARNING) << "event=crash-suspected request=" << request << " upstream=" << upstream
-                     << " digest=" << digest;
+        LOG(WARNING) << "event=crash-suspected request=" << request << " upstream=" << upstream << " digest=" << digest;
     };
-    spawnLogged(m_state.context(), probe(m_services, attempt.address, attempt.id, m_digest, m_request.id),
-        "crash-probe");
+    spawnLogged(
+        m_state.context(), probe(m_services, attempt.address, attempt.id, m_digest, m_request.id), "crash-probe");
 }
 
 bool RequestRun::mayTryAgain(const Failure& failure)
@@ -468,10 +465,10 @@
     const std::string_view decision = isAllowed ? "retry" : step == NextStep::GiveUp ? "give-up" : "no-budget";
     m_services.metrics.noteRetry(decision);
     LOG(INFO) << "event=attempt-failed request=" << m_request.id << " upstream=" << m_lastUpstream
-              << " verdict=" << toString(failure.verdict) << " decision=" << decision
-              << " tried=" << m_upstreamsTried << " run=" << m_upstreamsRun << " left_ms=" << timeLeft().count()
-              << " budget=" << m_state.budget(m_service->name).balance() << " error=\""
-              << failure.code.message() << ": " << failure.detail << "\"";
+              << " verdict=" << toString(failure.verdict) << " decision=" << decision << " tried=" << m_upstreamsTried
+              << " run=" << m_upstreamsRun << " left_ms=" << timeLeft().count()
+              << " budget=" << m_state.budget(m_service->name).balance() << " error=\"" << failure.code.message()
+              << ": " << failure.detail << "\"";
     return isAllowed;
 }
 
--- a/src/libfront/table_follower.h
+++ b/src/libfront/table_follower.h
@@ -35,8 +35,7 @@
 /// history. Failed calls are repeated after a growing pause.
 class TableFollower {
 public:
-    TableFollower(
-        boost::asio::io_context& context, const Clock& clock, TableFeed& feed, TableFollowerOptions options,
+    TableFollower(boost::asio::io_context& context, const Clock& clock, TableFeed& feed, TableFollowerOptions options,
         TableObserver& observer);
 
     /// Runs until stop().
--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -291,9 +291,9 @@
     asio::awaitable<Result<void>> next() override
     {
         if (m_parser->need_eof() || !m_parser->keep_alive())
-            co_return Failure {
-                .code = Errc::Malformed, .verdict = Verdict::MayHaveRun, .detail = "a stray response ends the connection"
-            };
+            co_return Failure { .code = Errc::Malformed,
+                .verdict = Verdict::MayHaveRun,
+                .detail = "a stray response ends the connection" };
         m_isKept = true;
         auto rest = co_await readAll();
         m_isKept = false;
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -283,8 +283,7 @@
     connections.erase(connection);
 }
 
-asio::awaitable<beast::error_code> HttpServer::State::readHeaderSection(
-    Connection& connection, std::string_view& fault)
+asio::awaitable<beast::error_code> HttpServer::State::readHeaderSection(Connection& connection, std::string_view& fault)
 {
     static constexpr std::string_view endOfHeader = "\r\n\r\n";
     for (;;) {
--- a/src/libnet/http_server_test.cpp
+++ b/src/libnet/http_server_test.cpp
@@ -64,8 +64,7 @@
 BOOST_AUTO_TEST_CASE(UnknownTransferCodingsAreRefused)
 {
     for (const std::string coding : { "xchunked", "chunked, identity", "gzip, chunked", "identity" }) {
-        const auto answer
-            = sendRaw("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: " + coding + "\r\n\r\n0\r\n\r\n");
+        const auto answer = sendRaw("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: " + coding + "\r\n\r\n0\r\n\r\n");
         const bool isRefused = answer.starts_with("HTTP/1.1 501") || answer.starts_with("HTTP/1.1 400");
         BOOST_TEST(isRefused, coding);
     }
--- a/src/libserving/placement_planner.cpp
+++ b/src/libserving/placement_planner.cpp
@@ -96,8 +96,7 @@
     const UpstreamResidency* best = nullptr;
     std::pair<bool, double> bestRank;
     for (const auto& [id, upstream] : state.ledger().upstreams()) {
-        if (!state.canOrder(upstream) || upstream.charges(model.name)
-            || state.ledger().freeMb(id) < model.weightsMb)
+        if (!state.canOrder(upstream) || upstream.charges(model.name) || state.ledger().freeMb(id) < model.weightsMb)
             continue;
         const bool isStoreLoad = state.ledger().isStoreLoad(id, model.name);
         if (isStoreLoad && !isStoreAllowed)
@@ -151,8 +150,8 @@
     for (const auto& model : state.ledger().engine().models)
         out.push_back(&model);
     const auto rank = [&](const ModelSpec* model) {
-        return std::tuple(state.copies(model->name) == 0 ? 0 : 1, -state.unplaced(model->name),
-            -state.workPerCopy(model->name));
+        return std::tuple(
+            state.copies(model->name) == 0 ? 0 : 1, -state.unplaced(model->name), -state.workPerCopy(model->name));
     };
     std::stable_sort(out.begin(), out.end(), [&](const auto* a, const auto* b) { return rank(a) < rank(b); });
     return out;
--- a/src/libserving/placement_planner_test.cpp
+++ b/src/libserving/placement_planner_test.cpp
@@ -177,7 +177,8 @@
 BOOST_AUTO_TEST_CASE(TakesAFreePlaceAndThenTheOneThatWasAskedForLongestAgo)
 {
     add("u0", { "a" });
-    const std::map<AdapterName, SteadyTime> asked { { { "a", "x1" }, clock.now() }, { { "a", "x2" }, clock.now() - 1s } };
+    const std::map<AdapterName, SteadyTime> asked { { { "a", "x1" }, clock.now() },
+        { { "a", "x2" }, clock.now() - 1s } };
     for (const auto* adapter : { "x1", "x2" }) {
         const auto choice = chooseAdapterPlace(ledger, { "a", adapter }, asked, leaving);
         BOOST_TEST(choice.upstreamId == "u0");
--- a/src/libserving/residency_ledger.cpp
+++ b/src/libserving/residency_ledger.cpp
@@ -14,7 +14,6 @@
 constexpr std::chrono::seconds loadWindow { 5 };
 constexpr double loadHeadroom = 0.95;
 
-
 } // namespace
 
 ResidencyLedger::ResidencyLedger(const Clock& clock, EngineSpec engine)
--- a/src/libserving/suspect_requests.cpp
+++ b/src/libserving/suspect_requests.cpp
@@ -72,8 +72,7 @@
 
 void SuspectRequests::forgetOld()
 {
-    std::erase_if(
-        m_suspects, [&](const auto& it) { return m_clock.now() - it.second.lastCrash >= suspicionLifetime; });
+    std::erase_if(m_suspects, [&](const auto& it) { return m_clock.now() - it.second.lastCrash >= suspicionLifetime; });
     if (m_suspects.size() < suspectLimit)
         return;
     m_suspects.erase(std::min_element(m_suspects.begin(), m_suspects.end(),
--- a/src/libserving/upstream_loads.cpp
+++ b/src/libserving/upstream_loads.cpp
@@ -137,8 +137,7 @@
 
 void UpstreamLoads::retain(const ServingDirectory& directory)
 {
-    std::erase_if(m_records,
-        [&](const auto& it) { return it.second.load.inFlight == 0 && !directory.find(it.first); });
+    std::erase_if(m_records, [&](const auto& it) { return it.second.load.inFlight == 0 && !directory.find(it.first); });
 }
 
 } // namespace bulrushstack
