Weigh demand by what a run takes of the batch or the memory

The lease's version now travels with the answers to demand messages, and the lease is valid for 2 s, so that a successor need not read the row first. Ruled out: missing upstreams and orders (orders went out, for other models).

--- a/src/include/bulrushstack/front/placement_messages.h
+++ b/src/include/bulrushstack/front/placement_messages.h
@@ -41,6 +41,7 @@
 /// What the holder answers.
 struct DemandReply {
     bool isHolder = false; ///< false: the lease has to be read again
+    std::uint64_t leaseVersion = 0; ///< of the lease's row when it was renewed last
     unsigned instances = 1; ///< that report their demand
     std::vector<RetiringCopy> retiring;
     std::vector<CrashCount> crashes;
--- a/src/libfront/placement_agent.cpp
+++ b/src/libfront/placement_agent.cpp
@@ -22,6 +22,8 @@
 constexpr std::chrono::milliseconds leaseCallTimeout { 900 };
 constexpr std::chrono::milliseconds leaseReadInterval { 800 };
 constexpr std::chrono::milliseconds leaseFailurePause { 250 };
+constexpr std::chrono::milliseconds leaseValidity { 2000 }; ///< longer than a store that is slow takes for a renewal
+constexpr std::chrono::milliseconds leaseRenewInterval { 700 };
 constexpr std::chrono::milliseconds handoverMargin { 400 }; ///< beside the period that the platform demands
 constexpr std::chrono::milliseconds contactTimeout { 1200 };
 
@@ -48,8 +50,9 @@
 LeaseOptions leaseOptions(const FrontState& state)
 {
     return { .instanceId = state.instanceId(),
-        .validity = state.bounds().leasePeriod,
-        .handoverPause = state.bounds().leasePeriod + handoverMargin };
+        .validity = leaseValidity,
+        .handoverPause = state.bounds().leasePeriod + handoverMargin,
+        .renewInterval = leaseRenewInterval };
 }
 
 HttpResponse jsonRefusal(unsigned status, std::string_view reason)
@@ -232,6 +235,9 @@
         LOG(INFO) << "event=dependency-regained dependency=placement-holder holder=" << holder->holder
                   << " version=" << holder->version;
     m_lastContact = m_state.clock().now();
+    LeaseRecord renewed = *m_lease.record();
+    renewed.version = reply->leaseVersion;
+    m_lease.observe(std::move(renewed), m_state.clock().bootNow());
     m_state.setInstances(reply->instances);
     m_state.setRetiring(reply->retiring);
     m_state.suspects().merge(reply->crashes);
@@ -253,7 +259,7 @@
     }
     m_reporters[message.instance] = now;
     std::erase_if(m_reporters, [&](const auto& it) { return now - it.second > reporterLifetime; });
-    DemandReply out { .isHolder = true, .instances = static_cast<unsigned>(m_reporters.size()) };
+    DemandReply out { .isHolder = true, .leaseVersion = m_lease.expectedVersion(), .instances = static_cast<unsigned>(m_reporters.size()) };
     for (const auto& [service, placement] : m_services) {
         for (const auto& [id, upstream] : placement.ledger.upstreams()) {
             for (const auto& model : upstream.unloading)
--- a/src/libfront/request_run.cpp
+++ b/src/libfront/request_run.cpp
@@ -35,7 +35,7 @@
 constexpr Milliseconds refusedRetryAfter { 300 };
 constexpr Milliseconds residencyRetryAfter { 1000 };
 constexpr unsigned staleAnswerLimit = 3;
-constexpr double outputTokenWork = 7; ///< work of an output token, in prompt tokens
+constexpr double outputTokenMs = 10; ///< of a step of a batch that also reads prompts
 constexpr double sharedPartWork = 0.3; ///< share of the shared parts that is not in a cache
 constexpr Milliseconds patientObjective { 2000 }; ///< routes with a longer objective come behind others of their rank
 constexpr unsigned lowestUrgency = 9;
@@ -229,7 +229,12 @@
     const double own = m_request.prompt.empty() ? m_request.promptTokens : m_request.prompt.back().tokens;
     const double shared = std::max(0.0, m_request.promptTokens - own);
     const double output = m_request.expectedOutputTokens.value_or(m_request.outputTokens);
-    return (own + sharedPartWork * shared + outputTokenWork * output) * m_state.prefillMsPerToken(m_request.model);
+    const auto& engine = *m_service->engine;
+    const double memoryShare
+        = (m_request.promptTokens + output) / static_cast<double>(std::max<std::uint64_t>(1, engine.kvCapacityTokens));
+    // A run takes its share of the batch or of the memory, whichever is scarcer, for as long as it lasts.
+    const double share = std::max(1.0 / engine.slots, memoryShare);
+    return (own + sharedPartWork * shared) * m_state.prefillMsPerToken(m_request.model) + share * output * outputTokenMs;
 }
 
 asio::awaitable<std::optional<Failure>> RequestRun::attempt(const RatedUpstream& chosen)
