--- a/src/include/bulrushstack/front/placement_messages.h
+++ b/src/include/bulrushstack/front/placement_messages.h
@@ -26,6 +26,7 @@
     std::vector<ModelDemand> models;
     std::vector<AdapterDemand> adapters;
     std::vector<CrashCount> crashes;
+    std::vector<std::string> unreachable; ///< upstreams that refused a connection lately
 
     friend bool operator==(const DemandMessage&, const DemandMessage&) = default;
 };
--- a/src/include/bulrushstack/serving/upstream_loads.h
+++ b/src/include/bulrushstack/serving/upstream_loads.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace bulrushstack {
 
@@ -39,6 +40,7 @@
     double failureShare = 0; ///< recent attempts that failed, 0 to 1
     std::optional<SteadyTime> failureAt;
     std::optional<SteadyTime> avoidUntil; ///< refused or unreachable
+    std::optional<SteadyTime> unreachableAt; ///< when the last connection failed
 };
 
 /// Load and failures of the upstreams as this instance sees them; no I/O.
@@ -66,6 +68,9 @@
     /// Returns the share of recent attempts that failed, fading with time.
     double failureShare(const std::string& id) const;
 
+    /// Returns the upstreams to which a connection failed within the given time.
+    std::vector<std::string> unreachable(std::chrono::nanoseconds within) const;
+
     bool isAvoided(const std::string& id) const;
     unsigned inFlight(const std::string& id) const;
     double prefillBacklog(const std::string& id) const;
--- a/src/libfront/front_state.cpp
+++ b/src/libfront/front_state.cpp
@@ -15,6 +15,7 @@
 constexpr double paceRise = 0.02; ///< weight of an observation above the pace, which other work may have caused
 constexpr double paceFall = 0.3;
 constexpr double firstEventBaseMs = 12; ///< of a prompt that is already in the cache
+constexpr std::chrono::milliseconds unreachableNews { 1000 }; ///< age up to which a failed connection is reported
 constexpr double tokensForPace = 300; ///< fewer say little about the time for each
 
 } // namespace
@@ -130,6 +131,7 @@
     for (const auto& [service, model, adapter] : m_adapterDemand)
         out.adapters.push_back({ .service = service, .model = model, .adapter = adapter });
     out.crashes = m_suspects.takeNews();
+    out.unreachable = m_loads.unreachable(unreachableNews);
     m_demand.clear();
     m_adapterDemand.clear();
     m_hasUrgentDemand = false;
--- a/src/libfront/placement_agent.cpp
+++ b/src/libfront/placement_agent.cpp
@@ -32,6 +32,9 @@
 constexpr std::chrono::milliseconds reportTimeout { 500 };
 constexpr std::chrono::seconds longestBusy { 10 }; ///< then the state of the upstream is read again
 
+constexpr std::chrono::milliseconds reachabilityTimeout { 250 };
+constexpr std::chrono::milliseconds reachabilityInterval { 700 };
+
 constexpr std::chrono::milliseconds shortestReportInterval { 400 };
 constexpr std::chrono::milliseconds reportIntervalPerInstance { 20 };
 constexpr std::chrono::milliseconds urgentReportInterval { 60 };
@@ -257,6 +260,10 @@
         for (std::uint32_t i = 0; i < it.crashes; ++i)
             m_state.suspects().noteCrash(it.digest);
     }
+    for (const auto& it : message.unreachable) {
+        if (m_state.directory().find(it) && !m_down.count(it) && m_checking.insert(it).second)
+            spawnLogged(m_state.context(), checkReachable(it), "reachability");
+    }
     m_reporters[message.instance] = now;
     std::erase_if(m_reporters, [&](const auto& it) { return now - it.second > reporterLifetime; });
     DemandReply out { .isHolder = true, .leaseVersion = m_lease.expectedVersion(), .instances = static_cast<unsigned>(m_reporters.size()) };
@@ -429,7 +436,8 @@
         if (entry->service != service.name)
             continue;
         entries.push_back(entry);
-        if (entry->isDraining)
+        const auto down = m_down.find(entry->id);
+        if (entry->isDraining || (down != m_down.end() && down->second == entry->startedAt))
             placement.leaving.insert(entry->id);
     }
     placement.ledger.update(entries);
@@ -489,6 +497,29 @@
     }
 }
 
+/// An instance that is cut off reports everything as unreachable; the holder therefore looks for itself, and goes on
+/// looking until the upstream accepts connections again or is no longer in the directory.
+asio::awaitable<void> PlacementAgent::checkReachable(std::string upstream)
+{
+    while (!m_isStopped) {
+        const auto* entry = m_state.directory().find(upstream);
+        if (!entry)
+            break;
+        const auto startedAt = entry->startedAt;
+        const bool isListening = co_await m_client.isListening(entry->address, reachabilityTimeout);
+        const bool wasDown = m_down.count(upstream) > 0;
+        if (isListening != !wasDown)
+            LOG(WARNING) << "event=dependency-" << (isListening ? "regained" : "lost")
+                         << " dependency=upstream upstream=" << upstream << " started_at=" << startedAt;
+        if (isListening)
+            break;
+        m_down[upstream] = startedAt;
+        co_await pause(reachabilityInterval);
+    }
+    m_down.erase(upstream);
+    m_checking.erase(upstream);
+}
+
 asio::awaitable<OrderAnswer> PlacementAgent::giveOrder(std::string service, UpstreamOrder order, std::string reason)
 {
     auto* placement = findPlacement(service);
--- a/src/libfront/placement_agent.h
+++ b/src/libfront/placement_agent.h
@@ -42,7 +42,7 @@
 
         ResidencyLedger ledger;
         std::map<AdapterName, SteadyTime> asked; ///< when each adapter was last asked for
-        std::set<std::string> leaving; ///< upstreams that are draining
+        std::set<std::string> leaving; ///< upstreams that are draining or refuse connections
         std::set<std::string> reading; ///< upstreams whose state is being read
         std::set<AdapterName> placing; ///< adapters that are being loaded
     };
@@ -65,6 +65,7 @@
     void readUnknown(const std::string& service, ServicePlacement& placement);
     ServicePlacement* findPlacement(const std::string& service);
 
+    boost::asio::awaitable<void> checkReachable(std::string upstream);
     boost::asio::awaitable<OrderAnswer> giveOrder(std::string service, UpstreamOrder order, std::string reason);
     boost::asio::awaitable<void> readUpstream(std::string service, std::string upstream);
     boost::asio::awaitable<Result<std::string>> placeHere(AdapterDemand adapter, SteadyTime deadline);
@@ -88,6 +89,8 @@
     DemandEstimate m_demand;
     std::map<std::string, SteadyTime> m_reporters; ///< instances, by when they last reported
     std::map<std::string, ServicePlacement> m_services;
+    std::set<std::string> m_checking; ///< upstreams to which a connection is being tried
+    std::map<std::string, std::uint64_t> m_down; ///< upstreams that refuse connections, by their start time
 };
 
 } // namespace bulrushstack
--- a/src/libfront/placement_messages.cpp
+++ b/src/libfront/placement_messages.cpp
@@ -7,7 +7,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ModelDemand, service, model, requests, workMs, unplaced)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CrashCount, digest, crashes)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AdapterDemand, service, model, adapter, refusedBy)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(DemandMessage, instance, models, adapters, crashes)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(DemandMessage, instance, models, adapters, crashes, unreachable)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RetiringCopy, upstream, model)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(DemandReply, isHolder, leaseVersion, instances, retiring, crashes)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AdapterReply, upstream)
--- a/src/libserving/placement_planner.cpp
+++ b/src/libserving/placement_planner.cpp
@@ -2,11 +2,17 @@
 
 #include <algorithm>
 #include <optional>
+#include <tuple>
 
 namespace bulrushstack {
 
 namespace {
 
+constexpr double missingWeight = 3; ///< of the work of a model that no upstream can serve, against one that is busy
+constexpr double unplacedRequestWork = 300; ///< of a request that waits for its model or was refused
+constexpr double idleModelWork = 50; ///< of a missing model that nobody asks for
+constexpr unsigned loadsOfOneModel = 2; ///< copies that are loaded at the same time beside as many that serve
+
 /// The copies and the demand of each model, as far as a plan has gone.
 class PlanState {
 public:
@@ -16,42 +22,40 @@
         , m_leaving(leaving)
     {
         for (const auto& model : ledger.engine().models) {
-            m_work[model.name] = demand.workRate(service, model.name);
-            m_unplaced[model.name] = demand.unplaced(service, model.name);
-            m_copies[model.name] = 0;
+            auto& state = m_models[model.name];
+            state.work = demand.workRate(service, model.name);
+            state.unplaced = demand.unplaced(service, model.name);
         }
         for (const auto& [id, upstream] : ledger.upstreams()) {
             if (leaving.count(id))
                 continue;
             for (const auto& it : upstream.held)
-                ++m_copies[it];
+                ++m_models[it].held;
             for (const auto& it : upstream.loading)
-                ++m_copies[it];
+                ++m_models[it].loading;
         }
     }
 
-    double work(const std::string& model) const
-    {
-        auto it = m_work.find(model);
-        return it == m_work.end() ? 0 : it->second;
-    }
+    unsigned copies(const std::string& model) const { return find(model).held + find(model).loading; }
 
-    double unplaced(const std::string& model) const
+    /// Returns whether as many copies are being loaded as are sensible before their effect is seen.
+    bool isLoadingEnough(const std::string& model) const
     {
-        auto it = m_unplaced.find(model);
-        return it == m_unplaced.end() ? 0 : it->second;
+        return find(model).loading >= std::max(loadsOfOneModel, find(model).held);
     }
 
-    unsigned copies(const std::string& model) const
-    {
-        auto it = m_copies.find(model);
-        return it == m_copies.end() ? 0 : it->second;
-    }
-
-    double workPerCopy(const std::string& model) const { return work(model) / std::max(1U, copies(model)); }
+    double workPerCopy(const std::string& model) const { return find(model).work / std::max(1U, copies(model)); }
 
     /// Returns the work for each copy that stays when one copy goes.
-    double workAfterUnload(const std::string& model) const { return work(model) / (copies(model) - 1.0); }
+    double workAfterUnload(const std::string& model) const { return find(model).work / (copies(model) - 1.0); }
+
+    /// Returns how urgently a model needs another copy, in milliseconds of work per second.
+    double need(const std::string& model) const
+    {
+        if (copies(model) > 0)
+            return workPerCopy(model);
+        return missingWeight * find(model).work + unplacedRequestWork * find(model).unplaced + idleModelWork;
+    }
 
     double workOf(const UpstreamResidency& upstream) const
     {
@@ -70,74 +74,93 @@
             && !m_ledger.unsettled(upstream.id);
     }
 
+    /// Returns whether the plan has taken a copy of the model already.
+    bool isUnloaded(const std::string& model) const { return find(model).isUnloaded; }
+
     void use(const PlannedChange& change)
     {
         m_used.insert(change.upstreamId);
-        if (change.kind == OrderKind::Load)
-            ++m_copies[change.model];
-        else
-            --m_copies[change.model];
+        auto& state = m_models[change.model];
+        if (change.kind == OrderKind::Load) {
+            ++state.loading;
+            return;
+        }
+        --state.held;
+        state.isUnloaded = true;
     }
 
     const ResidencyLedger& ledger() const { return m_ledger; }
 
 private:
+    struct ModelState {
+        double work = 0;
+        double unplaced = 0;
+        unsigned held = 0;
+        unsigned loading = 0;
+        bool isUnloaded = false;
+    };
+
+    const ModelState& find(const std::string& model) const
+    {
+        static const ModelState unknown;
+        auto it = m_models.find(model);
+        return it == m_models.end() ? unknown : it->second;
+    }
+
     const ResidencyLedger& m_ledger;
     const std::set<std::string>& m_leaving;
-    std::map<std::string, double> m_work;
-    std::map<std::string, double> m_unplaced;
-    std::map<std::string, unsigned> m_copies;
-    std::set<std::string> m_used;
+    std::map<std::string, ModelState> m_models;
+    std::set<std::string> m_used; ///< upstreams that get an order in this plan
+};
+
+/// An upstream on which a model can be loaded, now or after one of its models is unloaded.
+struct Place {
+    const UpstreamResidency* upstream = nullptr;
+    std::string unloaded; ///< model that has to go first; empty if there is room
+    bool isStoreLoad = false;
 };
 
 /// Returns the upstream that can load the model into free memory: with a copy at hand first, then the least busy.
-const UpstreamResidency* findRoom(const PlanState& state, const ModelSpec& model, bool isStoreAllowed)
+std::optional<Place> findRoom(const PlanState& state, const ModelSpec& model, bool isStoreAllowed)
 {
-    const UpstreamResidency* best = nullptr;
+    std::optional<Place> best;
     std::pair<bool, double> bestRank;
     for (const auto& [id, upstream] : state.ledger().upstreams()) {
         if (!state.canOrder(upstream) || upstream.charges(model.name) || state.ledger().freeMb(id) < model.weightsMb)
             continue;
         const bool isStoreLoad = state.ledger().isStoreLoad(id, model.name);
-        if (isStoreLoad && !isStoreAllowed)
-            continue;
         const std::pair<bool, double> rank { isStoreLoad, state.workOf(upstream) };
-        if (!best || rank < bestRank) {
-            best = &upstream;
-            bestRank = rank;
-        }
+        if ((isStoreLoad && !isStoreAllowed) || (best && bestRank <= rank))
+            continue;
+        best = Place { .upstream = &upstream, .unloaded = {}, .isStoreLoad = isStoreLoad };
+        bestRank = rank;
     }
     return best;
 }
 
-struct Victim {
-    const UpstreamResidency* upstream = nullptr;
-    std::string model;
-    double remainingWork = 0; ///< for each copy that stays
-};
-
-/// Returns the copy whose loss costs least and whose upstream could then load the model.
-std::optional<Victim> findVictim(const PlanState& state, const ModelSpec& wanted, bool isStoreAllowed)
+/// Returns the copy whose loss costs least and whose upstream could then load the model: with a copy at hand first,
+/// since that load takes a fraction of the time and nothing of the weight store's rate. `mostRemaining` is the most
+/// work that may be left for each copy that stays.
+std::optional<Place> findVictim(
+    const PlanState& state, const ModelSpec& wanted, bool isStoreAllowed, double mostRemaining)
 {
-    std::optional<Victim> best;
-    std::tuple<double, bool, double> bestRank;
+    std::optional<Place> best;
+    std::tuple<bool, double, double> bestRank;
     for (const auto& [id, upstream] : state.ledger().upstreams()) {
-        if (!state.canOrder(upstream) || upstream.charges(wanted.name))
-            continue;
         const bool isStoreLoad = state.ledger().isStoreLoad(id, wanted.name);
-        if (isStoreLoad && !isStoreAllowed)
+        if (!state.canOrder(upstream) || upstream.charges(wanted.name) || (isStoreLoad && !isStoreAllowed))
             continue;
         for (const auto& model : upstream.held) {
             const auto* spec = state.ledger().engine().findModel(model);
             const double freed = state.ledger().freeMb(id) + (spec ? spec->weightsMb : 0);
-            if (state.copies(model) < 2 || freed < wanted.weightsMb)
+            if (state.copies(model) < 2 || freed < wanted.weightsMb || state.isUnloaded(model))
                 continue;
             const double remaining = state.workAfterUnload(model);
-            const std::tuple<double, bool, double> rank { remaining, isStoreLoad, state.workOf(upstream) };
-            if (!best || rank < bestRank) {
-                best = Victim { .upstream = &upstream, .model = model, .remainingWork = remaining };
-                bestRank = rank;
-            }
+            const std::tuple<bool, double, double> rank { isStoreLoad, remaining, state.workOf(upstream) };
+            if (remaining > mostRemaining || (best && bestRank <= rank))
+                continue;
+            best = Place { .upstream = &upstream, .unloaded = model, .isStoreLoad = isStoreLoad };
+            bestRank = rank;
         }
     }
     return best;
@@ -149,29 +172,22 @@
     std::vector<const ModelSpec*> out;
     for (const auto& model : state.ledger().engine().models)
         out.push_back(&model);
-    const auto rank = [&](const ModelSpec* model) {
-        return std::tuple(
-            state.copies(model->name) == 0 ? 0 : 1, -state.unplaced(model->name), -state.workPerCopy(model->name));
-    };
-    std::stable_sort(out.begin(), out.end(), [&](const auto* a, const auto* b) { return rank(a) < rank(b); });
+    std::stable_sort(out.begin(), out.end(),
+        [&](const auto* a, const auto* b) { return state.need(a->name) > state.need(b->name); });
     return out;
 }
 
-std::optional<PlannedChange> planModel(const PlanState& state, const ModelSpec& model, const PlannerOptions& options)
+std::optional<Place> findPlace(
+    const PlanState& state, const ModelSpec& model, bool isStoreAllowed, const PlannerOptions& options)
 {
     const bool isMissing = state.copies(model.name) == 0;
-    const double need = state.workPerCopy(model.name);
-    if (!isMissing && need < options.busyCopyWork)
+    const double need = state.need(model.name);
+    if ((!isMissing && need < options.busyCopyWork) || state.isLoadingEnough(model.name))
         return std::nullopt;
-    const bool isStoreAllowed = state.ledger().storeLoadAllowance() > 0;
-    if (const auto* upstream = findRoom(state, model, isStoreAllowed))
-        return PlannedChange { OrderKind::Load, upstream->id, model.name, need };
-    const auto victim = findVictim(state, model, isStoreAllowed);
-    if (!victim)
-        return std::nullopt;
-    if (!isMissing && need < options.replaceRatio * victim->remainingWork)
-        return std::nullopt;
-    return PlannedChange { OrderKind::Unload, victim->upstream->id, victim->model, need };
+    if (auto room = findRoom(state, model, isStoreAllowed))
+        return room;
+    const double mostRemaining = isMissing ? std::max(need, options.busyCopyWork) : need / options.replaceRatio;
+    return findVictim(state, model, isStoreAllowed, mostRemaining);
 }
 
 } // namespace
@@ -181,16 +197,20 @@
 {
     PlanState state(service, ledger, demand, leaving);
     std::vector<PlannedChange> out;
-    unsigned storeLoads = 0;
+    unsigned storeLoads = ledger.storeLoadAllowance();
     for (const auto* model : modelsByNeed(state)) {
-        const auto change = planModel(state, *model, options);
-        if (!change)
+        const auto place = findPlace(state, *model, storeLoads > 0, options);
+        if (!place)
             continue;
-        if (change->kind == OrderKind::Load && ledger.isStoreLoad(change->upstreamId, change->model)
-            && ++storeLoads > ledger.storeLoadAllowance())
-            continue;
-        state.use(*change);
-        out.push_back(*change);
+        if (place->isStoreLoad)
+            --storeLoads;
+        PlannedChange change { OrderKind::Load, place->upstream->id, model->name, state.need(model->name) };
+        if (!place->unloaded.empty()) {
+            change.kind = OrderKind::Unload;
+            change.model = place->unloaded;
+        }
+        state.use(change);
+        out.push_back(std::move(change));
     }
     return out;
 }
--- a/src/libserving/residency_ledger.cpp
+++ b/src/libserving/residency_ledger.cpp
@@ -10,9 +10,8 @@
 /// Pause before an order is tried again after a conflict or a lost answer.
 constexpr std::chrono::milliseconds retryPause { 300 };
 
-/// Span over which the rate of the weight store is kept, with a part of the rate left for loads that start late.
+/// Span over which the rate of the weight store is kept.
 constexpr std::chrono::seconds loadWindow { 5 };
-constexpr double loadHeadroom = 0.95;
 
 } // namespace
 
@@ -292,7 +291,7 @@
 {
     const auto from = m_clock.now() - loadWindow;
     const auto recent = std::count_if(m_storeLoads.begin(), m_storeLoads.end(), [&](auto time) { return time > from; });
-    const double allowed = std::floor(m_engine.loadsPerSecond * loadWindow.count() * loadHeadroom + 1);
+    const double allowed = std::floor(m_engine.loadsPerSecond * loadWindow.count() + 1);
     return recent >= allowed ? 0 : static_cast<unsigned>(allowed) - static_cast<unsigned>(recent);
 }
 
@@ -305,7 +304,7 @@
 void ResidencyLedger::assumeRecentLoads(std::chrono::nanoseconds age)
 {
     const auto time = m_clock.now() - std::chrono::duration_cast<SteadyTime::duration>(age);
-    const auto loads = static_cast<int>(m_engine.loadsPerSecond * loadWindow.count() * loadHeadroom);
+    const auto loads = static_cast<int>(m_engine.loadsPerSecond * loadWindow.count());
     for (int i = 0; i < loads; ++i)
         m_storeLoads.push_front(time);
 }
--- a/src/libserving/upstream_loads.cpp
+++ b/src/libserving/upstream_loads.cpp
@@ -66,8 +66,10 @@
     const auto now = m_clock.now();
     if (outcome == AttemptOutcome::Refused)
         load.avoidUntil = now + refusedPause;
-    if (outcome == AttemptOutcome::Unreachable)
+    if (outcome == AttemptOutcome::Unreachable) {
         load.avoidUntil = now + unreachablePause;
+        load.unreachableAt = now;
+    }
     if (outcome == AttemptOutcome::Served && load.avoidUntil && hadFirstAnswer)
         load.avoidUntil.reset();
     if (outcome == AttemptOutcome::Served || outcome == AttemptOutcome::Failed
@@ -117,6 +119,16 @@
     return load->failureShare * fade(m_clock.now() - *load->failureAt, failureFadeTime);
 }
 
+std::vector<std::string> UpstreamLoads::unreachable(std::chrono::nanoseconds within) const
+{
+    std::vector<std::string> out;
+    for (const auto& [id, record] : m_records) {
+        if (record.load.unreachableAt && m_clock.now() - *record.load.unreachableAt < within)
+            out.push_back(id);
+    }
+    return out;
+}
+
 bool UpstreamLoads::isAvoided(const std::string& id) const
 {
     const auto* load = find(id);
