--- a/src/libfront/placement_agent.h
+++ b/src/libfront/placement_agent.h
@@ -56,6 +56,8 @@
 
     bool mayOrder() const;
     bool isInContact() const;
+    bool shouldWriteLease() const;
+    void noteStoreFailure();
     std::chrono::milliseconds reportInterval() const;
     void beginTerm();
     void assumeLoadsOfLastHolder(ServicePlacement& placement);
@@ -86,6 +88,7 @@
     std::uint64_t m_term = 0; ///< fence of the term for which the ledgers were read
     std::optional<SteadyTime> m_lastContact; ///< with the holder
     SteadyTime m_lastLeaseRead {};
+    SteadyTime m_claimFrom {}; ///< before it, the lease of another instance is left alone
     DemandEstimate m_demand;
     std::map<std::string, SteadyTime> m_reporters; ///< instances, by when they last reported
     std::map<std::string, ServicePlacement> m_services;
--- a/src/libfront/request_run.cpp
+++ b/src/libfront/request_run.cpp
@@ -234,7 +234,8 @@
         = (m_request.promptTokens + output) / static_cast<double>(std::max<std::uint64_t>(1, engine.kvCapacityTokens));
     // A run takes its share of the batch or of the memory, whichever is scarcer, for as long as it lasts.
     const double share = std::max(1.0 / engine.slots, memoryShare);
-    return (own + sharedPartWork * shared) * m_state.prefillMsPerToken(m_request.model) + share * output * outputTokenMs;
+    return (own + sharedPartWork * shared) * m_state.prefillMsPerToken(m_request.model)
+        + share * output * outputTokenMs;
 }
 
 asio::awaitable<std::optional<Failure>> RequestRun::attempt(const RatedUpstream& chosen)
