--- a/src/libfront/placement_agent.cpp
+++ b/src/libfront/placement_agent.cpp
@@ -330,6 +330,8 @@
     const auto holder = m_lease.record();
     if (!holder || holder->holder.empty() || holder->holder == m_state.instanceId())
         co_return unavailable("no instance holds the placement lease");
+    if (!isInContact())
+        co_return unavailable("the holder " + holder->holder + " does not answer");
     HttpRequest request { .method = "POST", .target = std::string(adapterPath), .body = encode(adapter) };
     HttpCallOptions options;
     options.deadline = deadline;
--- a/src/libfront/request_run_test.cpp
+++ b/src/libfront/request_run_test.cpp
@@ -92,11 +92,11 @@
     RequestServices m_services;
 };
 
-RouteSpec route(std::string prefix, CallKind kind, unsigned maxAttempts, bool isResumable = false)
+RouteSpec route(const std::string& prefix, CallKind kind, unsigned maxAttempts, bool isResumable = false)
 {
     return { .name = prefix,
         .host = "host",
-        .prefix = std::move(prefix),
+        .prefix = prefix,
         .kind = kind,
         .timeout = 3000ms,
         .latencyObjective = 1000ms,
