--- a/src/libfront/request_run_test.cpp
+++ b/src/libfront/request_run_test.cpp
@@ -54,8 +54,8 @@
         return out;
     }
 
-    void finishRefusal(HttpResponse& response, const std::string&,
-        std::optional<std::chrono::milliseconds> retryAfter) const override
+    void finishRefusal(
+        HttpResponse& response, const std::string&, std::optional<std::chrono::milliseconds> retryAfter) const override
     {
         if (!retryAfter)
             response.headers.remove("Retry-After");
@@ -122,8 +122,8 @@
     return out.str();
 }
 
-const std::string streamHead
-    = "HTTP/1.1 200 OK\r\nX-Id: 7\r\nX-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+const std::string streamHead = "HTTP/1.1 200 OK\r\nX-Id: 7\r\nX-Seal: s\r\nContent-Type: "
+                               "text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 /// A front with scripted upstreams, on the loopback address.
 struct Fixture {
@@ -135,7 +135,9 @@
     NoAdapters adapters;
     prometheus::Registry registry;
     FrontMetrics metrics { registry };
-    Ingress ingress { { .state = state, .client = client, .format = format, .adapters = adapters, .metrics = metrics } };
+    Ingress ingress {
+        { .state = state, .client = client, .format = format, .adapters = adapters, .metrics = metrics }
+    };
     HttpServer server { context, { .address = { .host = "127.0.0.1", .port = 0 } }, ingress };
     std::vector<std::unique_ptr<RawServer>> upstreams;
 
