--- a/src/include/bulrushstack/serving/residency_ledger.h
+++ b/src/include/bulrushstack/serving/residency_ledger.h
@@ -110,7 +110,7 @@
 private:
     struct Member {
         std::vector<HeldModel> described; ///< models in the last description
-        std::set<std::string> atHand; ///< copies in host memory or on disk
+        std::set<std::string> localCopies; ///< copies in host memory or on disk
         std::optional<UpstreamOrder> pending; ///< sent, not settled
     };
 
--- a/src/include/bulrushstack/serving/serving_configuration.h
+++ b/src/include/bulrushstack/serving/serving_configuration.h
@@ -26,12 +26,12 @@
 /// A model and the time that an upstream needs to load it.
 struct ModelSpec {
     std::string name;
-    double weightsMb = 0;
+    double sizeMb = 0;
     FractionalSeconds storeLoadTime {}; ///< from the weight store
     FractionalSeconds diskLoadTime {}; ///< from a copy on the upstream's disk
     FractionalSeconds memoryLoadTime {}; ///< from a copy in the upstream's host memory
     unsigned adapterCount = 0;
-    double adapterMb = 0;
+    double adapterSizeMb = 0;
 
     friend bool operator==(const ModelSpec&, const ModelSpec&) = default;
 };
@@ -39,9 +39,9 @@
 /// What the upstreams of a service with models have in common.
 struct EngineSpec {
     unsigned slots = 1; ///< requests that run at the same time
-    std::uint64_t kvCapacityTokens = 0;
-    double weightsMb = 0; ///< memory for weights and adapters
-    unsigned adapterSlots = 0;
+    std::uint64_t cacheTokens = 0;
+    double memoryMb = 0; ///< memory for weights and adapters
+    unsigned adapterPlaces = 0;
     double loadsPerSecond = 0; ///< of the weight store, over all upstreams
     std::vector<ModelSpec> models;
 
@@ -74,7 +74,7 @@
     Milliseconds latencyObjective {}; ///< to the answer, or to the first event of a stream
     Milliseconds gapObjective {}; ///< longest pause between two events of a stream; zero: none
     unsigned rank = 0; ///< 0 is the most urgent
-    unsigned maxAttempts = 1; ///< upstreams that may be given one request
+    unsigned attemptLimit = 1; ///< upstreams that may be given one request
     bool isResumable = false;
     std::vector<WeightedService> services;
 
--- a/src/libfront/front_state.h
+++ b/src/libfront/front_state.h
@@ -24,7 +24,6 @@
     std::chrono::nanoseconds stablePeriod = std::chrono::seconds(3); ///< after which a repaired dependency counts
     std::chrono::nanoseconds configurationPeriod = std::chrono::seconds(2); ///< until a change is in force
     std::chrono::nanoseconds leasePeriod = std::chrono::seconds(3); ///< between orders of two holders
-    std::chrono::nanoseconds drainPeriod = std::chrono::seconds(2);
     std::chrono::nanoseconds gracePeriod = std::chrono::seconds(8); ///< between SIGTERM and SIGKILL
 
     friend bool operator==(const FrontBounds&, const FrontBounds&) = default;
--- a/src/libfront/request_run.cpp
+++ b/src/libfront/request_run.cpp
@@ -210,7 +210,7 @@
 SteadyTime RequestRun::attemptDeadline() const
 {
     const auto last = m_deadline + answerMargin;
-    if (m_route->kind != CallKind::Idempotent || m_upstreamsRun + 1 >= m_route->maxAttempts)
+    if (m_route->kind != CallKind::Idempotent || m_upstreamsRun + 1 >= m_route->attemptLimit)
         return last;
     // A lost answer is told from a slow one only by time; a later attempt still serves the caller.
     return std::min(last, m_state.clock().now() + m_route->latencyObjective);
@@ -231,7 +231,7 @@
     const double output = m_request.expectedOutputTokens.value_or(m_request.outputTokens);
     const auto& engine = *m_service->engine;
     const double memoryShare
-        = (m_request.promptTokens + output) / static_cast<double>(std::max<std::uint64_t>(1, engine.kvCapacityTokens));
+        = (m_request.promptTokens + output) / static_cast<double>(std::max<std::uint64_t>(1, engine.cacheTokens));
     // A run takes its share of the batch or of the memory, whichever is scarcer, for as long as it lasts.
     const double share = std::max(1.0 / engine.slots, memoryShare);
     return (own + sharedPartWork * shared) * m_state.prefillMsPerToken(m_request.model)
@@ -356,10 +356,10 @@
             .verdict = Verdict::Ran,
             .detail = "the upstream answered " + std::to_string(status) };
     }
-    co_return co_await deliver(std::move(response), attempt);
+    co_return co_await deliver(std::move(response));
 }
 
-asio::awaitable<std::optional<Failure>> RequestRun::deliver(HttpResponse response, Attempt&)
+asio::awaitable<std::optional<Failure>> RequestRun::deliver(HttpResponse response)
 {
     const unsigned status = response.status;
     if (status / 100 == 2)
--- a/src/libfront/request_run.h
+++ b/src/libfront/request_run.h
@@ -53,7 +53,7 @@
     boost::asio::awaitable<std::optional<Failure>> judgeHead(Attempt& attempt);
     boost::asio::awaitable<std::optional<Failure>> relayWhole(Attempt& attempt);
     boost::asio::awaitable<std::optional<Failure>> relayEvents(Attempt& attempt);
-    boost::asio::awaitable<std::optional<Failure>> deliver(HttpResponse response, Attempt& attempt);
+    boost::asio::awaitable<std::optional<Failure>> deliver(HttpResponse response);
     void suspectCrash(const Attempt& attempt);
     boost::asio::awaitable<void> refuse(Problem problem, std::optional<Milliseconds> retryAfter);
     boost::asio::awaitable<void> giveUp(Failure failure);
--- a/src/libfront/request_run_test.cpp
+++ b/src/libfront/request_run_test.cpp
@@ -92,7 +92,7 @@
     RequestServices m_services;
 };
 
-RouteSpec route(const std::string& prefix, CallKind kind, unsigned maxAttempts, bool isResumable = false)
+RouteSpec route(const std::string& prefix, CallKind kind, unsigned attemptLimit, bool isResumable = false)
 {
     return { .name = prefix,
         .host = "host",
@@ -100,7 +100,7 @@
         .kind = kind,
         .timeout = 3000ms,
         .latencyObjective = 1000ms,
-        .maxAttempts = maxAttempts,
+        .attemptLimit = attemptLimit,
         .isResumable = isResumable,
         .services = { { .service = "s" } } };
 }
--- a/src/libserving/placement_planner.cpp
+++ b/src/libserving/placement_planner.cpp
@@ -126,7 +126,7 @@
     std::optional<Place> best;
     std::pair<bool, double> bestRank;
     for (const auto& [id, upstream] : state.ledger().upstreams()) {
-        if (!state.canOrder(upstream) || upstream.charges(model.name) || state.ledger().freeMb(id) < model.weightsMb)
+        if (!state.canOrder(upstream) || upstream.charges(model.name) || state.ledger().freeMb(id) < model.sizeMb)
             continue;
         const bool isStoreLoad = state.ledger().isStoreLoad(id, model.name);
         const std::pair<bool, double> rank { isStoreLoad, state.workOf(upstream) };
@@ -152,8 +152,8 @@
             continue;
         for (const auto& model : upstream.held) {
             const auto* spec = state.ledger().engine().findModel(model);
-            const double freed = state.ledger().freeMb(id) + (spec ? spec->weightsMb : 0);
-            if (state.copies(model) < 2 || freed < wanted.weightsMb || state.isUnloaded(model))
+            const double freed = state.ledger().freeMb(id) + (spec ? spec->sizeMb : 0);
+            if (state.copies(model) < 2 || freed < wanted.sizeMb || state.isUnloaded(model))
                 continue;
             const double remaining = state.workAfterUnload(model);
             const std::tuple<bool, double, double> rank { isStoreLoad, remaining, state.workOf(upstream) };
--- a/src/libserving/placement_planner_test.cpp
+++ b/src/libserving/placement_planner_test.cpp
@@ -25,9 +25,9 @@
 
     static EngineSpec spec()
     {
-        EngineSpec out { .slots = 8, .weightsMb = 100, .adapterSlots = 2, .loadsPerSecond = 2 };
+        EngineSpec out { .slots = 8, .memoryMb = 100, .adapterPlaces = 2, .loadsPerSecond = 2 };
         for (const auto* name : { "a", "b", "c", "d", "e" })
-            out.models.push_back({ .name = name, .weightsMb = 40, .adapterMb = 1 });
+            out.models.push_back({ .name = name, .sizeMb = 40, .adapterSizeMb = 1 });
         return out;
     }
 
--- a/src/libserving/residency_ledger.cpp
+++ b/src/libserving/residency_ledger.cpp
@@ -26,10 +26,10 @@
     const auto* spec = m_engine.findModel(model);
     // A model that the configuration no longer lists still takes memory; the largest listed one is a safe guess.
     if (spec)
-        return spec->weightsMb;
+        return spec->sizeMb;
     double largest = 0;
     for (const auto& it : m_engine.models)
-        largest = std::max(largest, it.weightsMb);
+        largest = std::max(largest, it.sizeMb);
     return largest;
 }
 
@@ -41,9 +41,9 @@
         auto [it, isNew] = m_upstreams.try_emplace(entry->id);
         auto& upstream = it->second;
         auto& member = m_members[entry->id];
-        member.atHand.clear();
-        member.atHand.insert(entry->modelsOnDisk.begin(), entry->modelsOnDisk.end());
-        member.atHand.insert(entry->modelsInHostMemory.begin(), entry->modelsInHostMemory.end());
+        member.localCopies.clear();
+        member.localCopies.insert(entry->modelsOnDisk.begin(), entry->modelsOnDisk.end());
+        member.localCopies.insert(entry->modelsInHostMemory.begin(), entry->modelsInHostMemory.end());
         if (isNew || upstream.startedAt != entry->startedAt) {
             upstream = UpstreamResidency { .id = entry->id, .startedAt = entry->startedAt };
             member.pending.reset();
@@ -140,15 +140,15 @@
     }
     double largestAdapter = 0;
     for (const auto& model : m_engine.models)
-        largestAdapter = std::max(largestAdapter, model.adapterMb);
-    return m_engine.weightsMb - used - largestAdapter * m_engine.adapterSlots;
+        largestAdapter = std::max(largestAdapter, model.adapterSizeMb);
+    return m_engine.memoryMb - used - largestAdapter * m_engine.adapterPlaces;
 }
 
 unsigned ResidencyLedger::freeAdapterPlaces(const std::string& id) const
 {
     const auto* upstream = find(id);
-    const auto used = upstream ? upstream->adapters.size() : m_engine.adapterSlots;
-    return used >= m_engine.adapterSlots ? 0 : m_engine.adapterSlots - static_cast<unsigned>(used);
+    const auto used = upstream ? upstream->adapters.size() : m_engine.adapterPlaces;
+    return used >= m_engine.adapterPlaces ? 0 : m_engine.adapterPlaces - static_cast<unsigned>(used);
 }
 
 void ResidencyLedger::noteAdapterAbsent(const std::string& id, const AdapterName& adapter)
@@ -284,7 +284,7 @@
 bool ResidencyLedger::isStoreLoad(const std::string& id, const std::string& model) const
 {
     auto it = m_members.find(id);
-    return it == m_members.end() || !it->second.atHand.count(model);
+    return it == m_members.end() || !it->second.localCopies.count(model);
 }
 
 unsigned ResidencyLedger::storeLoadAllowance() const
--- a/src/libserving/residency_ledger_test.cpp
+++ b/src/libserving/residency_ledger_test.cpp
@@ -9,9 +9,9 @@
 
 EngineSpec engineOfThreeModels()
 {
-    EngineSpec out { .slots = 8, .weightsMb = 100, .adapterSlots = 2, .loadsPerSecond = 1 };
+    EngineSpec out { .slots = 8, .memoryMb = 100, .adapterPlaces = 2, .loadsPerSecond = 1 };
     for (const auto* name : { "tosca", "aida", "norma" })
-        out.models.push_back({ .name = name, .weightsMb = 40, .adapterMb = 1 });
+        out.models.push_back({ .name = name, .sizeMb = 40, .adapterSizeMb = 1 });
     return out;
 }
 
--- a/src/libserving/retry_policy.cpp
+++ b/src/libserving/retry_policy.cpp
@@ -21,7 +21,7 @@
             return attempt.connectFailures < connectLimit ? NextStep::TryElsewhere : NextStep::GiveUp;
         return attempt.upstreamsTried < refusalLimit ? NextStep::TryElsewhereOnBudget : NextStep::GiveUp;
     }
-    if (!route.isRepeatable() || attempt.upstreamsRun >= route.maxAttempts)
+    if (!route.isRepeatable() || attempt.upstreamsRun >= route.attemptLimit)
         return NextStep::GiveUp;
     return NextStep::TryElsewhereOnBudget;
 }
--- a/src/libserving/retry_policy_test.cpp
+++ b/src/libserving/retry_policy_test.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-RouteSpec route(CallKind kind, unsigned maxAttempts, bool isResumable = false)
+RouteSpec route(CallKind kind, unsigned attemptLimit, bool isResumable = false)
 {
-    return { .kind = kind, .maxAttempts = maxAttempts, .isResumable = isResumable };
+    return { .kind = kind, .attemptLimit = attemptLimit, .isResumable = isResumable };
 }
 
 const auto once = route(CallKind::NonIdempotent, 3);
