Collect changes of a table for 0.4 s; let idle last copies give way to models that are asked for

With the old planner the new test UnloadsTheLastCopyOfAnIdleModelForOneThatIsAskedFor fails 2 checks.

--- a/src/libfront/table_follower.cpp
+++ b/src/libfront/table_follower.cpp
@@ -12,9 +12,19 @@
 namespace asio = boost::asio;
 
 constexpr std::chrono::milliseconds snapshotTimeout { 1000 };
+/// Time in which changes are collected into one call; a call for each of them is paid for by every instance. It is well
+/// below the time in which a change has to be in force.
+constexpr std::chrono::milliseconds changePause { 400 };
+
 constexpr std::chrono::milliseconds firstPause { 40 };
 constexpr std::chrono::milliseconds longestPause { 400 };
 
+asio::awaitable<void> waitFor(asio::steady_timer& timer, std::chrono::milliseconds duration)
+{
+    timer.expires_after(duration);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
 } // namespace
 
 TableFollower::TableFollower(asio::io_context& context, const Clock& clock, TableFeed& feed,
@@ -83,8 +93,10 @@
     if (m_failures > 0)
         m_observer.onStoreRegained();
     m_version = std::max(m_version, changes->version);
-    if (!changes->rows.empty())
-        m_observer.onChanges(*changes);
+    if (changes->rows.empty())
+        co_return Result<void>();
+    m_observer.onChanges(*changes);
+    co_await waitFor(m_timer, changePause);
     co_return Result<void>();
 }
 
@@ -92,8 +104,7 @@
 {
     const auto pause = std::min(longestPause, firstPause * (1 << std::min(m_failures, 4U)));
     std::uniform_int_distribution<std::int64_t> jitter(pause.count() / 2, pause.count());
-    m_timer.expires_after(std::chrono::milliseconds(jitter(m_random)));
-    co_await m_timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    co_await waitFor(m_timer, std::chrono::milliseconds(jitter(m_random)));
 }
 
 } // namespace bulrushstack
--- a/src/libserving/placement_planner.cpp
+++ b/src/libserving/placement_planner.cpp
@@ -11,6 +11,7 @@
 constexpr double missingWeight = 3; ///< of the work of a model that no upstream can serve, against one that is busy
 constexpr double unplacedRequestWork = 300; ///< of a request that waits for its model or was refused
 constexpr double idleModelWork = 50; ///< of a missing model that nobody asks for
+constexpr double idleWork = 0.1; ///< below which nobody has asked for a model in the last seconds
 constexpr unsigned loadsOfOneModel = 2; ///< copies that are loaded at the same time beside as many that serve
 
 /// The copies and the demand of each model, as far as a plan has gone.
@@ -47,7 +48,20 @@
     double workPerCopy(const std::string& model) const { return find(model).work / std::max(1U, copies(model)); }
 
     /// Returns the work for each copy that stays when one copy goes.
-    double workAfterUnload(const std::string& model) const { return find(model).work / (copies(model) - 1.0); }
+    double workAfterUnload(const std::string& model) const
+    {
+        const unsigned n = copies(model);
+        return n > 1 ? find(model).work / (n - 1) : missingWeight * find(model).work;
+    }
+
+    /// Returns whether the last copy of a model may go for one that is asked for: where the memory does not hold all
+    /// models, those that nobody asks for give way.
+    bool isIdle(const std::string& model) const
+    {
+        return find(model).work < idleWork && find(model).unplaced < idleWork;
+    }
+
+    bool isAskedFor(const std::string& model) const { return find(model).unplaced >= idleWork; }
 
     /// Returns how urgently a model needs another copy, in milliseconds of work per second.
     double need(const std::string& model) const
@@ -139,13 +153,15 @@
 }
 
 /// Returns the copy whose loss costs least and whose upstream could then load the model: with a copy at hand first,
-/// since that load takes a fraction of the time and nothing of the weight store's rate. `mostRemaining` is the most
+/// since that load takes a fraction of the time and nothing of the weight store's rate. A last copy goes only if there
+/// is no other. `mostRemaining` is the most
 /// work that may be left for each copy that stays.
 std::optional<Place> findVictim(
     const PlanState& state, const ModelSpec& wanted, bool isStoreAllowed, double mostRemaining)
 {
     std::optional<Place> best;
-    std::tuple<bool, double, double> bestRank;
+    using Rank = std::tuple<bool, bool, double, double>;
+    Rank bestRank;
     for (const auto& [id, upstream] : state.ledger().upstreams()) {
         const bool isStoreLoad = state.ledger().isStoreLoad(id, wanted.name);
         if (!state.canOrder(upstream) || upstream.charges(wanted.name) || (isStoreLoad && !isStoreAllowed))
@@ -153,10 +169,13 @@
         for (const auto& model : upstream.held) {
             const auto* spec = state.ledger().engine().findModel(model);
             const double freed = state.ledger().freeMb(id) + (spec ? spec->sizeMb : 0);
-            if (state.copies(model) < 2 || freed < wanted.sizeMb || state.isUnloaded(model))
+            const bool isLast = state.copies(model) < 2;
+            if (freed < wanted.sizeMb || state.isUnloaded(model))
+                continue;
+            if (isLast && !(state.isAskedFor(wanted.name) && state.copies(wanted.name) == 0 && state.isIdle(model)))
                 continue;
             const double remaining = state.workAfterUnload(model);
-            const std::tuple<bool, double, double> rank { isStoreLoad, remaining, state.workOf(upstream) };
+            const Rank rank { isLast, isStoreLoad, remaining, state.workOf(upstream) };
             if (remaining > mostRemaining || (best && bestRank <= rank))
                 continue;
             best = Place { .upstream = &upstream, .unloaded = model, .isStoreLoad = isStoreLoad };
--- a/src/libserving/placement_planner_test.cpp
+++ b/src/libserving/placement_planner_test.cpp
@@ -158,6 +158,23 @@
     }
 }
 
+// Guards against a model that is never served because the memory does not hold all models and each has one copy.
+BOOST_AUTO_TEST_CASE(UnloadsTheLastCopyOfAnIdleModelForOneThatIsAskedFor)
+{
+    add("u0", { "a", "b" });
+    add("u1", { "c", "d" });
+    for (int i = 0; i < 60; ++i) {
+        ask("a", 300);
+        ask("b", 300);
+        demand.add({ { .service = "s", .model = "e", .requests = 1, .workMs = 1, .unplaced = copies("e") ? 0U : 1U } });
+        step();
+    }
+    BOOST_TEST(copies("e") == 1u);
+    BOOST_TEST(copies("a") == 1u);
+    BOOST_TEST(copies("b") == 1u);
+    BOOST_TEST(copies("c") + copies("d") == 1u);
+}
+
 // Guards against a model whose only copy leaves with its upstream.
 BOOST_AUTO_TEST_CASE(ReplacesCopiesOfALeavingUpstream)
 {
