--- a/src/bulrushd/main.cpp
+++ b/src/bulrushd/main.cpp
@@ -4,6 +4,7 @@
 #include "bulrushstack/front/front_service.h"
 #include "bulrushstack/kernel/log_output.h"
 #include "bulrushstack/kernel/runtime.h"
+#include "bulrushstack/kernel/tasks.h"
 #include "bulrushstack/membership/membership_service.h"
 #include "bulrushstack/net/net_services.h"
 #include "bulrushstack/platform/platform_service.h"
@@ -11,9 +12,7 @@
 #include "platform/platform_binding.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <glog/logging.h>
 #include <iostream>
 #include <unistd.h>
@@ -55,20 +54,24 @@
     return out;
 }
 
-/// Reads the settings from flags, variables and the settings file.
-SettingsOutcome readSettings(const std::vector<SettingSpec>& specs, const std::vector<std::string>& arguments)
+/// Returns the lines of the settings file; none if no file is named, an empty optional if it cannot be read.
+std::optional<std::vector<std::string>> readFileLines(const std::vector<std::string>& arguments)
 {
+    const auto path = findFlag(arguments, settingsFileFlag);
+    return path.empty() ? std::vector<std::string>() : readSettingsFile(path);
+}
+
+/// Reads the settings from flags, variables and the lines of the settings file.
+SettingsOutcome readSettings(const std::vector<SettingSpec>& specs, const std::vector<std::string>& arguments,
+    const std::optional<std::vector<std::string>>& fileLines)
+{
+    if (!fileLines)
+        return { .settings = std::nullopt,
+            .error = "--settings-file: '" + findFlag(arguments, settingsFileFlag) + "' cannot be read" };
     std::vector<std::string> environment;
     for (char** it = environ; *it; ++it)
         environment.emplace_back(*it);
-    std::vector<std::string> fileLines;
-    if (const auto path = findFlag(arguments, settingsFileFlag); !path.empty()) {
-        auto lines = readSettingsFile(path);
-        if (!lines)
-            return { .settings = std::nullopt, .error = "--settings-file: '" + path + "' cannot be read" };
-        fileLines = std::move(*lines);
-    }
-    return parseSettings(specs, arguments, environment, fileLines);
+    return parseSettings(specs, arguments, environment, *fileLines);
 }
 
 std::unique_ptr<FrontBinding> createPlatformBinding(HttpClient& client, const Clock& clock, Address storeAddress)
@@ -116,7 +119,7 @@
     SettingsReloader(ServiceRegistry& registry, std::vector<std::string> arguments)
         : m_registry(registry)
         , m_arguments(std::move(arguments))
-        , m_lines(readSettingsFile(findFlag(m_arguments, settingsFileFlag)))
+        , m_lines(readFileLines(m_arguments))
     {
     }
 
@@ -126,27 +129,25 @@
         for (;;) {
             co_await signals.async_wait(boost::asio::use_awaitable);
             LOG(INFO) << "event=reload-requested signal=SIGHUP";
-            reload();
+            reload(readFileLines(m_arguments));
         }
     }
 
     boost::asio::awaitable<void> followFile()
     {
-        boost::asio::steady_timer timer(m_registry.context());
         for (;;) {
-            timer.expires_after(settingsFileInterval);
-            co_await timer.async_wait(boost::asio::use_awaitable);
-            auto lines = readSettingsFile(findFlag(m_arguments, settingsFileFlag));
+            co_await sleepFor(m_registry.context(), settingsFileInterval);
+            auto lines = readFileLines(m_arguments);
             if (lines && lines != m_lines)
-                reload();
+                reload(std::move(lines));
         }
     }
 
 private:
-    void reload()
+    void reload(std::optional<std::vector<std::string>> lines)
     {
-        m_lines = readSettingsFile(findFlag(m_arguments, settingsFileFlag));
-        const auto outcome = readSettings(daemonSettings(true), m_arguments);
+        m_lines = std::move(lines);
+        const auto outcome = readSettings(daemonSettings(true), m_arguments, m_lines);
         if (outcome.settings)
             m_registry.find<FrontService>("front").reload(*outcome.settings);
         else
@@ -180,8 +181,8 @@
     }
     SettingsReloader reloader(registry, arguments);
     if (settings.text("binding") == platformBinding) {
-        boost::asio::co_spawn(context, reloader.followSignals(), boost::asio::detached);
-        boost::asio::co_spawn(context, reloader.followFile(), boost::asio::detached);
+        spawnLogged(context, reloader.followSignals(), "settings-signal");
+        spawnLogged(context, reloader.followFile(), "settings-file");
     }
     boost::asio::co_spawn(context, runUntilSignal(registry), [](std::exception_ptr error) {
         if (error)
@@ -195,7 +196,7 @@
 int daemonMain(const std::vector<std::string>& arguments)
 {
     const auto specs = daemonSettings(findFlag(arguments, bindingFlag) == platformBinding);
-    const auto outcome = readSettings(specs, arguments);
+    const auto outcome = readSettings(specs, arguments, readFileLines(arguments));
     if (!outcome.settings || !outcome.settings->arguments().empty()) {
         const std::string error
             = outcome.settings ? "unexpected argument '" + outcome.settings->arguments().front() + "'" : outcome.error;
--- a/src/include/bulrushstack/front/front_binding.h
+++ b/src/include/bulrushstack/front/front_binding.h
@@ -21,7 +21,6 @@
 /// What the front adds to a request when it goes to an upstream.
 struct Dispatch {
     std::string upstreamId;
-    Address address;
     std::chrono::milliseconds timeLeft {}; ///< until the upstream may stop working on it
     unsigned urgency = 0; ///< 0 is admitted first, 9 last
     std::optional<std::string> resumeAfter; ///< id of the last event that the caller has
--- a/src/libfront/spawn_logged.h
+++ b/src/include/bulrushstack/kernel/tasks.h
@@ -1,8 +1,12 @@
 #pragma once
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <chrono>
 #include <exception>
 #include <glog/logging.h>
 #include <string>
@@ -24,4 +28,11 @@
     });
 }
 
+/// Completes after the given time.
+inline boost::asio::awaitable<void> sleepFor(boost::asio::io_context& context, std::chrono::nanoseconds duration)
+{
+    boost::asio::steady_timer timer(context, duration);
+    co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+}
+
 } // namespace bulrushstack
--- a/src/include/bulrushstack/net/http_client.h
+++ b/src/include/bulrushstack/net/http_client.h
@@ -64,9 +64,6 @@
     virtual unsigned status() const = 0;
     virtual const HttpHeaders& headers() const = 0;
 
-    /// Returns whether the request went out on a connection that had carried others before.
-    virtual bool isReusedConnection() const = 0;
-
     /// Returns the next part of the body, or an empty optional at the marked end of the body. A connection that
     /// closes before the marked end is a failure. Every failure has the verdict MayHaveRun.
     virtual boost::asio::awaitable<Result<std::optional<std::string>>> read() = 0;
--- a/src/include/bulrushstack/serving/model_demand.h
+++ b/src/include/bulrushstack/serving/model_demand.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "bulrushstack/kernel/clock.h"
+#include "bulrushstack/serving/serving_configuration.h"
+#include "bulrushstack/serving/serving_request.h"
 
 #include <cstdint>
 #include <map>
@@ -21,6 +23,13 @@
     friend bool operator==(const ModelDemand&, const ModelDemand&) = default;
 };
 
+/// Returns the time of an upstream that a request takes, in milliseconds: reading its prompt, and its share of the
+/// batch or of the memory, whichever is scarcer, for as long as its output lasts.
+///
+/// Answers two loads: long prompts that keep an upstream reading, and many long outputs of a small model that fill its
+/// batch.
+double estimateWorkMs(const ServingRequest& request, const EngineSpec& engine, double prefillMsPerToken);
+
 using ModelKey = std::pair<std::string, std::string>; ///< service and model
 
 /// Demand for models as a rate that follows changes within seconds. No I/O.
--- a/src/include/bulrushstack/serving/placement_lease.h
+++ b/src/include/bulrushstack/serving/placement_lease.h
@@ -69,6 +69,9 @@
     /// Returns the fencing token of the orders: the version of the row at which this instance became the holder.
     std::uint64_t fence() const { return m_fence; }
 
+    /// Returns whether the row, as last read, names this instance.
+    bool isOwn() const { return m_record && m_record->holder == m_options.instanceId; }
+
     /// Returns from whom this instance has the lease.
     LeaseOrigin origin() const { return m_origin; }
 
@@ -76,8 +79,6 @@
     const std::optional<LeaseRecord>& record() const { return m_record; }
 
 private:
-    bool isOwn() const { return m_record && m_record->holder == m_options.instanceId; }
-
     LeaseOptions m_options;
     std::optional<LeaseRecord> m_record;
     SteadyTime m_recordSeen {};
--- a/src/include/bulrushstack/serving/serving_request.h
+++ b/src/include/bulrushstack/serving/serving_request.h
@@ -28,11 +28,13 @@
     std::uint32_t outputTokens = 0; ///< at most
     std::optional<std::uint32_t> expectedOutputTokens; ///< the caller's estimate
     std::optional<std::chrono::milliseconds> patience; ///< how long the caller waits
-    std::optional<std::string> lastEventId; ///< the caller goes on with a stream after this event
 
     friend bool operator==(const ServingRequest&, const ServingRequest&) = default;
 };
 
+/// Returns the tokens of the part that belongs to the request itself; all of them if its parts are not known.
+double ownPromptTokens(const ServingRequest& request);
+
 /// Returns a key that is equal for requests whose prompts share everything but their own last part.
 std::string prefixKey(const ServingRequest& request);
 
--- a/src/include/bulrushstack/serving/upstream_loads.h
+++ b/src/include/bulrushstack/serving/upstream_loads.h
@@ -72,7 +72,6 @@
     std::vector<std::string> unreachable(std::chrono::nanoseconds within) const;
 
     bool isAvoided(const std::string& id) const;
-    unsigned inFlight(const std::string& id) const;
     double prefillBacklog(const std::string& id) const;
 
     /// Forgets upstreams that are not in the directory and have nothing under way.
--- a/src/include/bulrushstack/serving/upstream_selection.h
+++ b/src/include/bulrushstack/serving/upstream_selection.h
@@ -28,7 +28,6 @@
     const UpstreamEntry* upstream = nullptr;
     double expectedMs = 0; ///< to the answer's beginning; failures and the way to another zone included
     double prefillTokens = 0; ///< tokens of the prompt that the upstream has to read
-    bool isFull = false; ///< more is under way than the upstream runs at once
 
     friend bool operator==(const RatedUpstream&, const RatedUpstream&) = default;
 };
--- a/src/libexecution/execution_service.cpp
+++ b/src/libexecution/execution_service.cpp
@@ -2,14 +2,12 @@
 
 #include "bulrushstack/config/configuration_service.h"
 #include "bulrushstack/engine/engine_service.h"
+#include "bulrushstack/kernel/tasks.h"
 #include "bulrushstack/membership/membership_service.h"
 #include "bulrushstack/net/net_services.h"
 #include "bulrushstack/platform/platform_service.h"
 #include "caller_api.h"
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <glog/logging.h>
 #include <random>
 
@@ -157,8 +155,7 @@
     const auto delay = state->runtime.settings().duration("drain-delay");
     LOG(INFO) << "event=drain-begin requests=" << state->server.activeRequests()
               << " delay=" << std::chrono::duration_cast<std::chrono::milliseconds>(delay).count() << "ms";
-    boost::asio::steady_timer timer(state->context, delay);
-    co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+    co_await sleepFor(state->context, delay);
     state->api.beginShutdown();
     co_await state->server.drain();
     co_await state->services.drain(clock.now() + journalDrainLimit);
--- a/src/libfront/directory_keeper.cpp
+++ b/src/libfront/directory_keeper.cpp
@@ -1,9 +1,6 @@
 #include "directory_keeper.h"
 
-#include "spawn_logged.h"
-
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/use_awaitable.hpp>
+#include "bulrushstack/kernel/tasks.h"
 #include <glog/logging.h>
 
 namespace bulrushstack {
@@ -180,10 +177,8 @@
 
 asio::awaitable<void> DirectoryKeeper::expire()
 {
-    asio::steady_timer timer(m_state.context());
     for (unsigned i = 1; !m_isStopped; ++i) {
-        timer.expires_after(expireInterval);
-        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        co_await sleepFor(m_state.context(), expireInterval);
         for (const auto& id : m_state.directory().expire())
             LOG(INFO) << "event=upstream-expired upstream=" << id;
         if (i % expiresPerCleanUp != 0)
--- a/src/libfront/front_metrics.cpp
+++ b/src/libfront/front_metrics.cpp
@@ -59,15 +59,9 @@
 {
 }
 
-prometheus::Counter& FrontMetrics::counter(
-    prometheus::Family<prometheus::Counter>& family, const std::map<std::string, std::string>& labels)
-{
-    return family.Add(labels);
-}
-
 void FrontMetrics::noteRequest(std::string_view kind, std::string_view outcome, std::chrono::nanoseconds duration)
 {
-    counter(m_requests, { { "kind", std::string(kind) }, { "outcome", std::string(outcome) } }).Increment();
+    m_requests.Add({ { "kind", std::string(kind) }, { "outcome", std::string(outcome) } }).Increment();
     m_durations.Add({ { "kind", std::string(kind) } }, latencyBounds()).Observe(seconds(duration));
 }
 
@@ -75,22 +69,22 @@
 
 void FrontMetrics::noteAttempt(std::string_view outcome)
 {
-    counter(m_attempts, { { "outcome", std::string(outcome) } }).Increment();
+    m_attempts.Add({ { "outcome", std::string(outcome) } }).Increment();
 }
 
 void FrontMetrics::noteRetry(std::string_view reason)
 {
-    counter(m_retries, { { "decision", std::string(reason) } }).Increment();
+    m_retries.Add({ { "decision", std::string(reason) } }).Increment();
 }
 
 void FrontMetrics::noteOrder(std::string_view kind, std::string_view answer)
 {
-    counter(m_orders, { { "kind", std::string(kind) }, { "answer", std::string(answer) } }).Increment();
+    m_orders.Add({ { "kind", std::string(kind) }, { "answer", std::string(answer) } }).Increment();
 }
 
 void FrontMetrics::noteStoreFailure(std::string_view table)
 {
-    counter(m_storeFailures, { { "table", std::string(table) } }).Increment();
+    m_storeFailures.Add({ { "table", std::string(table) } }).Increment();
 }
 
 void FrontMetrics::setConfigurationVersion(std::uint64_t version) { m_version.Set(static_cast<double>(version)); }
--- a/src/libfront/front_metrics.h
+++ b/src/libfront/front_metrics.h
@@ -27,9 +27,6 @@
     void setHolder(bool isHolder);
 
 private:
-    prometheus::Counter& counter(
-        prometheus::Family<prometheus::Counter>& family, const std::map<std::string, std::string>& labels);
-
     prometheus::Family<prometheus::Counter>& m_requests;
     prometheus::Family<prometheus::Histogram>& m_durations;
     prometheus::Family<prometheus::Counter>& m_attempts;
--- a/src/libfront/front_service.cpp
+++ b/src/libfront/front_service.cpp
@@ -1,11 +1,10 @@
 #include "bulrushstack/front/front_service.h"
 
+#include "bulrushstack/kernel/tasks.h"
 #include "bulrushstack/net/net_services.h"
 #include "directory_keeper.h"
 #include "placement_agent.h"
 #include "request_run.h"
-#include "spawn_logged.h"
-
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -24,6 +23,9 @@
 /// What is left of the grace period when the last requests are given up.
 constexpr std::chrono::milliseconds exitMargin { 400 };
 
+/// Time for the body of a request, beside that for its header.
+constexpr std::chrono::seconds bodyTimeout { 10 };
+
 constexpr std::size_t connectionLimit = 3000;
 constexpr std::size_t controlConnectionLimit = 1000;
 constexpr std::uint64_t controlBodyLimit = 256 * 1024; ///< bytes
@@ -48,7 +50,7 @@
     out.headerLimit = limits.headerBytes;
     out.bodyLimit = limits.bodyBytes;
     out.connectionLimit = connectionLimit;
-    out.readTimeout = limits.headerTimeout + std::chrono::seconds(10);
+    out.readTimeout = limits.headerTimeout + bodyTimeout;
     out.idleTimeout = limits.idleTimeout;
     return out;
 }
@@ -221,15 +223,14 @@
     state.runtime.setReady("shutdown", false, "shutting down");
     state.ingressServer.announceClose();
     spawnLogged(state.context, state.agent.stop(), "placement-stop");
-    asio::steady_timer timer(state.context, balancerDelay);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    co_await sleepFor(state.context, balancerDelay);
+    asio::steady_timer timer(state.context, deadline);
     auto isDrained = std::make_shared<bool>(false);
     auto drain = [](HttpServer& server, asio::steady_timer& wake, std::shared_ptr<bool> done) -> asio::awaitable<void> {
         co_await server.drain();
         *done = true;
         wake.cancel();
     };
-    timer.expires_at(deadline);
     spawnLogged(state.context, drain(state.ingressServer, timer, isDrained), "ingress-drain");
     if (!*isDrained)
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
--- a/src/libfront/front_state.cpp
+++ b/src/libfront/front_state.cpp
@@ -53,9 +53,7 @@
 {
     auto it = m_budgets.find(service);
     if (it == m_budgets.end()) {
-        // Before the number of instances is known, the slack is left to the others.
-        const double burst = m_instances == 0 ? 1 : std::max(1.0, budgetShare * m_bounds.retrySlack / m_instances);
-        const RetryBudgetOptions options { .ratio = budgetShare * m_bounds.retryRatio, .burst = burst };
+        const RetryBudgetOptions options { .ratio = budgetShare * m_bounds.retryRatio, .burst = budgetBurst() };
         it = m_budgets.emplace(service, RetryBudget(options)).first;
     }
     return it->second;
@@ -67,7 +65,18 @@
         return;
     m_instances = instances;
     for (auto& [service, budget] : m_budgets)
-        budget.setBurst(std::max(1.0, budgetShare * m_bounds.retrySlack / instances));
+        budget.setBurst(budgetBurst());
+}
+
+double FrontState::budgetBurst() const
+{
+    // Before the number of instances is known, the slack is left to the others.
+    return m_instances == 0 ? 1 : std::max(1.0, budgetShare * m_bounds.retrySlack / m_instances);
+}
+
+bool FrontState::isModelHeld(const std::string& service, const std::string& model) const
+{
+    return !holders(service, ServingRequest { .model = model }).empty();
 }
 
 std::vector<const UpstreamEntry*> FrontState::holders(const std::string& service, const ServingRequest& request) const
--- a/src/libfront/front_state.h
+++ b/src/libfront/front_state.h
@@ -66,6 +66,9 @@
     /// Returns the upstreams of the service that hold the model and the adapter, as far as is known.
     std::vector<const UpstreamEntry*> holders(const std::string& service, const ServingRequest& request) const;
 
+    /// Returns whether any upstream of the service holds the model, with whatever adapters.
+    bool isModelHeld(const std::string& service, const std::string& model) const;
+
     /// Sets the copies that get no new requests, as the holder of the placement lease stated them.
     void setRetiring(const std::vector<RetiringCopy>& copies);
 
@@ -90,6 +93,8 @@
     std::uint64_t random() { return m_random(); }
 
 private:
+    double budgetBurst() const;
+
     boost::asio::io_context& m_context;
     const Clock& m_clock;
     std::string m_instanceId;
--- a/src/libfront/placement_agent.cpp
+++ b/src/libfront/placement_agent.cpp
@@ -1,10 +1,7 @@
 #include "placement_agent.h"
 
-#include "spawn_logged.h"
-
+#include "bulrushstack/kernel/tasks.h"
 #include <algorithm>
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <glog/logging.h>
 
 namespace bulrushstack {
@@ -59,6 +56,13 @@
         .renewInterval = leaseRenewInterval };
 }
 
+/// Returns the write of the lease's row, on condition of its version; an empty holder gives the lease back.
+Transaction leaseWrite(std::uint64_t version, const std::string& holder, const std::string& address)
+{
+    return { .conditions = { { .id = leaseRow, .version = version } },
+        .writes = { { .id = leaseRow, .value = nlohmann::json { { "holder", holder }, { "address", address } } } } };
+}
+
 HttpResponse jsonRefusal(unsigned status, std::string_view reason)
 {
     return jsonResponse(status, nlohmann::json { { "error", reason } }.dump());
@@ -80,9 +84,9 @@
 
 void PlacementAgent::start()
 {
-    spawnLogged(m_state.context(), keepLease(), "placement");
-    spawnLogged(m_state.context(), reportDemand(), "placement");
-    spawnLogged(m_state.context(), keepPlacement(), "placement");
+    spawnLogged(m_state.context(), keepLease(), "placement-lease");
+    spawnLogged(m_state.context(), reportDemand(), "placement-demand");
+    spawnLogged(m_state.context(), keepPlacement(), "placement-plan");
 }
 
 asio::awaitable<void> PlacementAgent::stop()
@@ -91,19 +95,12 @@
     m_isStopped = true;
     if (!isHolder)
         co_return;
-    Transaction release { .conditions = { { .id = leaseRow, .version = m_lease.expectedVersion() } },
-        .writes = { { .id = leaseRow, .value = nlohmann::json { { "holder", "" }, { "address", "" } } } } };
+    auto release = leaseWrite(m_lease.expectedVersion(), "", "");
     auto released = co_await m_binding.tables().commit(std::move(release), m_state.clock().now() + leaseCallTimeout);
     LOG(INFO) << "event=lease-released fence=" << m_lease.fence() << " error=\""
               << (released ? "" : released.error().detail) << "\"";
 }
 
-asio::awaitable<void> PlacementAgent::pause(std::chrono::milliseconds duration)
-{
-    asio::steady_timer timer(m_state.context(), duration);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
 bool PlacementAgent::mayOrder() const { return !m_isStopped && m_lease.mayOrder(m_state.clock().bootNow()); }
 
 bool PlacementAgent::isInContact() const
@@ -113,7 +110,7 @@
 
 asio::awaitable<void> PlacementAgent::keepLease()
 {
-    co_await pause(std::chrono::milliseconds(m_state.random() % leaseStartSpread.count()));
+    co_await sleepFor(m_state.context(), std::chrono::milliseconds(m_state.random() % leaseStartSpread.count()));
     while (!m_isStopped) {
         const auto now = m_state.clock().bootNow();
         const bool isHolder = m_lease.isHolder(now);
@@ -128,16 +125,20 @@
             co_await readLease();
         if (shouldWriteLease())
             co_await writeLease();
-        co_await pause(leaseTick);
+        co_await sleepFor(m_state.context(), leaseTick);
     }
 }
 
 bool PlacementAgent::shouldWriteLease() const
 {
     const auto now = m_state.clock().bootNow();
+    return m_lease.shouldWrite(now) && (m_lease.isOwn() || (!isInContact() && now >= m_claimFrom));
+}
+
+std::optional<LeaseRecord> PlacementAgent::otherHolder() const
+{
     const auto& record = m_lease.record();
-    const bool isOwn = record && record->holder == m_state.instanceId();
-    return m_lease.shouldWrite(now) && (isOwn || (!isInContact() && now >= m_claimFrom));
+    return !record || record->holder.empty() || m_lease.isOwn() ? std::nullopt : record;
 }
 
 asio::awaitable<void> PlacementAgent::readLease()
@@ -146,7 +147,7 @@
     auto row = co_await m_binding.tables().read(leaseRow, m_state.clock().now() + leaseCallTimeout);
     if (!row) {
         noteStoreFailure();
-        co_await pause(leaseFailurePause);
+        co_await sleepFor(m_state.context(), leaseFailurePause);
         co_return;
     }
     m_mustReadLease = false;
@@ -173,10 +174,7 @@
 asio::awaitable<void> PlacementAgent::writeLease()
 {
     const auto sentAt = m_state.clock().bootNow();
-    Transaction write { .conditions = { { .id = leaseRow, .version = m_lease.expectedVersion() } },
-        .writes = { { .id = leaseRow,
-            .value
-            = nlohmann::json { { "holder", m_state.instanceId() }, { "address", m_controlAddress.toString() } } } } };
+    auto write = leaseWrite(m_lease.expectedVersion(), m_state.instanceId(), m_controlAddress.toString());
     auto version = co_await m_binding.tables().commit(std::move(write), m_state.clock().now() + leaseCallTimeout);
     if (version) {
         m_lease.noteWritten(*version, m_controlAddress, sentAt);
@@ -191,7 +189,7 @@
     }
     m_unansweredWrite = sentAt;
     noteStoreFailure();
-    co_await pause(leaseFailurePause);
+    co_await sleepFor(m_state.context(), leaseFailurePause);
 }
 
 /// After an outage of the store the last holder can go on at once, while another instance has to wait for the handover
@@ -210,7 +208,7 @@
 {
     auto lastReport = m_state.clock().now();
     while (!m_isStopped) {
-        co_await pause(urgentReportInterval);
+        co_await sleepFor(m_state.context(), urgentReportInterval);
         if (m_state.clock().now() - lastReport < reportInterval())
             continue;
         lastReport = m_state.clock().now();
@@ -221,14 +219,11 @@
 asio::awaitable<void> PlacementAgent::sendDemand()
 {
     if (m_lease.isHolder(m_state.clock().bootNow())) {
-        const auto reply = takeDemand(m_state.takeDemand());
-        m_state.setInstances(reply.instances);
-        m_state.setRetiring(reply.retiring);
-        m_lastContact = m_state.clock().now();
+        applyReply(takeDemand(m_state.takeDemand()));
         co_return;
     }
-    const auto& holder = m_lease.record();
-    if (!holder || holder->holder.empty() || holder->holder == m_state.instanceId())
+    const auto holder = otherHolder();
+    if (!holder)
         co_return;
     HttpRequest request { .method = "POST", .target = std::string(demandPath), .body = encode(m_state.takeDemand()) };
     HttpCallOptions options;
@@ -252,13 +247,18 @@
     if (!wasInContact)
         LOG(INFO) << "event=dependency-regained dependency=placement-holder holder=" << holder->holder
                   << " version=" << holder->version;
-    m_lastContact = m_state.clock().now();
-    LeaseRecord renewed = *m_lease.record();
+    LeaseRecord renewed = *holder;
     renewed.version = reply->leaseVersion;
     m_lease.observe(std::move(renewed), m_state.clock().bootNow());
-    m_state.setInstances(reply->instances);
-    m_state.setRetiring(reply->retiring);
     m_state.suspects().merge(reply->crashes);
+    applyReply(*reply);
+}
+
+void PlacementAgent::applyReply(const DemandReply& reply)
+{
+    m_lastContact = m_state.clock().now();
+    m_state.setInstances(reply.instances);
+    m_state.setRetiring(reply.retiring);
 }
 
 DemandReply PlacementAgent::takeDemand(const DemandMessage& message)
@@ -276,7 +276,7 @@
             m_state.suspects().noteCrash(it.digest);
     }
     for (const auto& it : message.unreachable) {
-        if (m_state.directory().find(it) && !m_down.count(it) && m_checking.insert(it).second)
+        if (m_state.directory().find(it) && m_checking.insert(it).second)
             spawnLogged(m_state.context(), checkReachable(it), "reachability");
     }
     m_reporters[message.instance] = now;
@@ -327,8 +327,8 @@
 {
     if (m_lease.isHolder(m_state.clock().bootNow()))
         co_return co_await placeHere(std::move(adapter), deadline);
-    const auto holder = m_lease.record();
-    if (!holder || holder->holder.empty() || holder->holder == m_state.instanceId())
+    const auto holder = otherHolder();
+    if (!holder)
         co_return unavailable("no instance holds the placement lease");
     if (!isInContact())
         co_return unavailable("the holder " + holder->holder + " does not answer");
@@ -370,7 +370,7 @@
                     co_return choice.upstreamId;
             }
         }
-        co_await pause(adapterPoll);
+        co_await sleepFor(m_state.context(), adapterPoll);
     }
     co_return unavailable("no upstream with the model could load the adapter in time");
 }
@@ -391,7 +391,7 @@
     };
     const auto answer = co_await giveOrder(std::move(service), std::move(load), "adapter-asked");
     if (answer == OrderAnswer::Accepted)
-        co_await pause(adapterArrival);
+        co_await sleepFor(m_state.context(), adapterArrival);
     co_return answer == OrderAnswer::Accepted || answer == OrderAnswer::AlreadyHolds;
 }
 
@@ -422,7 +422,7 @@
 asio::awaitable<void> PlacementAgent::keepPlacement()
 {
     while (!m_isStopped) {
-        co_await pause(planInterval);
+        co_await sleepFor(m_state.context(), planInterval);
         if (!mayOrder() || !m_state.configuration())
             continue;
         if (m_term != m_lease.fence())
@@ -471,7 +471,7 @@
         const bool isDue = !upstream.isKnown && !upstream.isOrdering && !placement.leaving.count(id)
             && (!upstream.retryFrom || *upstream.retryFrom <= now);
         if (isDue && placement.reading.insert(id).second)
-            spawnLogged(m_state.context(), readUpstream(service, id), "placement");
+            spawnLogged(m_state.context(), readUpstream(service, id), "upstream-report");
     }
 }
 
@@ -489,7 +489,7 @@
         } else if (!report) {
             LOG(INFO) << "event=upstream-report-failed upstream=" << upstream << " error=\"" << report.error().detail
                       << "\"";
-            co_await pause(reportTimeout);
+            co_await sleepFor(m_state.context(), reportTimeout);
         }
     }
     if (auto* placement = findPlacement(service))
@@ -527,13 +527,13 @@
         const auto startedAt = entry->startedAt;
         const bool isListening = co_await m_client.isListening(entry->address, reachabilityTimeout);
         const bool wasDown = m_down.count(upstream) > 0;
-        if (isListening != !wasDown)
+        if (isListening == wasDown)
             LOG(WARNING) << "event=dependency-" << (isListening ? "regained" : "lost")
                          << " dependency=upstream upstream=" << upstream << " started_at=" << startedAt;
         if (isListening)
             break;
         m_down[upstream] = startedAt;
-        co_await pause(reachabilityInterval);
+        co_await sleepFor(m_state.context(), reachabilityInterval);
     }
     m_down.erase(upstream);
     m_checking.erase(upstream);
--- a/src/libfront/placement_agent.h
+++ b/src/libfront/placement_agent.h
@@ -9,7 +9,6 @@
 #include "front_state.h"
 #include "request_run.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
 #include <set>
@@ -58,6 +57,11 @@
     bool isInContact() const;
     bool shouldWriteLease() const;
     void noteStoreFailure();
+
+    /// Returns the lease if another instance holds it; empty if nobody or this instance does.
+    std::optional<LeaseRecord> otherHolder() const;
+
+    void applyReply(const DemandReply& reply);
     std::chrono::milliseconds reportInterval() const;
     void beginTerm();
     void assumeLoadsOfLastHolder(ServicePlacement& placement);
@@ -73,7 +77,6 @@
     boost::asio::awaitable<Result<std::string>> placeHere(AdapterDemand adapter, SteadyTime deadline);
     boost::asio::awaitable<bool> loadAdapter(std::string service, AdapterName adapter, AdapterChoice choice);
     DemandReply takeDemand(const DemandMessage& message);
-    boost::asio::awaitable<void> pause(std::chrono::milliseconds duration);
 
     FrontState& m_state;
     HttpClient& m_client;
--- a/src/libfront/request_run.cpp
+++ b/src/libfront/request_run.cpp
@@ -1,7 +1,6 @@
 #include "request_run.h"
 
-#include "spawn_logged.h"
-
+#include "bulrushstack/kernel/tasks.h"
 #include <algorithm>
 #include <glog/logging.h>
 
@@ -35,8 +34,6 @@
 constexpr Milliseconds refusedRetryAfter { 300 };
 constexpr Milliseconds residencyRetryAfter { 1000 };
 constexpr unsigned staleAnswerLimit = 3;
-constexpr double outputTokenMs = 10; ///< of a step of a batch that also reads prompts
-constexpr double sharedPartWork = 0.3; ///< share of the shared parts that is not in a cache
 constexpr Milliseconds patientObjective { 2000 }; ///< routes with a longer objective come behind others of their rank
 constexpr unsigned lowestUrgency = 9;
 
@@ -117,14 +114,13 @@
 {
     m_state.budget(m_service->name).noteRequest();
     if (m_service->engine) {
-        const ServingRequest base { .model = m_request.model };
-        m_state.noteDemand(m_service->name, m_request, workMs(), !m_state.holders(m_service->name, base).empty());
+        const double workMs = estimateWorkMs(m_request, *m_service->engine, m_state.prefillMsPerToken(m_request.model));
+        m_state.noteDemand(m_service->name, m_request, workMs, m_state.isModelHeld(m_service->name, m_request.model));
     }
     for (;;) {
         const auto chosen = co_await chooseUpstream();
         if (m_isClientGone) {
-            m_exchange.close();
-            logEnd("caller-left", 0, "before an upstream was chosen");
+            endWithoutCaller("before an upstream was chosen");
             co_return;
         }
         if (!chosen) {
@@ -137,8 +133,7 @@
             co_return;
         m_verdict = join(m_verdict, failure->verdict);
         if (m_isClientGone) {
-            m_exchange.close();
-            logEnd("caller-left", 0, failure->detail);
+            endWithoutCaller(failure->detail);
             co_return;
         }
         if (!mayTryAgain(*failure)) {
@@ -187,8 +182,7 @@
     const auto now = m_state.clock().now();
     if (now >= residencyDeadline())
         co_return false;
-    const ServingRequest base { .model = m_request.model };
-    const bool isAdapterMissing = !m_request.adapter.empty() && !m_state.holders(m_service->name, base).empty();
+    const bool isAdapterMissing = !m_request.adapter.empty() && m_state.isModelHeld(m_service->name, m_request.model);
     if (!isAdapterMissing) {
         co_await m_state.waitForChange(residencyDeadline());
         co_return true;
@@ -224,20 +218,6 @@
     return std::min(lowestUrgency, m_route->rank * 2 + patient);
 }
 
-double RequestRun::workMs() const
-{
-    const double own = m_request.prompt.empty() ? m_request.promptTokens : m_request.prompt.back().tokens;
-    const double shared = std::max(0.0, m_request.promptTokens - own);
-    const double output = m_request.expectedOutputTokens.value_or(m_request.outputTokens);
-    const auto& engine = *m_service->engine;
-    const double memoryShare
-        = (m_request.promptTokens + output) / static_cast<double>(std::max<std::uint64_t>(1, engine.cacheTokens));
-    // A run takes its share of the batch or of the memory, whichever is scarcer, for as long as it lasts.
-    const double share = std::max(1.0 / engine.slots, memoryShare);
-    return (own + sharedPartWork * shared) * m_state.prefillMsPerToken(m_request.model)
-        + share * output * outputTokenMs;
-}
-
 asio::awaitable<std::optional<Failure>> RequestRun::attempt(const RatedUpstream& chosen)
 {
     Attempt attempt { .id = chosen.upstream->id,
@@ -262,10 +242,9 @@
 
 asio::awaitable<std::optional<Failure>> RequestRun::open(Attempt& attempt)
 {
-    Dispatch dispatch { .upstreamId = attempt.id,
-        .address = attempt.address,
-        .timeLeft = std::max(Milliseconds(1), timeLeft() - wayMargin),
-        .urgency = urgency() };
+    Dispatch dispatch {
+        .upstreamId = attempt.id, .timeLeft = std::max(Milliseconds(1), timeLeft() - wayMargin), .urgency = urgency()
+    };
     if (m_isStreaming)
         dispatch.resumeAfter = m_events.lastId();
     HttpCallOptions options;
@@ -426,10 +405,10 @@
     }
     m_state.loads().end(attempt.id, attempt.prefillTokens, attempt.hadFirstAnswer, outcome);
     m_wasSent = attempt.wasSent;
-    if (!attempt.wasSent)
-        ++m_connectFailures;
     if (attempt.wasSent)
         ++m_upstreamsTried;
+    else
+        ++m_connectFailures;
     if (attempt.wasSent && (!failure || failure->verdict != Verdict::NotRun))
         ++m_upstreamsRun;
     if (!attempt.head.isMisdirected)
@@ -520,6 +499,12 @@
     logEnd(toString(problem.code), status, detail);
 }
 
+void RequestRun::endWithoutCaller(const std::string& detail)
+{
+    m_exchange.close();
+    logEnd("caller-left", 0, detail);
+}
+
 void RequestRun::logEnd(std::string_view outcome, unsigned status, const std::string& detail)
 {
     const auto duration = m_state.clock().now() - m_received;
--- a/src/libfront/request_run.h
+++ b/src/libfront/request_run.h
@@ -67,7 +67,7 @@
     SteadyTime residencyDeadline() const;
     std::optional<Problem> admissionProblem();
     unsigned urgency() const;
-    double workMs() const;
+    void endWithoutCaller(const std::string& detail);
     void logEnd(std::string_view outcome, unsigned status, const std::string& detail);
 
     RequestServices m_services;
--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -27,7 +27,6 @@
     beast::flat_buffer buffer;
     SteadyTime idleSince {};
     std::chrono::nanoseconds idleLimit = std::chrono::nanoseconds::max(); ///< as the other end announced
-    bool isReused = false;
     bool isSending = false; ///< a request is still being written
 };
 
@@ -88,10 +87,8 @@
             auto connection = std::move(newest);
             it->second.pop_back();
             const bool isExpired = m_clock.now() - connection->idleSince >= connection->idleLimit;
-            if (!isExpired && !isUnusable(connection->stream.socket())) {
-                connection->isReused = true;
+            if (!isExpired && !isUnusable(connection->stream.socket()))
                 return connection;
-            }
         }
         return nullptr;
     }
@@ -201,7 +198,6 @@
         , m_address(std::move(address))
         , m_options(options)
         , m_connection(std::move(connection))
-        , m_isReused(m_connection->isReused)
     {
     }
 
@@ -216,7 +212,6 @@
 
     unsigned status() const override { return m_parser->get().result_int(); }
     const HttpHeaders& headers() const override { return m_headers; }
-    bool isReusedConnection() const override { return m_isReused; }
 
     /// Reads header blocks until one is final; interim responses (1xx) are skipped.
     asio::awaitable<Result<void>> readHeader(bool isHead)
@@ -330,7 +325,6 @@
     ClientConnectionPtr m_connection;
     std::optional<Parser> m_parser;
     HttpHeaders m_headers;
-    bool m_isReused;
     bool m_isKept = false; ///< the connection is used on after the end of the body
     bool m_isClosed = false;
 };
--- a/src/libserving/model_demand.cpp
+++ b/src/libserving/model_demand.cpp
@@ -1,5 +1,6 @@
 #include "bulrushstack/serving/model_demand.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace bulrushstack {
@@ -9,9 +10,22 @@
 using Seconds = std::chrono::duration<double>;
 
 constexpr Seconds averagingTime { 2.0 };
+constexpr double outputTokenMs = 10; ///< of a step of a batch that also reads prompts
+constexpr double sharedPartWork = 0.3; ///< share of the shared parts that is not in a cache
 
 } // namespace
 
+double estimateWorkMs(const ServingRequest& request, const EngineSpec& engine, double prefillMsPerToken)
+{
+    const double own = ownPromptTokens(request);
+    const double shared = std::max(0.0, request.promptTokens - own);
+    const double output = request.expectedOutputTokens.value_or(request.outputTokens);
+    const double memoryShare
+        = (request.promptTokens + output) / static_cast<double>(std::max<std::uint64_t>(1, engine.cacheTokens));
+    const double share = std::max(1.0 / engine.slots, memoryShare);
+    return (own + sharedPartWork * shared) * prefillMsPerToken + share * output * outputTokenMs;
+}
+
 DemandEstimate::DemandEstimate(const Clock& clock)
     : m_clock(clock)
 {
--- /dev/null
+++ b/src/libserving/model_demand_test.cpp
@@ -0,0 +1,58 @@
+#include "bulrushstack/serving/model_demand.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace bulrushstack;
+using namespace std::chrono_literals;
+
+namespace {
+
+const EngineSpec engine { .slots = 64, .cacheTokens = 280'000 };
+const ServingRequest longPrompt {
+    .prompt = { { .id = "shared", .tokens = 6000 }, { .id = "own", .tokens = 3000 } },
+    .promptTokens = 9000,
+    .outputTokens = 50,
+};
+const ServingRequest longOutput { .promptTokens = 600, .outputTokens = 300 };
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(TheWorkOfARequest)
+
+BOOST_AUTO_TEST_CASE(GrowsWithThePromptAndThePaceOfTheModel)
+{
+    BOOST_TEST(estimateWorkMs(longPrompt, engine, 0.02) > estimateWorkMs(longPrompt, engine, 0.002));
+    BOOST_TEST(estimateWorkMs(longPrompt, engine, 0.02) > estimateWorkMs(longOutput, engine, 0.02));
+}
+
+// Guards against a fast model that keeps one copy while many long outputs fill its batch.
+BOOST_AUTO_TEST_CASE(CountsLongOutputsOfAFastModel)
+{
+    const double perRequest = estimateWorkMs(longOutput, engine, 0);
+    BOOST_TEST(perRequest >= 300 * 10.0 / 64);
+}
+
+BOOST_AUTO_TEST_CASE(PrefersTheCallersEstimateOfTheOutput)
+{
+    auto hinted = longOutput;
+    hinted.expectedOutputTokens = 30;
+    BOOST_TEST(estimateWorkMs(hinted, engine, 0) < estimateWorkMs(longOutput, engine, 0));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ADemandEstimate)
+
+BOOST_AUTO_TEST_CASE(FollowsADemandThatCeasesWithinSeconds)
+{
+    ManualClock clock;
+    DemandEstimate demand(clock);
+    demand.add({ { .service = "s", .model = "m", .requests = 3, .workMs = 600, .unplaced = 1 } });
+    BOOST_TEST(demand.workRate("s", "m") > 100);
+    BOOST_TEST(demand.unplaced("s", "m") == 1);
+    clock.advance(20s);
+    BOOST_TEST(demand.workRate("s", "m") < 1);
+    BOOST_TEST(demand.workRate("s", "other") == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/libserving/serving_request.cpp
+++ b/src/libserving/serving_request.cpp
@@ -5,6 +5,11 @@
 
 namespace bulrushstack {
 
+double ownPromptTokens(const ServingRequest& request)
+{
+    return request.prompt.empty() ? request.promptTokens : request.prompt.back().tokens;
+}
+
 std::string prefixKey(const ServingRequest& request)
 {
     std::string out = request.model + "/" + request.adapter;
--- a/src/libserving/upstream_loads.cpp
+++ b/src/libserving/upstream_loads.cpp
@@ -135,12 +135,6 @@
     return load && load->avoidUntil && *load->avoidUntil > m_clock.now();
 }
 
-unsigned UpstreamLoads::inFlight(const std::string& id) const
-{
-    const auto* load = find(id);
-    return load ? load->inFlight : 0;
-}
-
 double UpstreamLoads::prefillBacklog(const std::string& id) const
 {
     const auto* load = find(id);
--- a/src/libserving/upstream_selection.cpp
+++ b/src/libserving/upstream_selection.cpp
@@ -17,24 +17,21 @@
 constexpr double avoidedMs = 10'000; ///< more than any expected latency, so that avoided upstreams come last
 constexpr double tieMs = 1; ///< expected latencies that are closer are equal
 
-std::uint64_t hashOf(std::string_view a, std::string_view b)
+std::uint64_t hashOf(std::string_view text, std::uint64_t seed)
 {
-    return XXH3_64bits_withSeed(a.data(), a.size(), XXH3_64bits(b.data(), b.size()));
+    return XXH3_64bits_withSeed(text.data(), text.size(), seed);
 }
 
+std::uint64_t seedOf(std::string_view text) { return XXH3_64bits(text.data(), text.size()); }
+
 /// Returns the id of the candidate that all instances prefer for the key; empty if there is no candidate.
 std::string preferredUpstream(const std::vector<const UpstreamEntry*>& candidates, const std::string& key)
 {
     auto it = std::max_element(candidates.begin(), candidates.end(),
-        [&](const auto* a, const auto* b) { return hashOf(a->id, key) < hashOf(b->id, key); });
+        [seed = seedOf(key)](const auto* a, const auto* b) { return hashOf(a->id, seed) < hashOf(b->id, seed); });
     return it == candidates.end() ? std::string() : (*it)->id;
 }
 
-double ownTokens(const ServingRequest& request)
-{
-    return request.prompt.empty() ? request.promptTokens : request.prompt.back().tokens;
-}
-
 double loadMs(const SelectionInput& input, const UpstreamEntry& upstream, const UpstreamLoads& loads)
 {
     const double requests = loads.estimatedRequests(upstream.id);
@@ -58,8 +55,7 @@
             continue;
         const bool isWarm = it->id == preferred || loads.hasPrefix(it->id, key);
         RatedUpstream rated { .upstream = it };
-        rated.prefillTokens = isWarm ? ownTokens(input.request) : input.request.promptTokens;
-        rated.isFull = loads.estimatedRequests(it->id) >= it->slots;
+        rated.prefillTokens = isWarm ? ownPromptTokens(input.request) : input.request.promptTokens;
         rated.expectedMs = loadMs(input, *it, loads) + rated.prefillTokens * input.prefillMsPerToken;
         if (it->zone != input.zone)
             rated.expectedMs += otherZoneMs;
@@ -69,8 +65,8 @@
             rated.expectedMs += avoidedMs;
         out.push_back(rated);
     }
-    const auto rank = [&](const RatedUpstream& it) {
-        return std::pair(std::floor(it.expectedMs / tieMs), hashOf(it.upstream->id, std::to_string(input.tieBreaker)));
+    const auto rank = [seed = seedOf(std::to_string(input.tieBreaker))](const RatedUpstream& it) {
+        return std::pair(std::floor(it.expectedMs / tieMs), hashOf(it.upstream->id, seed));
     };
     std::sort(out.begin(), out.end(), [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
     return out;
