--- a/src/include/bulrushstack/serving/serving_request.h
+++ b/src/include/bulrushstack/serving/serving_request.h
@@ -38,7 +38,8 @@
 /// Returns a key that is equal for requests whose prompts share everything but their own last part.
 std::string prefixKey(const ServingRequest& request);
 
-/// Returns a digest of what the caller asked for, equal when it sends the same again under another id.
+/// Returns a digest of what the caller asked for, equal when it sends the same again under another id. The parts of the
+/// prompt count only where there is no body: a caller that sends a body again may name its parts anew.
 std::string requestDigest(const ServingRequest& request, const std::string& target, const std::string& body);
 
 } // namespace bulrushstack
--- a/src/libserving/serving_request.cpp
+++ b/src/libserving/serving_request.cpp
@@ -20,7 +20,11 @@
 
 std::string requestDigest(const ServingRequest& request, const std::string& target, const std::string& body)
 {
-    const std::string head = request.host + "\n" + target + "\n" + request.model + "/" + request.adapter + "\n";
+    std::string head = request.host + "\n" + target + "\n" + request.model + "/" + request.adapter + "\n";
+    if (body.empty()) {
+        for (const auto& it : request.prompt)
+            head += it.id + ",";
+    }
     XXH3_state_t state;
     XXH3_128bits_reset(&state);
     XXH3_128bits_update(&state, head.data(), head.size());
--- /dev/null
+++ b/testsuite/platform-serving/run.py
@@ -0,0 +1,97 @@
+"""Two instances serve the users' platform through a calm stretch, a reload and a stop.
+
+Guards against: an instance that is ready before it can serve; a model or adapter that nobody can reach; a change of the
+configuration or of the settings that is not put in force; a stop that cuts a stream or ends with an error; a request
+with an ambiguous length that runs.
+"""
+
+import signal
+import threading
+
+import serving_site
+from processes import wait_until
+from serving_site import brief, checkout, describe, lookup, note, read
+from transcript import Transcript
+
+
+def serve(script, site, instances):
+    script.section("each kind of request through each instance")
+    for instance in instances:
+        for name, ask in (("stream", brief()), ("resumable stream", note("m-1")), ("once", checkout()), ("read", lookup())):
+            script.say(f"{instance.name}> {name}: {describe(site.call(instance, ask))}")
+
+
+def refuse(script, site, instance):
+    script.section("what cannot be allowed is refused and does not run")
+    before = len(site.runs)
+    fields = {"unknown coding": ("Transfer-Encoding", "xchunked"), "two codings": ("Transfer-Encoding", "chunked, identity"),
+              "folded line": ("X-Note", "one\r\n two")}
+    for name, field in fields.items():
+        script.say(f"{name}: {describe(site.call(instance, checkout(extra=(field,))))}")
+    script.say(f"no route: {describe(site.call(instance, read('/nowhere/')))}")
+    script.say(f"unknown model: {describe(site.call(instance, brief('m-9')))}")
+    script.say(f"runs: {len(site.runs) - before}")
+
+
+def place(script, site, instances):
+    script.section("a model and an adapter that no engine holds are loaded when they are asked for")
+    for name, model in (("model", "m-4"), ("adapter", "m-2/a1")):
+        site.wait_served(instances[1], brief(model), f"{name} served")
+        script.say(f"{name}: served")
+
+
+def change_configuration(script, site, instances):
+    script.section("routes that are added and removed")
+    site.add_route("/extra/", "idempotent", "board")
+    site.configure()
+    ask = read("/extra/1")
+    for instance in instances:
+        site.wait_served(instance, ask, f"{instance.name} serves the new route")
+    site.remove_route("/extra/")
+    site.configure()
+    for instance in instances:
+        wait_until(lambda it=instance: site.call(it, ask).status == 404, f"{instance.name} drops the route")
+    script.say("in force on both instances")
+
+
+def reload(script, site, instance):
+    script.section("settings: a change with SIGHUP, and bad ones that change nothing")
+    path = site.folder / f"{instance.name}.conf"
+    text = path.read_text()
+    path.write_text(text.replace("BULRUSH_RETRY_RATIO=0.2", "BULRUSH_RETRY_RATIO=much"))
+    instance.process.send(signal.SIGHUP)
+    wait_until(lambda: "much" in instance.log(), "the bad settings are named in the log")
+    script.say(f"bad settings: {describe(site.call(instance, lookup()))}")
+    path.write_text(text.replace("BULRUSH_RETRY_RATIO=0.2", "BULRUSH_RETRY_RATIO=0.3"))
+    instance.process.send(signal.SIGHUP)
+    wait_until(lambda: "event=reload" in instance.log(), "the reload")
+    script.say(f"good settings: {describe(site.call(instance, lookup()))}")
+
+
+def stop(script, site, instances):
+    script.section("a stop while a long stream runs")
+    results = []
+    thread = threading.Thread(target=lambda: results.append(site.call(instances[0], brief(output_tokens=800))))
+    running = len(site.runs)
+    thread.start()
+    wait_until(lambda: len(site.runs) > running, "the stream runs")
+    status = instances[0].process.terminate()
+    thread.join()
+    script.say(f"stream: {describe(results[0])}")
+    script.say(f"exit status {status}")
+    script.say(f"the other instance: {describe(site.call(instances[1], checkout()))}")
+    script.say(f"exit status {instances[1].process.terminate()}")
+
+
+def run(folder):
+    script = Transcript()
+    with serving_site.open_site(folder) as site:
+        instances = serving_site.start_instances(site)
+        serve(script, site, instances)
+        refuse(script, site, instances[0])
+        place(script, site, instances)
+        change_configuration(script, site, instances)
+        reload(script, site, instances[1])
+        stop(script, site, instances)
+        serving_site.report_promises(script, site)
+    return script.text()
--- a/testsuite/runtest.py
+++ b/testsuite/runtest.py
@@ -14,6 +14,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(ROOT / "lib"))
+sys.path.insert(0, str(ROOT.parent / "platform" / "testing"))
 
 
 def load(path):
