--- a/src/libfront/directory_keeper.cpp
+++ b/src/libfront/directory_keeper.cpp
@@ -16,6 +16,12 @@
 constexpr std::chrono::milliseconds callMargin { 1000 };
 constexpr std::chrono::milliseconds longestWait { 20'000 };
 
+/// Time in which changes of upstreams are collected into one call. Each instance pays a call for it, so that it grows
+/// with their number; the longest is half of the time in which an instance must know that an upstream leaves.
+constexpr std::chrono::milliseconds changePausePerInstance { 60 };
+constexpr std::chrono::milliseconds shortestChangePause { 400 };
+constexpr std::chrono::milliseconds longestChangePause { 1000 };
+
 TableFollowerOptions followerOptions(FrontState& state, std::string table)
 {
     // A call that a dead store never answers must end before a change that follows the store's return is due.
@@ -179,6 +185,9 @@
 {
     for (unsigned i = 1; !m_isStopped; ++i) {
         co_await sleepFor(m_state.context(), expireInterval);
+        const auto pause = changePausePerInstance * static_cast<int>(m_state.instances());
+        m_upstreamFollower.setChangePause(std::clamp<std::chrono::milliseconds>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(pause), shortestChangePause, longestChangePause));
         for (const auto& id : m_state.directory().expire())
             LOG(INFO) << "event=upstream-expired upstream=" << id;
         if (i % expiresPerCleanUp != 0)
--- a/src/libfront/table_follower.cpp
+++ b/src/libfront/table_follower.cpp
@@ -12,10 +12,6 @@
 namespace asio = boost::asio;
 
 constexpr std::chrono::milliseconds snapshotTimeout { 1000 };
-/// Time in which changes are collected into one call; a call for each of them is paid for by every instance. It is well
-/// below the time in which a change has to be in force.
-constexpr std::chrono::milliseconds changePause { 400 };
-
 constexpr std::chrono::milliseconds firstPause { 40 };
 constexpr std::chrono::milliseconds longestPause { 400 };
 
@@ -34,6 +30,7 @@
     , m_options(std::move(options))
     , m_observer(observer)
     , m_timer(context)
+    , m_changePause(m_options.changePause)
     , m_random(m_options.randomSeed)
 {
 }
@@ -96,7 +93,7 @@
     if (changes->rows.empty())
         co_return Result<void>();
     m_observer.onChanges(*changes);
-    co_await waitFor(m_timer, changePause);
+    co_await waitFor(m_timer, m_changePause);
     co_return Result<void>();
 }
 
--- a/src/libfront/table_follower.h
+++ b/src/libfront/table_follower.h
@@ -28,6 +28,7 @@
 struct TableFollowerOptions {
     std::string table;
     std::chrono::milliseconds wait { 4000 }; ///< longest time of one call for changes
+    std::chrono::milliseconds changePause { 400 }; ///< until setChangePause() is called
     std::uint64_t randomSeed = 0; ///< of the pauses between failed calls
 };
 
@@ -43,6 +44,9 @@
 
     void stop();
 
+    /// Sets the time in which further changes are collected before the next call.
+    void setChangePause(std::chrono::milliseconds pause) { m_changePause = pause; }
+
 private:
     boost::asio::awaitable<Result<void>> step();
     boost::asio::awaitable<void> pauseAfterFailure();
@@ -52,6 +56,7 @@
     TableFollowerOptions m_options;
     TableObserver& m_observer;
     boost::asio::steady_timer m_timer;
+    std::chrono::milliseconds m_changePause;
     std::mt19937_64 m_random;
     bool m_isSynchronized = false;
     bool m_isStopped = false;
