Add a soak that strikes instances, store and upstreams; take over signals before the start

testsuite/soak (make soak) runs four instances against the stand-ins of the platform. From one seed it kills, freezes, stops and restarts instances, changes settings and configuration, strikes the store (away, refusing, silent, losing answers, slow, for one instance, without history) and the upstreams (crashes, failures, spoiled and cut answers, late orders, leaving), and checks what callers and upstreams saw.

Found: a SIGTERM or SIGHUP during the start ended the process (seeds 7, 9 and 12 of the first fourteen: ended with signal 15 or 1), since signals were taken over after all services had started. Ruled out: a shutdown that fails (the logs end before the first line of the start).

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 # Half of the cores, since a compilation with Boost.Asio coroutines takes up to 1 GiB.
 JOBS ?= $(shell n=$$(nproc); echo $$(( n > 3 ? n - 2 : 1 )))
 
-.PHONY: all setup build test demo bench bench-capacity format format-check lint package-check clean
+.PHONY: all setup build test demo soak bench bench-capacity format format-check lint package-check clean
 
 all: build
 
@@ -20,6 +20,13 @@
 demo: build
 	testsuite/demo.py --bin $(BUILD)/bin
 
+# A seed that is not given is the time, so that each run is another.
+SEED ?= $(shell date +%s)
+MINUTES ?= 3
+
+soak: build
+	testsuite/soak --bin $(BUILD)/bin --seed $(SEED) --minutes $(MINUTES)
+
 bench: build
 	testsuite/bench.py --bin $(BUILD)/bin --part latency --part throughput --part saturation --part memory
 
--- a/src/bulrushd/main.cpp
+++ b/src/bulrushd/main.cpp
@@ -103,9 +103,8 @@
 }
 
 /// Waits for the first SIGTERM or SIGINT; later ones are ignored, so that they do not cut the shutdown short.
-boost::asio::awaitable<void> runUntilSignal(ServiceRegistry& registry)
+boost::asio::awaitable<void> runUntilSignal(ServiceRegistry& registry, boost::asio::signal_set& signals)
 {
-    boost::asio::signal_set signals(registry.context(), SIGTERM, SIGINT);
     const int signal = co_await signals.async_wait(boost::asio::use_awaitable);
     LOG(INFO) << "event=shutdown signal=" << signal;
     co_await registry.stopAll();
@@ -123,9 +122,8 @@
     {
     }
 
-    boost::asio::awaitable<void> followSignals()
+    boost::asio::awaitable<void> followSignals(boost::asio::signal_set& signals)
     {
-        boost::asio::signal_set signals(m_registry.context(), SIGHUP);
         for (;;) {
             co_await signals.async_wait(boost::asio::use_awaitable);
             LOG(INFO) << "event=reload-requested signal=SIGHUP";
@@ -163,8 +161,12 @@
 {
     boost::asio::io_context context(1);
     const SystemClock clock;
+    // Taken before anything else, since a signal that comes during the start would end the process.
+    boost::asio::signal_set stopSignals(context, SIGTERM, SIGINT);
+    boost::asio::signal_set reloadSignals(context);
     std::unique_ptr<LogOutput> logOutput;
     if (settings.text("binding") == platformBinding) {
+        reloadSignals.add(SIGHUP);
         FLAGS_logtostderr = false;
         FLAGS_stderrthreshold = google::NUM_SEVERITIES;
         for (int severity = 0; severity < google::NUM_SEVERITIES; ++severity)
@@ -181,10 +183,10 @@
     }
     SettingsReloader reloader(registry, arguments);
     if (settings.text("binding") == platformBinding) {
-        spawnLogged(context, reloader.followSignals(), "settings-signal");
+        spawnLogged(context, reloader.followSignals(reloadSignals), "settings-signal");
         spawnLogged(context, reloader.followFile(), "settings-file");
     }
-    boost::asio::co_spawn(context, runUntilSignal(registry), [](std::exception_ptr error) {
+    boost::asio::co_spawn(context, runUntilSignal(registry, stopSignals), [](std::exception_ptr error) {
         if (error)
             std::rethrow_exception(error);
     });
--- a/src/include/bulrushstack/serving/admission.h
+++ b/src/include/bulrushstack/serving/admission.h
@@ -14,7 +14,8 @@
     double spread = 0; ///< 0 to 1, random, so that refused callers do not return together
 };
 
-/// Decides whether a request is sent to the best of its upstreams; returns when its caller shall come back if it is not.
+/// Decides whether a request is sent to the best of its upstreams; returns when its caller shall come back if it is
+/// not.
 ///
 /// Answers load beyond what the upstreams of a model can serve. Each request that is sent then waits about as long as
 /// the upstream is behind, and an upstream that is sent all of them answers each one late or after its caller has left.
--- a/src/libfront/placement_agent.cpp
+++ b/src/libfront/placement_agent.cpp
@@ -12,19 +12,6 @@
 
 constexpr std::string_view demandPath = "/v1/placement/demand";
 constexpr std::string_view adapterPath = "/v1/placement/adapter";
-const RowId leaseRow { .table = "placement", .key = "lease" };
-
-constexpr std::chrono::milliseconds leaseTick { 100 };
-constexpr std::chrono::milliseconds leaseStartSpread { 250 }; ///< instances start together; one of them writes first
-constexpr std::chrono::milliseconds leaseCallTimeout { 900 };
-constexpr std::chrono::milliseconds leaseReadInterval { 800 };
-constexpr std::chrono::milliseconds leaseFailurePause { 250 };
-constexpr std::chrono::milliseconds renewalPrecedence { 1400 }; ///< more than a renewal and its pause take
-constexpr std::chrono::milliseconds leaseValidity { 2000 }; ///< longer than a store that is slow takes for a renewal
-constexpr std::chrono::milliseconds leaseRenewInterval { 700 };
-constexpr std::chrono::milliseconds handoverMargin { 250 }; ///< beside the period that the platform demands
-constexpr std::chrono::milliseconds contactTimeout { 1200 };
-
 constexpr std::chrono::milliseconds planInterval { 150 };
 constexpr std::chrono::milliseconds orderTimeout { 700 };
 constexpr std::chrono::milliseconds reportTimeout { 500 };
@@ -48,21 +35,6 @@
     return { .code = Errc::Unavailable, .verdict = Verdict::NotRun, .detail = std::move(detail) };
 }
 
-LeaseOptions leaseOptions(const FrontState& state)
-{
-    return { .instanceId = state.instanceId(),
-        .validity = leaseValidity,
-        .handoverPause = state.bounds().leasePeriod + handoverMargin,
-        .renewInterval = leaseRenewInterval };
-}
-
-/// Returns the write of the lease's row, on condition of its version; an empty holder gives the lease back.
-Transaction leaseWrite(std::uint64_t version, const std::string& holder, const std::string& address)
-{
-    return { .conditions = { { .id = leaseRow, .version = version } },
-        .writes = { { .id = leaseRow, .value = nlohmann::json { { "holder", holder }, { "address", address } } } } };
-}
-
 HttpResponse jsonRefusal(unsigned status, std::string_view reason)
 {
     return jsonResponse(status, nlohmann::json { { "error", reason } }.dump());
@@ -76,125 +48,19 @@
     , m_client(client)
     , m_binding(binding)
     , m_metrics(metrics)
-    , m_controlAddress(std::move(controlAddress))
-    , m_lease(leaseOptions(state))
+    , m_keeper(state, binding, metrics, std::move(controlAddress))
     , m_demand(state.clock())
 {
 }
 
 void PlacementAgent::start()
 {
-    spawnLogged(m_state.context(), keepLease(), "placement-lease");
+    spawnLogged(m_state.context(), m_keeper.run(), "placement-lease");
     spawnLogged(m_state.context(), reportDemand(), "placement-demand");
     spawnLogged(m_state.context(), keepPlacement(), "placement-plan");
 }
 
-asio::awaitable<void> PlacementAgent::stop()
-{
-    const bool isHolder = m_lease.isHolder(m_state.clock().bootNow());
-    m_isStopped = true;
-    if (!isHolder)
-        co_return;
-    auto release = leaseWrite(m_lease.expectedVersion(), "", "");
-    auto released = co_await m_binding.tables().commit(std::move(release), m_state.clock().now() + leaseCallTimeout);
-    LOG(INFO) << "event=lease-released fence=" << m_lease.fence() << " error=\""
-              << (released ? "" : released.error().detail) << "\"";
-}
-
-bool PlacementAgent::mayOrder() const { return !m_isStopped && m_lease.mayOrder(m_state.clock().bootNow()); }
-
-bool PlacementAgent::isInContact() const
-{
-    return m_lastContact && m_state.clock().now() - *m_lastContact < contactTimeout;
-}
-
-asio::awaitable<void> PlacementAgent::keepLease()
-{
-    co_await sleepFor(m_state.context(), std::chrono::milliseconds(m_state.random() % leaseStartSpread.count()));
-    while (!m_isStopped) {
-        const auto now = m_state.clock().bootNow();
-        const bool isHolder = m_lease.isHolder(now);
-        if (isHolder != m_wasHolder) {
-            LOG(INFO) << "event=" << (isHolder ? "lease-acquired" : "lease-lost") << " fence=" << m_lease.fence()
-                      << " version=" << m_lease.expectedVersion();
-            m_metrics.setHolder(isHolder);
-            m_wasHolder = isHolder;
-        }
-        const bool isReadDue = now - m_lastLeaseRead >= leaseReadInterval;
-        if (m_mustReadLease || (!isHolder && !isInContact() && isReadDue))
-            co_await readLease();
-        if (shouldWriteLease())
-            co_await writeLease();
-        co_await sleepFor(m_state.context(), leaseTick);
-    }
-}
-
-bool PlacementAgent::shouldWriteLease() const
-{
-    const auto now = m_state.clock().bootNow();
-    return m_lease.shouldWrite(now) && (m_lease.isOwn() || (!isInContact() && now >= m_claimFrom));
-}
-
-std::optional<LeaseRecord> PlacementAgent::otherHolder() const
-{
-    const auto& record = m_lease.record();
-    return !record || record->holder.empty() || m_lease.isOwn() ? std::nullopt : record;
-}
-
-asio::awaitable<void> PlacementAgent::readLease()
-{
-    m_lastLeaseRead = m_state.clock().bootNow();
-    auto row = co_await m_binding.tables().read(leaseRow, m_state.clock().now() + leaseCallTimeout);
-    if (!row) {
-        noteStoreFailure();
-        co_await sleepFor(m_state.context(), leaseFailurePause);
-        co_return;
-    }
-    m_mustReadLease = false;
-    const auto now = m_state.clock().bootNow();
-    if (!*row) {
-        m_lease.observe(std::nullopt, now);
-        co_return;
-    }
-    const auto& value = (*row)->value;
-    LeaseRecord record { .version = (*row)->version };
-    if (value.is_object()) {
-        record.holder = value.value("holder", "");
-        record.address = parseAddress(value.value("address", "")).value_or(Address());
-    }
-    const bool isOwnWrite
-        = m_unansweredWrite && record.holder == m_state.instanceId() && record.version > m_lease.expectedVersion();
-    if (isOwnWrite)
-        m_lease.noteWritten(record.version, m_controlAddress, *m_unansweredWrite);
-    else
-        m_lease.observe(std::move(record), now);
-    m_unansweredWrite.reset();
-}
-
-asio::awaitable<void> PlacementAgent::writeLease()
-{
-    const auto sentAt = m_state.clock().bootNow();
-    auto write = leaseWrite(m_lease.expectedVersion(), m_state.instanceId(), m_controlAddress.toString());
-    auto version = co_await m_binding.tables().commit(std::move(write), m_state.clock().now() + leaseCallTimeout);
-    if (version) {
-        m_lease.noteWritten(*version, m_controlAddress, sentAt);
-        co_return;
-    }
-    LOG(INFO) << "event=lease-write-failed version=" << m_lease.expectedVersion() << " error=\""
-              << version.error().code.message() << ": " << version.error().detail << "\"";
-    m_mustReadLease = true;
-    if (version.error().code == Errc::Conflict) {
-        m_lease.noteLost();
-        co_return;
-    }
-    m_unansweredWrite = sentAt;
-    noteStoreFailure();
-    co_await sleepFor(m_state.context(), leaseFailurePause);
-}
-
-/// After an outage of the store the last holder can go on at once, while another instance has to wait for the handover
-/// pause. The others therefore leave it time to renew the lease.
-void PlacementAgent::noteStoreFailure() { m_claimFrom = m_state.clock().bootNow() + renewalPrecedence; }
+asio::awaitable<void> PlacementAgent::stop() { return m_keeper.release(); }
 
 std::chrono::milliseconds PlacementAgent::reportInterval() const
 {
@@ -207,7 +73,7 @@
 asio::awaitable<void> PlacementAgent::reportDemand()
 {
     auto lastReport = m_state.clock().now();
-    while (!m_isStopped) {
+    while (!m_keeper.isReleased()) {
         co_await sleepFor(m_state.context(), urgentReportInterval);
         if (m_state.clock().now() - lastReport < reportInterval())
             continue;
@@ -218,45 +84,42 @@
 
 asio::awaitable<void> PlacementAgent::sendDemand()
 {
-    if (m_lease.isHolder(m_state.clock().bootNow())) {
+    if (m_keeper.isHolder()) {
+        m_keeper.noteContact();
         applyReply(takeDemand(m_state.takeDemand()));
         co_return;
     }
-    const auto holder = otherHolder();
+    const auto holder = m_keeper.otherHolder();
     if (!holder)
         co_return;
     HttpRequest request { .method = "POST", .target = std::string(demandPath), .body = encode(m_state.takeDemand()) };
     HttpCallOptions options;
     options.deadline = m_state.clock().now() + demandTimeout;
-    const bool wasInContact = isInContact();
+    const bool wasInContact = m_keeper.isInContact();
     auto response = co_await m_client.call(holder->address, std::move(request), options);
     if (!response) {
         // A connection that went silent is not used again, since the next one may work.
         m_client.retireIdle(holder->address);
-        if (wasInContact && !isInContact())
+        if (wasInContact && !m_keeper.isInContact())
             LOG(WARNING) << "event=dependency-lost dependency=placement-holder holder=" << holder->holder
                          << " version=" << holder->version << " error=\"" << response.error().detail << "\"";
         co_return;
     }
     auto reply = decodeDemandReply(response->body);
     if (response->status != 200 || !reply || !reply->isHolder) {
-        m_lastContact.reset();
-        m_mustReadLease = true;
+        m_keeper.noteHolderGone();
         co_return;
     }
     if (!wasInContact)
         LOG(INFO) << "event=dependency-regained dependency=placement-holder holder=" << holder->holder
                   << " version=" << holder->version;
-    LeaseRecord renewed = *holder;
-    renewed.version = reply->leaseVersion;
-    m_lease.observe(std::move(renewed), m_state.clock().bootNow());
+    m_keeper.noteRenewedByHolder(*holder, reply->leaseVersion);
     m_state.suspects().merge(reply->crashes);
     applyReply(*reply);
 }
 
 void PlacementAgent::applyReply(const DemandReply& reply)
 {
-    m_lastContact = m_state.clock().now();
     m_state.setInstances(reply.instances);
     m_state.setRetiring(reply.retiring);
 }
@@ -282,7 +145,7 @@
     m_reporters[message.instance] = now;
     std::erase_if(m_reporters, [&](const auto& it) { return now - it.second > reporterLifetime; });
     DemandReply out { .isHolder = true,
-        .leaseVersion = m_lease.expectedVersion(),
+        .leaseVersion = m_keeper.lease().expectedVersion(),
         .instances = static_cast<unsigned>(m_reporters.size()) };
     for (const auto& [service, placement] : m_services) {
         for (const auto& [id, upstream] : placement.ledger.upstreams()) {
@@ -297,7 +160,7 @@
 asio::awaitable<void> PlacementAgent::handle(HttpExchange& exchange)
 {
     const auto& request = exchange.request();
-    const bool isHolder = m_lease.isHolder(m_state.clock().bootNow());
+    const bool isHolder = m_keeper.isHolder();
     if (request.method == "POST" && request.path() == demandPath) {
         auto message = decodeDemandMessage(request.body);
         if (!message) {
@@ -325,12 +188,12 @@
 
 asio::awaitable<Result<std::string>> PlacementAgent::placeAdapter(AdapterDemand adapter, SteadyTime deadline)
 {
-    if (m_lease.isHolder(m_state.clock().bootNow()))
+    if (m_keeper.isHolder())
         co_return co_await placeHere(std::move(adapter), deadline);
-    const auto holder = otherHolder();
+    const auto holder = m_keeper.otherHolder();
     if (!holder)
         co_return unavailable("no instance holds the placement lease");
-    if (!isInContact())
+    if (!m_keeper.isInContact())
         co_return unavailable("the holder " + holder->holder + " does not answer");
     HttpRequest request { .method = "POST", .target = std::string(adapterPath), .body = encode(adapter) };
     HttpCallOptions options;
@@ -354,7 +217,7 @@
     }
     while (m_state.clock().now() < deadline) {
         auto* placement = findPlacement(adapter.service);
-        if (!placement || !mayOrder())
+        if (!placement || !m_keeper.mayOrder())
             co_return unavailable("this instance may not give orders now");
         if (!placement->placing.count(name)) {
             const auto holder = placement->ledger.findAdapter(name, placement->leaving);
@@ -403,7 +266,7 @@
 
 void PlacementAgent::beginTerm()
 {
-    m_term = m_lease.fence();
+    m_term = m_keeper.lease().fence();
     for (auto& [service, placement] : m_services) {
         placement.ledger.reset();
         assumeLoadsOfLastHolder(placement);
@@ -413,19 +276,19 @@
 
 void PlacementAgent::assumeLoadsOfLastHolder(ServicePlacement& placement)
 {
-    if (m_lease.origin() == LeaseOrigin::EarlierProcess)
+    if (m_keeper.lease().origin() == LeaseOrigin::EarlierProcess)
         placement.ledger.assumeRecentLoads(std::chrono::nanoseconds(0));
-    if (m_lease.origin() == LeaseOrigin::OtherInstance)
-        placement.ledger.assumeRecentLoads(leaseOptions(m_state).handoverPause);
+    if (m_keeper.lease().origin() == LeaseOrigin::OtherInstance)
+        placement.ledger.assumeRecentLoads(m_keeper.handoverPause());
 }
 
 asio::awaitable<void> PlacementAgent::keepPlacement()
 {
-    while (!m_isStopped) {
+    while (!m_keeper.isReleased()) {
         co_await sleepFor(m_state.context(), planInterval);
-        if (!mayOrder() || !m_state.configuration())
+        if (!m_keeper.mayOrder() || !m_state.configuration())
             continue;
-        if (m_term != m_lease.fence())
+        if (m_term != m_keeper.lease().fence())
             beginTerm();
         const auto configuration = m_state.configuration();
         for (const auto& service : configuration->services()) {
@@ -520,7 +383,7 @@
 /// looking until the upstream accepts connections again or is no longer in the directory.
 asio::awaitable<void> PlacementAgent::checkReachable(std::string upstream)
 {
-    while (!m_isStopped) {
+    while (!m_keeper.isReleased()) {
         const auto* entry = m_state.directory().find(upstream);
         if (!entry)
             break;
@@ -543,13 +406,13 @@
 {
     auto* placement = findPlacement(service);
     const auto* entry = m_state.directory().find(order.upstreamId);
-    if (!placement || !entry || !mayOrder())
+    if (!placement || !entry || !m_keeper.mayOrder())
         co_return OrderAnswer::Rejected;
     const auto* residency = placement->ledger.find(order.upstreamId);
     if (!residency || residency->isOrdering || !placement->ledger.fits(order))
         co_return OrderAnswer::Rejected;
     order.holder = m_state.instanceId();
-    order.fence = m_lease.fence();
+    order.fence = m_keeper.lease().fence();
     const bool isStoreLoad
         = order.kind == OrderKind::Load && placement->ledger.isStoreLoad(order.upstreamId, order.model);
     order = placement->ledger.begin(std::move(order));
@@ -560,8 +423,8 @@
     m_metrics.noteOrder(toString(order.kind), toString(answer));
     LOG(INFO) << "event=order kind=" << toString(order.kind) << " upstream=" << order.upstreamId
               << " model=" << order.model << " adapter=" << order.adapter << " expected=" << order.expectedOrders
-              << " fence=" << order.fence << " lease_version=" << m_lease.expectedVersion() << " reason=" << reason
-              << " store_load=" << isStoreLoad << " answer=" << toString(answer) << " ms="
+              << " fence=" << order.fence << " lease_version=" << m_keeper.lease().expectedVersion()
+              << " reason=" << reason << " store_load=" << isStoreLoad << " answer=" << toString(answer) << " ms="
               << std::chrono::duration_cast<std::chrono::milliseconds>(m_state.clock().now() - started).count();
     if (order.kind == OrderKind::Unload && order.adapter.empty() && answer == OrderAnswer::Accepted)
         m_state.hints().noteAbsent(order.upstreamId, order.model, "");
--- a/src/libfront/placement_agent.h
+++ b/src/libfront/placement_agent.h
@@ -3,10 +3,10 @@
 #include "bulrushstack/net/http_client.h"
 #include "bulrushstack/net/http_server.h"
 #include "bulrushstack/serving/model_demand.h"
-#include "bulrushstack/serving/placement_lease.h"
 #include "bulrushstack/serving/placement_planner.h"
 #include "front_metrics.h"
 #include "front_state.h"
+#include "lease_keeper.h"
 #include "request_run.h"
 
 #include <map>
@@ -16,8 +16,8 @@
 
 namespace bulrushstack {
 
-/// Keeps the placement lease, gives orders to the upstreams while this instance holds it, and reports the demand of
-/// this instance to the holder otherwise. Other instances reach it through its HttpHandler.
+/// Gives orders to the upstreams while this instance holds the placement lease, and reports the demand of this instance
+/// to the holder otherwise. Other instances reach it through its HttpHandler.
 class PlacementAgent final : public AdapterPlacement, public HttpHandler {
 public:
     PlacementAgent(
@@ -46,21 +46,10 @@
         std::set<AdapterName> placing; ///< adapters that are being loaded
     };
 
-    boost::asio::awaitable<void> keepLease();
-    boost::asio::awaitable<void> readLease();
-    boost::asio::awaitable<void> writeLease();
     boost::asio::awaitable<void> reportDemand();
     boost::asio::awaitable<void> sendDemand();
     boost::asio::awaitable<void> keepPlacement();
 
-    bool mayOrder() const;
-    bool isInContact() const;
-    bool shouldWriteLease() const;
-    void noteStoreFailure();
-
-    /// Returns the lease if another instance holds it; empty if nobody or this instance does.
-    std::optional<LeaseRecord> otherHolder() const;
-
     void applyReply(const DemandReply& reply);
     std::chrono::milliseconds reportInterval() const;
     void beginTerm();
@@ -82,16 +71,8 @@
     HttpClient& m_client;
     FrontBinding& m_binding;
     FrontMetrics& m_metrics;
-    Address m_controlAddress;
-    PlacementLease m_lease;
-    std::optional<SteadyTime> m_unansweredWrite; ///< when a write of the lease was sent that got no answer
-    bool m_mustReadLease = true;
-    bool m_isStopped = false;
-    bool m_wasHolder = false;
+    LeaseKeeper m_keeper;
     std::uint64_t m_term = 0; ///< fence of the term for which the ledgers were read
-    std::optional<SteadyTime> m_lastContact; ///< with the holder
-    SteadyTime m_lastLeaseRead {};
-    SteadyTime m_claimFrom {}; ///< before it, the lease of another instance is left alone
     DemandEstimate m_demand;
     std::map<std::string, SteadyTime> m_reporters; ///< instances, by when they last reported
     std::map<std::string, ServicePlacement> m_services;
--- a/src/libfront/request_run.h
+++ b/src/libfront/request_run.h
@@ -44,7 +44,15 @@
     boost::asio::awaitable<void> run();
 
 private:
-    struct Attempt;
+    struct Attempt {
+        std::string id;
+        Address address;
+        SentRequest sent;
+        std::unique_ptr<HttpStream> stream;
+        UpstreamHead head;
+        bool hadFirstAnswer = false;
+        bool wasSent = false;
+    };
 
     boost::asio::awaitable<void> runAdmitted();
     boost::asio::awaitable<std::optional<RatedUpstream>> chooseUpstream();
--- a/src/libserving/admission.cpp
+++ b/src/libserving/admission.cpp
@@ -19,7 +19,8 @@
         return std::nullopt;
     // The upstream has to catch up before there is room again.
     const auto excess = best.delay - admittedDelay * objective;
-    const auto pause = std::max<std::chrono::duration<double, std::milli>>(shortestPause, excess) + input.spread * longestPause * input.timeLeft;
+    const auto pause = std::max<std::chrono::duration<double, std::milli>>(shortestPause, excess)
+        + input.spread * longestPause * input.timeLeft;
     return std::chrono::duration_cast<Milliseconds>(
         std::min<std::chrono::duration<double, std::milli>>(pause, longestPause * input.timeLeft));
 }
--- a/testsuite/lib/serving_site.py
+++ b/testsuite/lib/serving_site.py
@@ -7,7 +7,7 @@
 from platform_site import Site
 
 ZONES = ["quay-a", "quay-b", "turlough"]
-BRIEF, NOTE, CHECKOUT, LOOKUP = "/brief/", "/note/", "/checkout/", "/lookup/"
+BRIEF, NOTE, CHECKOUT, LOOKUP, EXTRA = "/brief/", "/note/", "/checkout/", "/lookup/", "/extra/"
 
 
 @contextlib.contextmanager
@@ -32,7 +32,7 @@
 
 
 def start_instances(site, count=2):
-    instances = [site.start_instance(f"front-{number}", ZONES[number]) for number in range(count)]
+    instances = [site.start_instance(f"front-{number}", ZONES[number % len(ZONES)]) for number in range(count)]
     site.wait_ready(*instances)
     return instances
 
@@ -53,6 +53,10 @@
     return Ask(LOOKUP + "7", "idempotent", "GET", **options)
 
 
+def extra(**options):
+    return Ask(EXTRA + "1", "idempotent", "GET", **options)
+
+
 def read(path):
     return Ask(path, "idempotent", "GET")
 
