Explain a request from the logs; log each loss of the placement holder

bulrushctl explain REQUEST-ID [LOG]... reads the logs of several instances and prints the decisions on a request in order, and the changes of what the instances believed that concern it. It asks no instance.

It found that an instance mostly did not log that the holder of the placement lease was lost: contact was judged before and after one call, and ended between two calls when the holder refused connections at once. The instance now remembers what it logged.

--- a/src/bulrushctl/command.cpp
+++ b/src/bulrushctl/command.cpp
@@ -32,6 +32,7 @@
     { "model", "list", 0, 0, "" },
     { "service", "apply", 1, 1, "FILE" },
     { "service", "list", 0, 0, "" },
+    { "explain", "", 1, 1000, "REQUEST-ID [LOG]..., needs no instance" },
 };
 
 std::string describe(const CommandForm& form)
@@ -122,6 +123,18 @@
     };
 }
 
+std::vector<SettingSpec> explainSettings()
+{
+    return {
+        { .name = "before",
+            .kind = SettingKind::Duration,
+            .defaultValue = "5s",
+            .help = "time before the request in which changes of what instances believe are shown",
+            .minimum = "0s",
+            .maximum = "1h" },
+    };
+}
+
 std::vector<std::string> takeParameters(std::vector<std::string>& arguments)
 {
     static constexpr std::string_view flag = "--parameter";
--- a/src/bulrushctl/command.h
+++ b/src/bulrushctl/command.h
@@ -36,6 +36,9 @@
 
 std::vector<SettingSpec> controlSettings();
 
+/// Returns the settings of the command "explain", which reads logs and asks no instance.
+std::vector<SettingSpec> explainSettings();
+
 /// Removes every "--parameter KEY=VALUE" from the arguments and returns the values in order. The settings parser keeps
 /// only the last value of a flag.
 std::vector<std::string> takeParameters(std::vector<std::string>& arguments);
--- a/src/bulrushctl/main.cpp
+++ b/src/bulrushctl/main.cpp
@@ -1,8 +1,12 @@
 #include "bulrushstack/kernel/run_awaitable.h"
 #include "program.h"
+#include "request_story.h"
 
+#include <algorithm>
+#include <fstream>
 #include <glog/logging.h>
 #include <iostream>
+#include <iterator>
 #include <unistd.h>
 
 namespace bulrushstack {
@@ -41,12 +45,46 @@
     return static_cast<int>(runAwaitable(context, program.run(command)));
 }
 
+/// Reads the logs that the operands name, or standard input; returns nothing after a file that cannot be read.
+std::optional<std::vector<LogLine>> readLogs(const std::vector<std::string>& files)
+{
+    if (files.empty())
+        return readLog("-", std::cin);
+    std::vector<LogLine> out;
+    for (const auto& file : files) {
+        std::ifstream stream;
+        if (file != "-")
+            stream.open(file);
+        if (file != "-" && !stream) {
+            std::cerr << "bulrushctl: cannot read the log '" << file << "'\n";
+            return std::nullopt;
+        }
+        auto lines = readLog(file, file == "-" ? std::cin : stream);
+        std::move(lines.begin(), lines.end(), std::back_inserter(out));
+    }
+    return out;
+}
+
+/// Prints what the logs of several instances say of one request; exit status 1 if they say nothing.
+int explain(const Settings& settings, std::vector<std::string> operands)
+{
+    const std::string id = operands.front();
+    operands.erase(operands.begin());
+    const auto lines = readLogs(operands);
+    if (!lines)
+        return static_cast<int>(ExitStatus::Usage);
+    const auto story = findStory(id, *lines, settings.duration("before"));
+    std::cout << formatStory(story);
+    return static_cast<int>(story.decisions.empty() ? ExitStatus::Failed : ExitStatus::Success);
+}
+
 int controlMain(std::vector<std::string> arguments)
 {
     std::vector<std::string> environment;
     for (char** it = environ; *it; ++it)
         environment.emplace_back(*it);
-    const auto specs = controlSettings();
+    const bool isExplaining = std::find(arguments.begin(), arguments.end(), "explain") != arguments.end();
+    const auto specs = isExplaining ? explainSettings() : controlSettings();
     auto parameters = takeParameters(arguments);
     const auto outcome = parseSettings(specs, arguments, environment);
     if (!outcome.settings)
@@ -70,6 +108,8 @@
     const auto command = parseCommand(outcome.settings->arguments());
     if (!command.command)
         return refuse(command.error);
+    if (isExplaining)
+        return explain(*outcome.settings, command.command->operands);
     return runCommand(*outcome.settings, *command.command, std::move(parameters));
 }
 
--- /dev/null
+++ b/src/bulrushctl/request_story.cpp
@@ -0,0 +1,150 @@
+#include "request_story.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdio>
+#include <istream>
+#include <set>
+
+namespace bulrushstack {
+
+namespace {
+
+/// Events that change what an instance believes, beside those that name a request.
+constexpr std::array<std::string_view, 15> beliefEvents { "dependency-lost", "dependency-regained", "lease-acquired",
+    "lease-lost", "lease-released", "placement-term", "configuration", "configuration-unreadable", "upstream-changed",
+    "upstream-removed", "upstream-expired", "upstream-unreadable", "order", "reload", "shutdown" };
+
+/// Reads one field from the text and removes it; returns false at the end of the text.
+bool takeField(std::string_view& text, std::string& name, std::string& value)
+{
+    const auto start = text.find_first_not_of(' ');
+    if (start == std::string_view::npos)
+        return false;
+    text.remove_prefix(start);
+    const auto nameEnd = std::min(text.find_first_of("= "), text.size());
+    name = std::string(text.substr(0, nameEnd));
+    value.clear();
+    text.remove_prefix(nameEnd);
+    if (!text.starts_with('='))
+        return true;
+    text.remove_prefix(1);
+    const bool isQuoted = text.starts_with('"');
+    const auto end = isQuoted ? text.find('"', 1) : text.find(' ');
+    const auto length = std::min(end, text.size());
+    value = std::string(isQuoted ? text.substr(1, length - 1) : text.substr(0, length));
+    text.remove_prefix(std::min(text.size(), length + (isQuoted ? 1 : 0)));
+    return true;
+}
+
+bool isBelief(const LogLine& line)
+{
+    return std::find(beliefEvents.begin(), beliefEvents.end(), line.field("event")) != beliefEvents.end();
+}
+
+/// What the decisions of a request name.
+struct Concerned {
+    std::set<std::string_view> sources;
+    std::set<std::string_view> upstreams;
+    std::set<std::string_view> models;
+
+    explicit Concerned(const std::vector<LogLine>& decisions)
+    {
+        for (const auto& it : decisions) {
+            sources.insert(it.source);
+            for (const auto& [part, name] : { std::pair(&upstreams, "upstream"), std::pair(&models, "model") }) {
+                if (const auto value = it.field(name); !value.empty())
+                    part->insert(value);
+            }
+        }
+    }
+
+    /// An order or a change of an upstream concerns the request if it names its upstream or model; anything else if it
+    /// happened on one of its instances.
+    bool matches(const LogLine& line) const
+    {
+        const auto upstream = line.field("upstream");
+        const auto model = line.field("model");
+        if (upstream.empty() && model.empty())
+            return sources.count(line.source) > 0;
+        return upstreams.count(upstream) > 0 || models.count(model) > 0;
+    }
+};
+
+void sortByTime(std::vector<LogLine>& lines)
+{
+    std::stable_sort(lines.begin(), lines.end(), [](const auto& a, const auto& b) { return a.time < b.time; });
+}
+
+} // namespace
+
+std::string_view LogLine::field(std::string_view name) const
+{
+    auto it = fields.find(name);
+    return it == fields.end() ? std::string_view() : std::string_view(it->second);
+}
+
+std::optional<LogLine> parseLogLine(std::string source, std::string text)
+{
+    LogLine out { .source = std::move(source), .text = std::move(text) };
+    std::string_view rest = out.text;
+    for (std::string name, value; takeField(rest, name, value);)
+        out.fields.emplace(name, value);
+    const auto time = out.field("time");
+    const auto [end, ec] = std::from_chars(time.data(), time.data() + time.size(), out.time);
+    if (ec != std::errc() || time.empty() || end != time.data() + time.size() || out.field("event").empty())
+        return std::nullopt;
+    return out;
+}
+
+std::vector<LogLine> readLog(const std::string& source, std::istream& input)
+{
+    std::vector<LogLine> out;
+    for (std::string text; std::getline(input, text);) {
+        if (auto line = parseLogLine(source, std::move(text)))
+            out.push_back(std::move(*line));
+    }
+    return out;
+}
+
+RequestStory findStory(
+    const std::string& requestId, const std::vector<LogLine>& lines, std::chrono::duration<double> before)
+{
+    RequestStory out;
+    std::copy_if(lines.begin(), lines.end(), std::back_inserter(out.decisions),
+        [&](const auto& it) { return it.field("request") == requestId; });
+    if (out.decisions.empty())
+        return out;
+    sortByTime(out.decisions);
+    const Concerned concerned(out.decisions);
+    const double from = out.decisions.front().time - before.count();
+    const double until = out.decisions.back().time;
+    std::copy_if(lines.begin(), lines.end(), std::back_inserter(out.beliefs), [&](const auto& it) {
+        return it.time >= from && it.time <= until && isBelief(it) && concerned.matches(it);
+    });
+    sortByTime(out.beliefs);
+    return out;
+}
+
+std::string formatStory(const RequestStory& story)
+{
+    if (story.decisions.empty())
+        return "no line names the request\n";
+    std::string out;
+    const auto append = [&](const std::vector<LogLine>& lines) {
+        for (const auto& it : lines) {
+            char buf[32];
+            std::snprintf(buf, sizeof(buf), "%+10.3f s  ", it.time - story.decisions.front().time);
+            const auto event = it.text.find("event=");
+            out += buf + it.source + "  " + it.text.substr(event) + "\n";
+        }
+    };
+    out += "what the instances came to believe before its end:\n";
+    append(story.beliefs);
+    out += "what was decided:\n";
+    append(story.decisions);
+    return out;
+}
+
+} // namespace bulrushstack
--- a/src/libfront/placement_agent.cpp
+++ b/src/libfront/placement_agent.cpp
@@ -95,29 +95,37 @@
     HttpRequest request { .method = "POST", .target = std::string(demandPath), .body = encode(m_state.takeDemand()) };
     HttpCallOptions options;
     options.deadline = m_state.clock().now() + demandTimeout;
-    const bool wasInContact = m_keeper.isInContact();
     auto response = co_await m_client.call(holder->address, std::move(request), options);
     if (!response) {
         // A connection that went silent is not used again, since the next one may work.
         m_client.retireIdle(holder->address);
-        if (wasInContact && !m_keeper.isInContact())
-            LOG(WARNING) << "event=dependency-lost dependency=placement-holder holder=" << holder->holder
-                         << " version=" << holder->version << " error=\"" << response.error().detail << "\"";
+        if (m_isHolderReached && !m_keeper.isInContact())
+            noteHolderLost(*holder, response.error().detail);
         co_return;
     }
     auto reply = decodeDemandReply(response->body);
     if (response->status != 200 || !reply || !reply->isHolder) {
         m_keeper.noteHolderGone();
+        if (m_isHolderReached)
+            noteHolderLost(*holder, "it does not hold the lease, status " + std::to_string(response->status));
         co_return;
     }
-    if (!wasInContact)
+    if (!m_isHolderReached)
         LOG(INFO) << "event=dependency-regained dependency=placement-holder holder=" << holder->holder
                   << " version=" << holder->version;
+    m_isHolderReached = true;
     m_keeper.noteRenewedByHolder(*holder, reply->leaseVersion);
     m_state.suspects().merge(reply->crashes);
     applyReply(*reply);
 }
 
+void PlacementAgent::noteHolderLost(const LeaseRecord& holder, const std::string& reason)
+{
+    m_isHolderReached = false;
+    LOG(WARNING) << "event=dependency-lost dependency=placement-holder holder=" << holder.holder
+                 << " version=" << holder.version << " error=\"" << reason << "\"";
+}
+
 void PlacementAgent::applyReply(const DemandReply& reply)
 {
     m_state.setInstances(reply.instances);
--- a/src/libfront/placement_agent.h
+++ b/src/libfront/placement_agent.h
@@ -50,6 +50,7 @@
     boost::asio::awaitable<void> sendDemand();
     boost::asio::awaitable<void> keepPlacement();
 
+    void noteHolderLost(const LeaseRecord& holder, const std::string& reason);
     void applyReply(const DemandReply& reply);
     std::chrono::milliseconds reportInterval() const;
     void beginTerm();
@@ -72,6 +73,7 @@
     FrontBinding& m_binding;
     FrontMetrics& m_metrics;
     LeaseKeeper m_keeper;
+    bool m_isHolderReached = false; ///< as the log says
     std::uint64_t m_term = 0; ///< fence of the term for which the ledgers were read
     DemandEstimate m_demand;
     std::map<std::string, SteadyTime> m_reporters; ///< instances, by when they last reported
