--- a/src/bulrushctl/request_story.cpp
+++ b/src/bulrushctl/request_story.cpp
@@ -120,9 +120,8 @@
     const Concerned concerned(out.decisions);
     const double from = out.decisions.front().time - before.count();
     const double until = out.decisions.back().time;
-    std::copy_if(lines.begin(), lines.end(), std::back_inserter(out.beliefs), [&](const auto& it) {
-        return it.time >= from && it.time <= until && isBelief(it) && concerned.matches(it);
-    });
+    std::copy_if(lines.begin(), lines.end(), std::back_inserter(out.beliefs),
+        [&](const auto& it) { return it.time >= from && it.time <= until && isBelief(it) && concerned.matches(it); });
     sortByTime(out.beliefs);
     return out;
 }
