--- a/testsuite/lib/serving_site.py
+++ b/testsuite/lib/serving_site.py
@@ -10,16 +10,19 @@
 BRIEF, NOTE, CHECKOUT, LOOKUP, EXTRA = "/brief/", "/note/", "/checkout/", "/lookup/", "/extra/"
 
 
+FIVE_MODELS = {"m-0": 0, "m-1": 0, "m-2": 3, "m-3": 0, "m-4": 0}  # name -> count of adapters
+
+
 @contextlib.contextmanager
-def open_site(folder, engines=3, placed=(("m-0", "m-1"), ("m-0", "m-2"), ("m-3",)), **options):
+def open_site(folder, engines=3, placed=(("m-0", "m-1"), ("m-0", "m-2"), ("m-3",)), models=None, **options):
     """Yields a site with engines of three places, five models, of which m-4 is nowhere, and two plain workers."""
     with Site(folder, **options) as site:
-        populate(site, engines, placed)
+        populate(site, engines, placed, models or FIVE_MODELS)
         yield site
 
 
-def populate(site, engines, placed):
-    site.models = {"m-0": 0, "m-1": 0, "m-2": 3, "m-3": 0, "m-4": 0}
+def populate(site, engines, placed, models):
+    site.models = models
     for number in range(engines):
         site.add_engine(f"engine-{number}", ZONES[number], placed[number])
     for number in range(2):
