--- a/testsuite/lib/soak_faults.py
+++ b/testsuite/lib/soak_faults.py
@@ -114,7 +114,7 @@
         path.write_text("\n".join(lines) + "\n")
         if self.random.random() < 0.5:
             instance.process.send(signal.SIGHUP)
-        return self._fault("settings", instance.name, lambda: None, 0.1, 0.2)
+        return self._fault("settings of", f"{instance.name} changed", lambda: None, 0.1, 0.2)
 
     # The store.
 
