--- a/testsuite/explaining-failures/run.py
+++ b/testsuite/explaining-failures/run.py
@@ -50,8 +50,8 @@
     other = next(it for it in instances if it is not holder)
     holder.process.kill()
     site.do(site.workers["engine-2"].crash())
-    for text in ("upstream=engine-2", "dependency-lost dependency=placement-holder"):
-        wait_until(lambda it=text: any(it in line and "event=request" not in line for line in other.log().splitlines()), text)
+    for text in ("event=upstream-removed upstream=engine-2 ", "event=dependency-lost dependency=placement-holder "):
+        wait_until(lambda it=text: it in other.log(), text)
     outcome = site.call(other, brief("m-3"))
     script.say(f"caller: {describe(outcome)}")
     beliefs = explain(script, site, outcome, ["model", "outcome", "verdict", "attempts"])
