Let the last copy of a hardly used model go for one that requests miss

Cause: a last copy gave way only to a missed model once its own demand had faded below 0.1 ms/s, which takes 18 s after 500 ms/s. The need of the missed model now has to be twice that of the one whose last copy goes. The new planner test failed before.

Ruled out: a holder without the right to give orders (its term had begun at 776.8) and demand that was not reported (the instance was in contact).

--- a/src/libserving/placement_planner.cpp
+++ b/src/libserving/placement_planner.cpp
@@ -10,8 +10,9 @@
 
 constexpr double missingWeight = 3; ///< of the work of a model that no upstream can serve, against one that is busy
 constexpr double unplacedRequestWork = 300; ///< of a request that waits for its model or was refused
+constexpr double lastCopyRatio = 2; ///< of the need of a missed model to that of the one whose last copy goes for it
 constexpr double idleModelWork = 50; ///< of a missing model that nobody asks for
-constexpr double idleWork = 0.1; ///< below which nobody has asked for a model in the last seconds
+constexpr double missedRequests = 0.1; ///< requests without a copy, fading with time, above which a model is missed
 constexpr unsigned loadsOfOneModel = 2; ///< copies that are loaded at the same time beside as many that serve
 
 /// The copies and the demand of each model, as far as a plan has gone.
@@ -54,14 +55,8 @@
         return n > 1 ? find(model).work / (n - 1) : missingWeight * find(model).work;
     }
 
-    /// Returns whether the last copy of a model may go for one that is asked for: where the memory does not hold all
-    /// models, those that nobody asks for give way.
-    bool isIdle(const std::string& model) const
-    {
-        return find(model).work < idleWork && find(model).unplaced < idleWork;
-    }
-
-    bool isAskedFor(const std::string& model) const { return find(model).unplaced >= idleWork; }
+    /// Returns whether requests have lately found no copy of the model.
+    bool isAskedFor(const std::string& model) const { return find(model).unplaced >= missedRequests; }
 
     /// Returns how urgently a model needs another copy, in milliseconds of work per second.
     double need(const std::string& model) const
@@ -165,8 +160,8 @@
 
 /// Returns the copy whose loss costs least and whose upstream could then load the model: with a copy at hand first,
 /// since that load takes a fraction of the time and nothing of the weight store's rate. A last copy goes only if there
-/// is no other. `mostRemaining` is the most
-/// work that may be left for each copy that stays.
+/// is no other, for a model that requests miss and that is needed more. `mostRemaining` is the most work that may be
+/// left for each copy that stays.
 std::optional<Place> findVictim(
     const PlanState& state, const ModelSpec& wanted, bool isStoreAllowed, double mostRemaining)
 {
@@ -183,9 +178,10 @@
             const bool isLast = state.copies(model) < 2;
             if (freed < wanted.sizeMb || state.isUnloaded(model))
                 continue;
-            if (isLast && !(state.isAskedFor(wanted.name) && state.copies(wanted.name) == 0 && state.isIdle(model)))
-                continue;
             const double remaining = state.workAfterUnload(model);
+            const bool isNeedless = remaining <= state.need(wanted.name) / lastCopyRatio;
+            if (isLast && !(state.isAskedFor(wanted.name) && state.copies(wanted.name) == 0 && isNeedless))
+                continue;
             const Rank rank { isLast, isStoreLoad, remaining, state.workOf(upstream) };
             if (remaining > mostRemaining || (best && bestRank <= rank))
                 continue;
--- a/src/libserving/placement_planner_test.cpp
+++ b/src/libserving/placement_planner_test.cpp
@@ -210,6 +210,24 @@
     BOOST_TEST(copies("c") + copies("d") == 1u);
 }
 
+// Guards against a missed model that waits until the demand of the others has faded away.
+BOOST_AUTO_TEST_CASE(LoadsAMissedModelSoonAfterTheOthersWereBusy)
+{
+    add("u0", { "a", "b" });
+    add("u1", { "c", "d" });
+    for (int i = 0; i < 20; ++i) {
+        for (const auto* model : { "a", "b", "c", "d" })
+            ask(model, 500);
+        step();
+    }
+    for (int i = 0; i < 50 && copies("e") == 0; ++i) {
+        if (i % 10 == 0)
+            demand.add({ { .service = "s", .model = "e", .requests = 1, .workMs = 1, .unplaced = 1 } });
+        step();
+    }
+    BOOST_TEST(copies("e") == 1u);
+}
+
 // Guards against a model whose only copy leaves with its upstream.
 BOOST_AUTO_TEST_CASE(ReplacesCopiesOfALeavingUpstream)
 {
