Share base64, hexadecimal digits, the metrics answer, fading and pauses

Each stands once now: kernel/base64.h, toHex() in kernel/ids.h, net/metrics_response.h. millisecondsOf() stood twice and was written out six times, the exponential fading of loads and of demand stood twice, and bulrushctl had a pause of its own beside sleepFor().

DemandEstimate::lastAsked() had no caller and is gone. The front's metrics name the character set now, as the operators' did. Nothing else changes; unit tests of nine packages pass.

--- a/src/bulrushctl/operator_client.cpp
+++ b/src/bulrushctl/operator_client.cpp
@@ -1,11 +1,9 @@
 #include "operator_client.h"
 
 #include "bulrushstack/config/configuration_json.h"
+#include "bulrushstack/kernel/tasks.h"
 #include "views.h"
 
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 namespace bulrushstack {
 
 namespace asio = boost::asio;
@@ -96,7 +94,7 @@
         }
         if (attempt >= m_options.attempts)
             co_return withVerdict(std::move(answer), verdict);
-        co_await sleep(delay);
+        co_await sleepFor(m_context, delay);
         delay *= 2;
     }
 }
@@ -113,14 +111,8 @@
             behind = instancesBehind(status->body, revision);
         if (behind.empty() || m_clock.now() >= deadline)
             co_return behind;
-        co_await sleep(pollInterval);
+        co_await sleepFor(m_context, pollInterval);
     }
 }
 
-asio::awaitable<void> OperatorClient::sleep(std::chrono::nanoseconds duration)
-{
-    asio::steady_timer timer(m_context, duration);
-    co_await timer.async_wait(asio::use_awaitable);
-}
-
 } // namespace bulrushstack
--- a/src/bulrushctl/operator_client.h
+++ b/src/bulrushctl/operator_client.h
@@ -36,7 +36,6 @@
 
 private:
     boost::asio::awaitable<Result<OperatorAnswer>> call(HttpRequest request);
-    boost::asio::awaitable<void> sleep(std::chrono::nanoseconds duration);
 
     boost::asio::io_context& m_context;
     const Clock& m_clock;
--- a/src/include/bulrushstack/kernel/clock.h
+++ b/src/include/bulrushstack/kernel/clock.h
@@ -7,6 +7,12 @@
 using SteadyTime = std::chrono::steady_clock::time_point;
 using WallTime = std::chrono::system_clock::time_point;
 
+/// Returns the duration in whole milliseconds, rounded towards zero.
+inline std::chrono::milliseconds millisecondsOf(std::chrono::nanoseconds duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
+}
+
 /// Source of time. Decisions take readings from a Clock so that tests can set the time.
 class Clock {
 public:
--- a/src/include/bulrushstack/kernel/ids.h
+++ b/src/include/bulrushstack/kernel/ids.h
@@ -5,6 +5,9 @@
 
 namespace bulrushstack {
 
+/// Returns the bytes as lower-case hexadecimal digits.
+std::string toHex(std::string_view bytes);
+
 /// Returns 128 random bits as 32 hexadecimal digits; used for request, attempt and change ids.
 std::string randomId();
 
--- a/src/include/bulrushstack/serving/model_demand.h
+++ b/src/include/bulrushstack/serving/model_demand.h
@@ -45,15 +45,11 @@
     /// Returns how many requests found no upstream with the model, fading with time.
     double unplaced(const std::string& service, const std::string& model) const;
 
-    /// Returns the time of the last request; the epoch if there was none.
-    SteadyTime lastAsked(const std::string& service, const std::string& model) const;
-
 private:
     struct Rate {
         double work = 0;
         double unplaced = 0;
         SteadyTime updated {};
-        SteadyTime lastAsked {};
     };
 
     double faded(double value, const Rate& rate) const;
--- a/src/libexecution/journal_codec.cpp
+++ b/src/libexecution/journal_codec.cpp
@@ -1,12 +1,12 @@
 #include "journal.h"
 
+#include "bulrushstack/kernel/base64.h"
 #include "bulrushstack/kernel/ids.h"
 
 #include <algorithm>
 #include <array>
 #include <cctype>
 #include <nlohmann/json.hpp>
-#include <openssl/evp.h>
 #include <vector>
 
 namespace bulrushstack {
@@ -40,28 +40,6 @@
     out += part;
 }
 
-std::string encodeBase64(std::string_view data)
-{
-    std::string out(4 * ((data.size() + 2) / 3), '\0');
-    // EVP_EncodeBlock also writes a terminating zero, for which std::string has room.
-    EVP_EncodeBlock(reinterpret_cast<unsigned char*>(out.data()), reinterpret_cast<const unsigned char*>(data.data()),
-        static_cast<int>(data.size()));
-    return out;
-}
-
-std::optional<std::string> decodeBase64(const std::string& text)
-{
-    std::string out(text.size() / 4 * 3, '\0');
-    const int size = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(out.data()),
-        reinterpret_cast<const unsigned char*>(text.data()), static_cast<int>(text.size()));
-    if (size < 0)
-        return std::nullopt;
-    // EVP_DecodeBlock counts the padding as zero bytes.
-    const auto padding = std::count(text.end() - std::min<std::ptrdiff_t>(2, std::ssize(text)), text.end(), '=');
-    out.resize(static_cast<std::size_t>(size - padding));
-    return out;
-}
-
 /// Body and header values may hold any bytes, which JSON text cannot, so they are kept in base64.
 json toJson(const JournalOutcome& outcome)
 {
--- a/src/libfront/directory_keeper.cpp
+++ b/src/libfront/directory_keeper.cpp
@@ -25,8 +25,7 @@
 TableFollowerOptions followerOptions(FrontState& state, std::string table)
 {
     // A call that a dead store never answers must end before a change that follows the store's return is due.
-    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(
-        state.bounds().stablePeriod + state.bounds().configurationPeriod - callMargin);
+    const auto wait = millisecondsOf(state.bounds().stablePeriod + state.bounds().configurationPeriod - callMargin);
     return {
         .table = std::move(table), .wait = std::clamp(wait, callMargin, longestWait), .randomSeed = state.random()
     };
@@ -186,8 +185,8 @@
     for (unsigned i = 1; !m_isStopped; ++i) {
         co_await sleepFor(m_state.context(), expireInterval);
         const auto pause = changePausePerInstance * static_cast<int>(m_state.instances());
-        m_upstreamFollower.setChangePause(std::clamp<std::chrono::milliseconds>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(pause), shortestChangePause, longestChangePause));
+        m_upstreamFollower.setChangePause(
+            std::clamp<std::chrono::milliseconds>(pause, shortestChangePause, longestChangePause));
         for (const auto& id : m_state.directory().expire())
             LOG(INFO) << "event=upstream-expired upstream=" << id;
         if (i % expiresPerCleanUp != 0)
--- a/src/libfront/front_service.cpp
+++ b/src/libfront/front_service.cpp
@@ -1,6 +1,7 @@
 #include "bulrushstack/front/front_service.h"
 
 #include "bulrushstack/kernel/tasks.h"
+#include "bulrushstack/net/metrics_response.h"
 #include "bulrushstack/net/net_services.h"
 #include "directory_keeper.h"
 #include "placement_agent.h"
@@ -9,7 +10,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <glog/logging.h>
-#include <prometheus/text_serializer.h>
 
 namespace bulrushstack {
 
@@ -125,10 +125,7 @@
 
     asio::awaitable<void> handle(HttpExchange& exchange) override
     {
-        HttpResponse response;
-        response.headers.set("Content-Type", "text/plain; version=0.0.4");
-        response.body = prometheus::TextSerializer().Serialize(m_runtime.metrics().Collect());
-        co_await exchange.respond(std::move(response));
+        co_await exchange.respond(metricsResponse(m_runtime.metrics()));
     }
 
 private:
--- a/src/libfront/placement_agent.cpp
+++ b/src/libfront/placement_agent.cpp
@@ -432,8 +432,8 @@
     LOG(INFO) << "event=order kind=" << toString(order.kind) << " upstream=" << order.upstreamId
               << " model=" << order.model << " adapter=" << order.adapter << " expected=" << order.expectedOrders
               << " fence=" << order.fence << " lease_version=" << m_keeper.lease().expectedVersion()
-              << " reason=" << reason << " store_load=" << isStoreLoad << " answer=" << toString(answer) << " ms="
-              << std::chrono::duration_cast<std::chrono::milliseconds>(m_state.clock().now() - started).count();
+              << " reason=" << reason << " store_load=" << isStoreLoad << " answer=" << toString(answer)
+              << " ms=" << millisecondsOf(m_state.clock().now() - started).count();
     if (order.kind == OrderKind::Unload && order.adapter.empty() && answer == OrderAnswer::Accepted)
         m_state.hints().noteAbsent(order.upstreamId, order.model, "");
     co_return answer;
--- a/src/libfront/request_attempt.cpp
+++ b/src/libfront/request_attempt.cpp
@@ -3,8 +3,9 @@
 #include "bulrushstack/kernel/tasks.h"
 #include <glog/logging.h>
 
-/// One attempt of a request at one upstream: send it, judge the head of the answer, relay the answer, and note how the
-/// upstream did.
+// One attempt of a request at one upstream: send it, judge the head of the answer, relay the answer, and note how the
+// upstream did.
+
 namespace bulrushstack {
 
 namespace {
@@ -28,8 +29,6 @@
 constexpr Milliseconds crashProbeTimeout { 200 };
 constexpr unsigned staleAnswerLimit = 3;
 
-Milliseconds millisecondsOf(std::chrono::nanoseconds duration) { return duration_cast<Milliseconds>(duration); }
-
 Failure unusableAnswer(std::string detail)
 {
     return { .code = Errc::WrongAnswer, .verdict = Verdict::MayHaveRun, .detail = std::move(detail) };
--- a/src/libfront/request_run.cpp
+++ b/src/libfront/request_run.cpp
@@ -22,8 +22,6 @@
 constexpr Milliseconds patientObjective { 2000 }; ///< routes with a longer objective come behind others of their rank
 constexpr unsigned lowestUrgency = 9;
 
-Milliseconds millisecondsOf(std::chrono::nanoseconds duration) { return duration_cast<Milliseconds>(duration); }
-
 } // namespace
 
 RequestRun::RequestRun(RequestServices services, HttpExchange& exchange)
--- a/src/libkernel/ids.cpp
+++ b/src/libkernel/ids.cpp
@@ -9,28 +9,24 @@
 
 namespace bulrushstack {
 
-namespace {
-
-std::string toHex(const unsigned char* bytes, std::size_t n)
+std::string toHex(std::string_view bytes)
 {
     static constexpr char digits[] = "0123456789abcdef";
     std::string out;
-    out.reserve(n * 2);
-    for (std::size_t i = 0; i < n; ++i) {
-        out += digits[bytes[i] >> 4];
-        out += digits[bytes[i] & 15];
+    out.reserve(bytes.size() * 2);
+    for (const unsigned char c : bytes) {
+        out += digits[c >> 4];
+        out += digits[c & 15];
     }
     return out;
 }
 
-} // namespace
-
 std::string randomId()
 {
     std::array<unsigned char, 16> buf;
     if (RAND_bytes(buf.data(), static_cast<int>(buf.size())) != 1)
         throw std::runtime_error("no random numbers available");
-    return toHex(buf.data(), buf.size());
+    return toHex({ reinterpret_cast<const char*>(buf.data()), buf.size() });
 }
 
 std::string sha256Hex(std::string_view data)
@@ -39,7 +35,7 @@
     unsigned n = 0;
     if (EVP_Digest(data.data(), data.size(), buf.data(), &n, EVP_sha256(), nullptr) != 1)
         throw std::runtime_error("SHA-256 is not available");
-    return toHex(buf.data(), n);
+    return toHex({ reinterpret_cast<const char*>(buf.data()), n });
 }
 
 std::string hmacSha256(std::string_view key, std::string_view data)
--- a/src/libreport/operator_api.cpp
+++ b/src/libreport/operator_api.cpp
@@ -2,11 +2,11 @@
 
 #include "bulrushstack/config/configuration_json.h"
 #include "bulrushstack/kernel/ids.h"
+#include "bulrushstack/net/metrics_response.h"
 #include "status_document.h"
 
 #include <charconv>
 #include <glog/logging.h>
-#include <prometheus/text_serializer.h>
 
 namespace bulrushstack {
 
@@ -183,13 +183,7 @@
     co_return co_await getHistory(call);
 }
 
-HttpResponse OperatorApi::getMetrics()
-{
-    HttpResponse response;
-    response.headers.set("Content-Type", "text/plain; version=0.0.4; charset=utf-8");
-    response.body = prometheus::TextSerializer().Serialize(m_runtime.metrics().Collect());
-    return response;
-}
+HttpResponse OperatorApi::getMetrics() { return metricsResponse(m_runtime.metrics()); }
 
 asio::awaitable<HttpResponse> OperatorApi::answerChange(Call call)
 {
--- a/src/libserving/admission_test.cpp
+++ b/src/libserving/admission_test.cpp
@@ -63,8 +63,7 @@
     {
         const std::size_t instance = m_outcome.asked++ % m_loads.size();
         auto& loads = m_loads[instance];
-        const RatedUpstream best { .upstream = &m_upstream,
-            .delay = std::chrono::duration_cast<Milliseconds>(loads.delay("u", 0)) };
+        const RatedUpstream best { .upstream = &m_upstream, .delay = millisecondsOf(loads.delay("u", 0)) };
         const AdmissionInput input { .latencyObjective = objective, .timeLeft = 5s };
         if (m_isAdmissionOn && refusalPause(input, best)) {
             ++m_outcome.refused;
--- a/src/libserving/model_demand.cpp
+++ b/src/libserving/model_demand.cpp
@@ -1,7 +1,7 @@
 #include "bulrushstack/serving/model_demand.h"
 
+#include "fading.h"
 #include <algorithm>
-#include <cmath>
 
 namespace bulrushstack {
 
@@ -33,7 +33,7 @@
 
 double DemandEstimate::faded(double value, const Rate& rate) const
 {
-    return value * std::exp(-Seconds(m_clock.now() - rate.updated).count() / averagingTime.count());
+    return value * fade(m_clock.now() - rate.updated, averagingTime);
 }
 
 const DemandEstimate::Rate* DemandEstimate::find(const std::string& service, const std::string& model) const
@@ -50,8 +50,6 @@
         rate.work = faded(rate.work, rate) + it.workMs / averagingTime.count();
         rate.unplaced = faded(rate.unplaced, rate) + it.unplaced;
         rate.updated = now;
-        if (it.requests > 0)
-            rate.lastAsked = now;
     }
 }
 
@@ -67,10 +65,4 @@
     return rate ? faded(rate->unplaced, *rate) : 0;
 }
 
-SteadyTime DemandEstimate::lastAsked(const std::string& service, const std::string& model) const
-{
-    const auto* rate = find(service, model);
-    return rate ? rate->lastAsked : SteadyTime();
-}
-
 } // namespace bulrushstack
--- a/src/libserving/serving_request.cpp
+++ b/src/libserving/serving_request.cpp
@@ -1,6 +1,6 @@
 #include "bulrushstack/serving/serving_request.h"
 
-#include <array>
+#include "bulrushstack/kernel/ids.h"
 #include <xxhash.h>
 
 namespace bulrushstack {
@@ -31,13 +31,7 @@
     XXH3_128bits_update(&state, body.data(), body.size());
     XXH128_canonical_t canonical;
     XXH128_canonicalFromHash(&canonical, XXH3_128bits_digest(&state));
-    static constexpr std::array<char, 17> digits { "0123456789abcdef" };
-    std::string out;
-    for (const unsigned char c : canonical.digest) {
-        out += digits[c >> 4];
-        out += digits[c & 15];
-    }
-    return out;
+    return toHex({ reinterpret_cast<const char*>(canonical.digest), sizeof(canonical.digest) });
 }
 
 } // namespace bulrushstack
--- a/src/libserving/upstream_loads.cpp
+++ b/src/libserving/upstream_loads.cpp
@@ -1,7 +1,7 @@
 #include "bulrushstack/serving/upstream_loads.h"
 
+#include "fading.h"
 #include <algorithm>
-#include <cmath>
 
 namespace bulrushstack {
 
@@ -17,8 +17,6 @@
 constexpr std::chrono::seconds prefixLifetime { 30 };
 constexpr std::size_t prefixesPerUpstream = 256;
 
-double fade(std::chrono::nanoseconds age, Seconds time) { return std::exp(-Seconds(age).count() / time.count()); }
-
 void dropOldest(std::map<std::string, SteadyTime>& prefixes)
 {
     prefixes.erase(std::min_element(
--- a/src/libserving/upstream_selection.cpp
+++ b/src/libserving/upstream_selection.cpp
@@ -56,7 +56,7 @@
         const bool isWarm = it->id == preferred || loads.hasPrefix(it->id, key);
         RatedUpstream rated { .upstream = it };
         rated.prefillTokens = isWarm ? ownPromptTokens(input.request) : input.request.promptTokens;
-        rated.delay = std::chrono::duration_cast<std::chrono::milliseconds>(loads.delay(it->id, input.urgency));
+        rated.delay = millisecondsOf(loads.delay(it->id, input.urgency));
         rated.readMs = rated.prefillTokens * input.prefillMsPerToken;
         rated.expectedMs = std::max(static_cast<double>(rated.delay.count()), loadMs(input, *it, loads)) + rated.readMs;
         if (it->zone != input.zone)
