--- a/src/include/bulrushstack/serving/placement_planner.h
+++ b/src/include/bulrushstack/serving/placement_planner.h
@@ -20,8 +20,8 @@
     /// Share of upstreams with an order under way below which copies from the weight store keep nobody waiting.
     double calmShare = 0.2;
 
-    /// How many times the work per copy must exceed what remains for the copies of the model that gives way, so that
-    /// models do not alternate.
+    /// How many times the need of a model must exceed what remains for the copies of the one that gives way, or the
+    /// need of the one whose last copy goes, so that models do not alternate.
     double replaceRatio = 2.0;
 };
 
--- a/src/include/bulrushstack/serving/residency_ledger.h
+++ b/src/include/bulrushstack/serving/residency_ledger.h
@@ -58,7 +58,7 @@
     ResidencyLedger(const Clock& clock, EngineSpec engine);
 
     /// Replaces the description of the service; orders under way keep their charge.
-    void setEngine(EngineSpec engine) { m_engine = std::move(engine); }
+    void setEngine(EngineSpec engine);
     const EngineSpec& engine() const { return m_engine; }
 
     /// Takes the upstreams of the service as they describe themselves; the others are forgotten.
@@ -121,6 +121,7 @@
 
     const Clock& m_clock;
     EngineSpec m_engine;
+    double m_adapterReserveMb = 0; ///< memory of an upstream that is kept for adapters
     std::map<std::string, UpstreamResidency> m_upstreams;
     std::map<std::string, Member> m_members;
     std::deque<SteadyTime> m_storeLoads; ///< when loads from the weight store were sent
--- a/src/include/bulrushstack/serving/serving_configuration.h
+++ b/src/include/bulrushstack/serving/serving_configuration.h
@@ -41,7 +41,6 @@
     unsigned slots = 1; ///< requests that run at the same time
     std::uint64_t cacheTokens = 0;
     double memoryMb = 0; ///< memory for weights and adapters
-    double diskMb = 0; ///< room for copies of weights on the disk of an upstream
     unsigned adapterPlaces = 0;
     double loadsPerSecond = 0; ///< of the weight store, over all upstreams
     std::vector<ModelSpec> models;
--- a/src/libfront/front_state.cpp
+++ b/src/libfront/front_state.cpp
@@ -12,6 +12,7 @@
 namespace asio = boost::asio;
 
 constexpr double budgetShare = 0.8; ///< of the retry budget that the instances use, with a reserve for their changes
+constexpr double initialPrefillMsPerToken = 0.02; ///< of a model that has not been seen
 constexpr double paceRise = 0.02; ///< weight of an observation above the pace, which other work may have caused
 constexpr double paceFall = 0.3;
 constexpr double firstEventBaseMs = 12; ///< of a prompt that is already in the cache
@@ -103,8 +104,8 @@
 
 double FrontState::prefillMsPerToken(const std::string& model) const
 {
-    auto it = m_paces.find(model);
-    return it == m_paces.end() ? ModelPace().prefillMsPerToken : it->second.prefillMsPerToken;
+    auto it = m_prefillMsPerToken.find(model);
+    return it == m_prefillMsPerToken.end() ? initialPrefillMsPerToken : it->second;
 }
 
 void FrontState::noteFirstEvent(const std::string& model, double tokens, std::chrono::nanoseconds duration)
@@ -113,7 +114,7 @@
         return;
     const double ms = std::chrono::duration<double, std::milli>(duration).count();
     const double sample = std::max(0.0, ms - firstEventBaseMs) / tokens;
-    auto& pace = m_paces[model].prefillMsPerToken;
+    auto& pace = m_prefillMsPerToken.try_emplace(model, initialPrefillMsPerToken).first->second;
     pace += (sample < pace ? paceFall : paceRise) * (sample - pace);
 }
 
--- a/src/libfront/front_state.h
+++ b/src/libfront/front_state.h
@@ -29,11 +29,6 @@
     friend bool operator==(const FrontBounds&, const FrontBounds&) = default;
 };
 
-/// What the requests for a model took when the upstream had little else to do.
-struct ModelPace {
-    double prefillMsPerToken = 0.02;
-};
-
 /// What one instance of the front knows, shared by its requests and its placement agent. One thread.
 class FrontState {
 public:
@@ -111,7 +106,7 @@
     std::map<std::string, RetryBudget> m_budgets;
     unsigned m_instances = 0; ///< 0: not known yet
     std::set<std::pair<std::string, std::string>> m_retiring;
-    std::map<std::string, ModelPace> m_paces;
+    std::map<std::string, double> m_prefillMsPerToken; ///< by model, on an upstream with little else to do
     std::map<ModelKey, ModelDemand> m_demand;
     std::set<std::tuple<std::string, std::string, std::string>> m_adapterDemand;
     bool m_hasUrgentDemand = false;
--- a/src/libserving/placement_planner.cpp
+++ b/src/libserving/placement_planner.cpp
@@ -10,7 +10,6 @@
 
 constexpr double missingWeight = 3; ///< of the work of a model that no upstream can serve, against one that is busy
 constexpr double unplacedRequestWork = 300; ///< of a request that waits for its model or was refused
-constexpr double lastCopyRatio = 2; ///< of the need of a missed model to that of the one whose last copy goes for it
 constexpr double idleModelWork = 50; ///< of a missing model that nobody asks for
 constexpr double missedRequests = 0.1; ///< requests without a copy, fading with time, above which a model is missed
 constexpr unsigned loadsOfOneModel = 2; ///< copies that are loaded at the same time beside as many that serve
@@ -160,11 +159,16 @@
 
 /// Returns the copy whose loss costs least and whose upstream could then load the model: with a copy at hand first,
 /// since that load takes a fraction of the time and nothing of the weight store's rate. A last copy goes only if there
-/// is no other, for a model that requests miss and that is needed more. `mostRemaining` is the most work that may be
-/// left for each copy that stays.
+/// is no other, for a model that requests miss and that is needed more.
 std::optional<Place> findVictim(
-    const PlanState& state, const ModelSpec& wanted, bool isStoreAllowed, double mostRemaining)
+    const PlanState& state, const ModelSpec& wanted, bool isStoreAllowed, const PlannerOptions& options)
 {
+    const double need = state.need(wanted.name);
+    const bool isMissing = state.copies(wanted.name) == 0;
+    const bool mayTakeLast = isMissing && state.isAskedFor(wanted.name);
+    // The most work that may be left for each copy that stays, and for the model whose last copy goes.
+    const double mostRemaining = isMissing ? std::max(need, options.busyCopyWork) : need / options.replaceRatio;
+    const double mostOfLast = need / options.replaceRatio;
     std::optional<Place> best;
     using Rank = std::tuple<bool, bool, double, double>;
     Rank bestRank;
@@ -179,8 +183,7 @@
             if (freed < wanted.sizeMb || state.isUnloaded(model))
                 continue;
             const double remaining = state.workAfterUnload(model);
-            const bool isNeedless = remaining <= state.need(wanted.name) / lastCopyRatio;
-            if (isLast && !(state.isAskedFor(wanted.name) && state.copies(wanted.name) == 0 && isNeedless))
+            if (isLast && (!mayTakeLast || remaining > mostOfLast))
                 continue;
             const Rank rank { isLast, isStoreLoad, remaining, state.workOf(upstream) };
             if (remaining > mostRemaining || (best && bestRank <= rank))
@@ -210,16 +213,15 @@
     const double need = state.need(model.name);
     if ((!isMissing && need < options.busyCopyWork) || state.isLoadingEnough(model.name))
         return std::nullopt;
-    const double mostRemaining = isMissing ? std::max(need, options.busyCopyWork) : need / options.replaceRatio;
     const bool isCalm = state.changing() < state.ledger().upstreams().size() * options.calmShare;
     const bool isStoreSensible = isStoreAllowed && (isMissing || isCalm || need >= options.storeCopyWork);
     auto room = findRoom(state, model, isStoreSensible);
     if (room && !room->isStoreLoad)
         return room;
     // A copy at hand is ready in a fraction of the time, also if another model has to go first.
-    if (auto local = findVictim(state, model, false, mostRemaining))
+    if (auto local = findVictim(state, model, false, options))
         return local;
-    return room ? room : findVictim(state, model, isStoreSensible, mostRemaining);
+    return room ? room : findVictim(state, model, isStoreSensible, options);
 }
 
 } // namespace
--- a/src/libserving/residency_ledger.cpp
+++ b/src/libserving/residency_ledger.cpp
@@ -17,8 +17,17 @@
 
 ResidencyLedger::ResidencyLedger(const Clock& clock, EngineSpec engine)
     : m_clock(clock)
-    , m_engine(std::move(engine))
 {
+    setEngine(std::move(engine));
+}
+
+void ResidencyLedger::setEngine(EngineSpec engine)
+{
+    m_engine = std::move(engine);
+    double largest = 0;
+    for (const auto& model : m_engine.models)
+        largest = std::max(largest, model.adapterSizeMb);
+    m_adapterReserveMb = largest * m_engine.adapterPlaces;
 }
 
 double ResidencyLedger::sizeOf(const std::string& model) const
@@ -138,10 +147,7 @@
         for (const auto& model : *part)
             used += sizeOf(model);
     }
-    double largestAdapter = 0;
-    for (const auto& model : m_engine.models)
-        largestAdapter = std::max(largestAdapter, model.adapterSizeMb);
-    return m_engine.memoryMb - used - largestAdapter * m_engine.adapterPlaces;
+    return m_engine.memoryMb - used - m_adapterReserveMb;
 }
 
 unsigned ResidencyLedger::freeAdapterPlaces(const std::string& id) const
