--- a/src/bulrushctl/main.cpp
+++ b/src/bulrushctl/main.cpp
@@ -83,7 +83,10 @@
     std::vector<std::string> environment;
     for (char** it = environ; *it; ++it)
         environment.emplace_back(*it);
-    const bool isExplaining = std::find(arguments.begin(), arguments.end(), "explain") != arguments.end();
+    // The command decides which settings there are; a team or a file may have its name as well.
+    const auto first = std::find_if(arguments.begin(), arguments.end(),
+        [](const std::string& it) { return !it.starts_with("--") || it.find('=') == std::string::npos; });
+    const bool isExplaining = first != arguments.end() && *first == "explain";
     const auto specs = isExplaining ? explainSettings() : controlSettings();
     auto parameters = takeParameters(arguments);
     const auto outcome = parseSettings(specs, arguments, environment);
