--- a/testsuite/lib/serving_site.py
+++ b/testsuite/lib/serving_site.py
@@ -40,28 +40,32 @@
     return instances
 
 
+def generation(prefix, model, output_tokens, **options):
+    return Ask(prefix + "1", "stream", model=model, output_tokens=output_tokens, **options)
+
+
 def brief(model="m-0", output_tokens=40, **options):
-    return Ask(BRIEF + "1", "stream", model=model, output_tokens=output_tokens, **options)
+    return generation(BRIEF, model, output_tokens, **options)
 
 
 def note(model="m-0", output_tokens=40, **options):
-    return Ask(NOTE + "1", "stream", model=model, output_tokens=output_tokens, **options)
+    return generation(NOTE, model, output_tokens, **options)
 
 
 def checkout(**options):
     return Ask(CHECKOUT + "order", "non_idempotent", body=b'{"tower":1}', **options)
 
 
-def lookup(**options):
-    return Ask(LOOKUP + "7", "idempotent", "GET", **options)
+def read(path):
+    return Ask(path, "idempotent", "GET")
 
 
-def extra(**options):
-    return Ask(EXTRA + "1", "idempotent", "GET", **options)
+def lookup():
+    return read(LOOKUP + "7")
 
 
-def read(path):
-    return Ask(path, "idempotent", "GET")
+def extra():
+    return read(EXTRA + "1")
 
 
 def describe(outcome):
--- a/testsuite/lib/soak_faults.py
+++ b/testsuite/lib/soak_faults.py
@@ -5,6 +5,7 @@
 import time
 
 import worker as workers
+from serving_site import EXTRA
 
 
 @dataclasses.dataclass
@@ -198,10 +199,9 @@
     # The operator.
 
     def change_configuration(self):
-        prefix = "/extra/"
-        if any(it["prefix"] == prefix for it in self.site.routes):
-            self.site.remove_route(prefix)
+        if any(it["prefix"] == EXTRA for it in self.site.routes):
+            self.site.remove_route(EXTRA)
         else:
-            self.site.add_route(prefix, "idempotent", "board", attempts=3)
+            self.site.add_route(EXTRA, "idempotent", "board", attempts=3)
         self.site.configure()
         return self._fault("configured", f"version {self.site.config_version}", lambda: None, 0.1, 0.5)
--- a/testsuite/platform-faults/run.py
+++ b/testsuite/platform-faults/run.py
@@ -9,7 +9,7 @@
 
 import serving_site
 from processes import wait_until
-from serving_site import brief, checkout, describe, lookup, note, read
+from serving_site import EXTRA, brief, checkout, describe, extra, lookup, note
 from transcript import Transcript
 
 LEASE_TABLE = "placement"
@@ -49,20 +49,20 @@
     for instance in instances:
         script.say(f"{instance.name}> ready={site.is_ready(instance)} once: {describe(site.call(instance, checkout()))}")
     set_store(site, "serving")
-    site.add_route("/extra/", "idempotent", "board")
+    site.add_route(EXTRA, "idempotent", "board")
     site.configure()
     for instance in instances:
-        site.wait_served(instance, read("/extra/1"), f"{instance.name} serves the route that was added meanwhile")
+        site.wait_served(instance, extra(), f"{instance.name} serves the route that was added meanwhile")
     script.say("a change after its return is in force")
     script.section("the store forgets its history while it refuses one instance")
     set_store(site, "refusing", instances[1])
-    site.remove_route("/extra/")
+    site.remove_route(EXTRA)
     site.configure()
     site.at_once(site.store.forget_history)
-    wait_until(lambda: site.call(instances[0], read("/extra/1")).status == 404, "the route is gone on the other")
+    wait_until(lambda: site.call(instances[0], extra()).status == 404, "the route is gone on the other")
     script.say(f"refused instance: ready={site.is_ready(instances[1])} once: {describe(site.call(instances[1], checkout()))}")
     set_store(site, "serving", instances[1])
-    wait_until(lambda: site.call(instances[1], read("/extra/1")).status == 404, "the route is gone")
+    wait_until(lambda: site.call(instances[1], extra()).status == 404, "the route is gone")
     script.say("both know the newest configuration")
 
 
--- a/testsuite/platform-serving/run.py
+++ b/testsuite/platform-serving/run.py
@@ -10,7 +10,7 @@
 
 import serving_site
 from processes import wait_until
-from serving_site import brief, checkout, describe, lookup, note, read
+from serving_site import EXTRA, brief, checkout, describe, extra, lookup, note, read
 from transcript import Transcript
 
 
@@ -42,12 +42,12 @@
 
 def change_configuration(script, site, instances):
     script.section("routes that are added and removed")
-    site.add_route("/extra/", "idempotent", "board")
+    site.add_route(EXTRA, "idempotent", "board")
     site.configure()
-    ask = read("/extra/1")
+    ask = extra()
     for instance in instances:
         site.wait_served(instance, ask, f"{instance.name} serves the new route")
-    site.remove_route("/extra/")
+    site.remove_route(EXTRA)
     site.configure()
     for instance in instances:
         wait_until(lambda it=instance: site.call(it, ask).status == 404, f"{instance.name} drops the route")
