Answer what the HTTP server refuses through one function

The caller API, the operator API and the front each turned a status of the HTTP server into a problem, in three ways. protocolProblem() stands once, beside the other problems.

The copies differed, and two were wrong. For a handler that ended without an answer (500) the caller API said 400, malformed, not-run, and the front's answer bore not-run too, although the request may have run; both say may-have-run now (AnInternalErrorOfTheServerMayHaveRun failed before). For an unknown transfer coding (501) the operator API said internal error and may-have-run; it is malformed and not run.

--- a/src/include/bulrushstack/execution/problem.h
+++ b/src/include/bulrushstack/execution/problem.h
@@ -46,6 +46,10 @@
     friend bool operator==(const Problem&, const Problem&) = default;
 };
 
+/// Returns the problem for a status with which the HTTP server refuses a request on its own. Only after an internal
+/// error (500) the request may have run.
+Problem protocolProblem(unsigned status, std::string_view detail);
+
 /// Returns the spelling in the type URN, such as "unknown-model".
 std::string_view toString(ProblemCode code);
 
--- a/src/libexecution/caller_api.cpp
+++ b/src/libexecution/caller_api.cpp
@@ -31,20 +31,6 @@
     return headers;
 }
 
-ProblemCode codeOfProtocolError(unsigned status)
-{
-    switch (status) {
-    case 413:
-        return ProblemCode::BodyTooLarge;
-    case 431:
-        return ProblemCode::HeadersTooLarge;
-    case 503:
-        return ProblemCode::Overloaded;
-    default:
-        return ProblemCode::MalformedRequest;
-    }
-}
-
 } // namespace
 
 std::string modelListText(const RequestContext& context)
@@ -232,9 +218,7 @@
     record.kind = "other";
     record.begin = record.end = m_dependencies.clock.now();
     record.hasProblem = true;
-    Problem problem;
-    problem.code = codeOfProtocolError(status);
-    problem.detail = std::string(detail);
+    const auto problem = protocolProblem(status, detail);
     record.status = statusOf(problem.code);
     m_metrics.requestBegan();
     m_metrics.requestEnded(record);
--- a/src/libexecution/caller_api_test.cpp
+++ b/src/libexecution/caller_api_test.cpp
@@ -212,6 +212,14 @@
     }
 }
 
+// Guards against an answer that says a request has not run although its handler ended without one.
+BOOST_AUTO_TEST_CASE(AnInternalErrorOfTheServerMayHaveRun)
+{
+    const auto response = api.protocolError(500, "internal error");
+    BOOST_TEST(codeOf(response) == "internal-error");
+    BOOST_TEST(response.headers.find("Bulrush-Verdict").value() == "may-have-run");
+}
+
 // Guards against work that a leaving instance takes on over a kept-alive connection.
 BOOST_AUTO_TEST_CASE(ShutdownRefusesNewRequests)
 {
--- a/src/libexecution/problem.cpp
+++ b/src/libexecution/problem.cpp
@@ -72,6 +72,18 @@
 
 } // namespace
 
+Problem protocolProblem(unsigned status, std::string_view detail)
+{
+    auto code = ProblemCode::MalformedRequest;
+    for (auto it : { ProblemCode::BodyTooLarge, ProblemCode::HeadersTooLarge, ProblemCode::Overloaded,
+             ProblemCode::InternalError }) {
+        if (statusOf(it) == status)
+            code = it;
+    }
+    const auto verdict = code == ProblemCode::InternalError ? Verdict::MayHaveRun : Verdict::NotRun;
+    return { .code = code, .detail = std::string(detail), .verdict = verdict, .retryAfter = {} };
+}
+
 std::string_view toString(ProblemCode code) { return kindOf(code).spelling; }
 
 unsigned statusOf(ProblemCode code) { return kindOf(code).status; }
--- a/src/libfront/front_service.cpp
+++ b/src/libfront/front_service.cpp
@@ -80,13 +80,8 @@
 
     HttpResponse protocolError(unsigned status, std::string_view detail) override
     {
-        const auto code = status == 413 ? ProblemCode::BodyTooLarge
-            : status == 431             ? ProblemCode::HeadersTooLarge
-            : status == 503             ? ProblemCode::Overloaded
-            : status == 500             ? ProblemCode::InternalError
-                                        : ProblemCode::MalformedRequest;
         LOG(INFO) << "event=request-unreadable status=" << status << " detail=\"" << detail << "\"";
-        auto response = problemResponse({ .code = code, .detail = std::string(detail) }, "");
+        auto response = problemResponse(protocolProblem(status, detail), "");
         response.status = status;
         return response;
     }
--- a/src/libreport/operator_api.cpp
+++ b/src/libreport/operator_api.cpp
@@ -129,15 +129,7 @@
 
 HttpResponse OperatorApi::protocolError(unsigned status, std::string_view detail)
 {
-    auto code = ProblemCode::InternalError;
-    for (auto it : { ProblemCode::MalformedRequest, ProblemCode::BodyTooLarge, ProblemCode::HeadersTooLarge,
-             ProblemCode::Overloaded }) {
-        if (statusOf(it) == status)
-            code = it;
-    }
-    const auto verdict = code == ProblemCode::InternalError ? Verdict::MayHaveRun : Verdict::NotRun;
-    return problemResponse(
-        { .code = code, .detail = std::string(detail), .verdict = verdict, .retryAfter = {} }, randomId());
+    return problemResponse(protocolProblem(status, detail), randomId());
 }
 
 std::optional<HttpResponse> OperatorApi::refuseUnlessAuthorised(const Call& call) const
