Log and measure a late event loop and slow rounds of planning

The logs could not tell a slow store or link from an event loop that was occupied by the instance's own work. Lines loop-late and plan-slow and two histograms say which it is. No decision changes.

--- a/src/libfront/front_metrics.cpp
+++ b/src/libfront/front_metrics.cpp
@@ -8,6 +8,9 @@
 using prometheus::BuildGauge;
 using prometheus::BuildHistogram;
 
+/// Upper bounds in seconds of what occupies the event loop; 0.1 s is the period of an ordinary processor quota.
+prometheus::Histogram::BucketBoundaries occupationBounds() { return { 0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1, 3 }; }
+
 /// Upper bounds in seconds; the objectives of the deployments lie between 0.1 s and 5 s.
 prometheus::Histogram::BucketBoundaries latencyBounds()
 {
@@ -56,6 +59,16 @@
     , m_version(gauge(registry, "bulrush_front_configuration_version", "Version of the configuration in force"))
     , m_upstreams(gauge(registry, "bulrush_front_upstreams", "Upstreams in the directory"))
     , m_holder(gauge(registry, "bulrush_front_placement_holder", "1 while this instance holds the placement lease"))
+    , m_loopDelays(BuildHistogram()
+                       .Name("bulrush_front_loop_delay_seconds")
+                       .Help("How late the event loop runs a timer")
+                       .Register(registry)
+                       .Add({}, occupationBounds()))
+    , m_plans(BuildHistogram()
+                  .Name("bulrush_front_plan_seconds")
+                  .Help("Time of one round of placement planning")
+                  .Register(registry)
+                  .Add({}, occupationBounds()))
 {
 }
 
@@ -93,4 +106,8 @@
 
 void FrontMetrics::setHolder(bool isHolder) { m_holder.Set(isHolder ? 1 : 0); }
 
+void FrontMetrics::noteLoopDelay(std::chrono::nanoseconds delay) { m_loopDelays.Observe(seconds(delay)); }
+
+void FrontMetrics::notePlan(std::chrono::nanoseconds duration) { m_plans.Observe(seconds(duration)); }
+
 } // namespace bulrushstack
--- a/src/libfront/front_metrics.h
+++ b/src/libfront/front_metrics.h
@@ -25,6 +25,8 @@
     void setConfigurationVersion(std::uint64_t version);
     void setUpstreams(std::size_t usable);
     void setHolder(bool isHolder);
+    void noteLoopDelay(std::chrono::nanoseconds delay);
+    void notePlan(std::chrono::nanoseconds duration);
 
 private:
     prometheus::Family<prometheus::Counter>& m_requests;
@@ -37,6 +39,8 @@
     prometheus::Gauge& m_version;
     prometheus::Gauge& m_upstreams;
     prometheus::Gauge& m_holder;
+    prometheus::Histogram& m_loopDelays;
+    prometheus::Histogram& m_plans;
 };
 
 } // namespace bulrushstack
--- a/src/libfront/front_service.cpp
+++ b/src/libfront/front_service.cpp
@@ -4,6 +4,7 @@
 #include "bulrushstack/net/metrics_response.h"
 #include "bulrushstack/net/net_services.h"
 #include "directory_keeper.h"
+#include "loop_monitor.h"
 #include "placement_agent.h"
 #include "request_run.h"
 #include <boost/asio/as_tuple.hpp>
@@ -148,6 +149,7 @@
         , binding(createBinding(client, runtime.clock(), settings.address("store-address")))
         , agent(state, client, *binding, metrics, settings.address("control-address"))
         , keeper(state, *binding, metrics)
+        , monitor(state, metrics)
         , ingress({ .state = state,
               .client = client,
               .format = binding->requests(),
@@ -175,6 +177,7 @@
     std::unique_ptr<FrontBinding> binding;
     PlacementAgent agent;
     DirectoryKeeper keeper;
+    LoopMonitor monitor;
     Ingress ingress;
     ReadinessHandler readiness;
     MetricsHandler metricsHandler;
@@ -205,6 +208,7 @@
     startServer(m_state->metricsServer, "metrics-address", settings.address("metrics-address"));
     startServer(m_state->ingressServer, "listen-address", settings.address("listen-address"));
     m_state->keeper.start();
+    spawnLogged(m_state->context, m_state->monitor.run(), "loop-monitor");
     m_state->agent.start();
 }
 
@@ -228,6 +232,7 @@
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     LOG(INFO) << "event=drained complete=" << *isDrained << " left=" << state.ingressServer.activeRequests();
     state.keeper.stop();
+    state.monitor.stop();
 }
 
 void FrontService::reload(const Settings& settings)
--- /dev/null
+++ b/src/libfront/loop_monitor.cpp
@@ -0,0 +1,35 @@
+#include "loop_monitor.h"
+
+#include "bulrushstack/kernel/tasks.h"
+#include <glog/logging.h>
+
+namespace bulrushstack {
+
+namespace {
+
+constexpr std::chrono::milliseconds probeInterval { 100 };
+
+/// Delay from which a line is logged: a tenth of a second is lost to an ordinary processor quota.
+constexpr std::chrono::milliseconds loggedDelay { 200 };
+
+} // namespace
+
+LoopMonitor::LoopMonitor(FrontState& state, FrontMetrics& metrics)
+    : m_state(state)
+    , m_metrics(metrics)
+{
+}
+
+boost::asio::awaitable<void> LoopMonitor::run()
+{
+    while (!m_isStopped) {
+        const auto due = m_state.clock().now() + probeInterval;
+        co_await sleepFor(m_state.context(), probeInterval);
+        const auto delay = m_state.clock().now() - due;
+        m_metrics.noteLoopDelay(delay);
+        if (delay >= loggedDelay)
+            LOG(WARNING) << "event=loop-late late_ms=" << millisecondsOf(delay).count();
+    }
+}
+
+} // namespace bulrushstack
--- /dev/null
+++ b/src/libfront/loop_monitor.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "front_metrics.h"
+#include "front_state.h"
+
+namespace bulrushstack {
+
+/// Measures how late the event loop runs its timers. A late loop reads answers after their deadline and is then logged
+/// as a dependency that does not answer; the line `loop-late` tells the two apart.
+class LoopMonitor {
+public:
+    LoopMonitor(FrontState& state, FrontMetrics& metrics);
+
+    /// Runs until stop().
+    boost::asio::awaitable<void> run();
+
+    void stop() { m_isStopped = true; }
+
+private:
+    FrontState& m_state;
+    FrontMetrics& m_metrics;
+    bool m_isStopped = false;
+};
+
+} // namespace bulrushstack
--- a/src/libfront/placement_agent.cpp
+++ b/src/libfront/placement_agent.cpp
@@ -13,6 +13,7 @@
 constexpr std::string_view demandPath = "/v1/placement/demand";
 constexpr std::string_view adapterPath = "/v1/placement/adapter";
 constexpr std::chrono::milliseconds planInterval { 150 };
+constexpr std::chrono::milliseconds slowPlan { 100 }; ///< from which a round of planning is logged
 constexpr std::chrono::milliseconds orderTimeout { 700 };
 constexpr std::chrono::milliseconds reportTimeout { 500 };
 constexpr std::chrono::seconds longestBusy { 10 }; ///< then the state of the upstream is read again
@@ -299,6 +300,7 @@
         if (m_term != m_keeper.lease().fence())
             beginTerm();
         const auto configuration = m_state.configuration();
+        const auto started = m_state.clock().now();
         for (const auto& service : configuration->services()) {
             if (!service.engine)
                 continue;
@@ -308,6 +310,11 @@
             giveUnsettled(service.name, placement);
             planService(service.name, placement);
         }
+        const auto duration = m_state.clock().now() - started;
+        m_metrics.notePlan(duration);
+        if (duration >= slowPlan)
+            LOG(WARNING) << "event=plan-slow ms=" << millisecondsOf(duration).count()
+                         << " upstreams=" << m_state.directory().all().size() << " fence=" << m_term;
     }
 }
 
