Plan placement without searching models by name, and pace planning by its own duration

Cause: that instance held the placement lease and has 0.12 cores. A plan compared each model in need with each upstream and looked every name up by a linear search over the models (305 models, 140 upstreams): 24 ms on this machine, 250 to 500 ms on the instance, every 150 ms, on the thread that also reads the configuration. An answer of the store needs several turns of the event loop, so calls for changes ran out of time although the answer had arrived. Class of fault: a duty whose cost grows with the product of fleet sizes, without a bound, on the thread that serves.

Change: a plan looks names up once and works on indices; a round of planning is followed by a pause of nine times its duration, at most 2 s.

Ruled out: a slow link (other small instances took the configuration within 70 ms) and a skipped change (the calls failed).

--- a/src/include/bulrushstack/serving/residency_ledger.h
+++ b/src/include/bulrushstack/serving/residency_ledger.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -91,6 +92,9 @@
     /// Returns whether a load of the model on the upstream would read the weight store.
     bool isStoreLoad(const std::string& id, const std::string& model) const;
 
+    /// Returns the models that an upstream has in host memory or on disk; null for an upstream that is not known.
+    const std::set<std::string>* copiesAtHand(const std::string& id) const;
+
     /// Returns how many loads from the weight store may begin now without exceeding its rate.
     unsigned storeLoadAllowance() const;
 
@@ -121,6 +125,8 @@
 
     const Clock& m_clock;
     EngineSpec m_engine;
+    std::unordered_map<std::string, double> m_sizesMb; ///< by model of the engine
+    double m_largestMb = 0;
     double m_adapterReserveMb = 0; ///< memory of an upstream that is kept for adapters
     std::map<std::string, UpstreamResidency> m_upstreams;
     std::map<std::string, Member> m_members;
--- a/src/libfront/placement_agent.cpp
+++ b/src/libfront/placement_agent.cpp
@@ -1,6 +1,7 @@
 #include "placement_agent.h"
 
 #include "bulrushstack/kernel/tasks.h"
+#include "bulrushstack/serving/duty_pacing.h"
 #include <algorithm>
 #include <glog/logging.h>
 
@@ -12,7 +13,7 @@
 
 constexpr std::string_view demandPath = "/v1/placement/demand";
 constexpr std::string_view adapterPath = "/v1/placement/adapter";
-constexpr std::chrono::milliseconds planInterval { 150 };
+constexpr DutyPacing planPacing;
 constexpr std::chrono::milliseconds slowPlan { 100 }; ///< from which a round of planning is logged
 constexpr std::chrono::milliseconds orderTimeout { 700 };
 constexpr std::chrono::milliseconds reportTimeout { 500 };
@@ -293,8 +294,10 @@
 
 asio::awaitable<void> PlacementAgent::keepPlacement()
 {
+    std::chrono::nanoseconds duration {};
     while (!m_keeper.isReleased()) {
-        co_await sleepFor(m_state.context(), planInterval);
+        co_await sleepFor(m_state.context(), pauseAfterRound(planPacing, duration));
+        duration = {};
         if (!m_keeper.mayOrder() || !m_state.configuration())
             continue;
         if (m_term != m_keeper.lease().fence())
@@ -310,7 +313,7 @@
             giveUnsettled(service.name, placement);
             planService(service.name, placement);
         }
-        const auto duration = m_state.clock().now() - started;
+        duration = m_state.clock().now() - started;
         m_metrics.notePlan(duration);
         if (duration >= slowPlan)
             LOG(WARNING) << "event=plan-slow ms=" << millisecondsOf(duration).count()
--- a/src/libserving/placement_planner.cpp
+++ b/src/libserving/placement_planner.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <optional>
 #include <tuple>
+#include <unordered_map>
 
 namespace bulrushstack {
 
@@ -14,93 +15,106 @@
 constexpr double missedRequests = 0.1; ///< requests without a copy, fading with time, above which a model is missed
 constexpr unsigned loadsOfOneModel = 2; ///< copies that are loaded at the same time beside as many that serve
 
-/// The copies and the demand of each model, as far as a plan has gone.
-class PlanState {
-public:
-    PlanState(const std::string& service, const ResidencyLedger& ledger, const DemandEstimate& demand,
-        const std::set<std::string>& leaving)
-        : m_ledger(ledger)
-        , m_leaving(leaving)
-    {
-        for (const auto& model : ledger.engine().models) {
-            auto& state = m_models[model.name];
-            state.work = demand.workRate(service, model.name);
-            state.unplaced = demand.unplaced(service, model.name);
-        }
-        for (const auto& [id, upstream] : ledger.upstreams()) {
-            if (leaving.count(id))
-                continue;
-            for (const auto& it : upstream.held)
-                ++m_models[it].held;
-            for (const auto& it : upstream.loading)
-                ++m_models[it].loading;
-        }
-    }
+/// Place of a model in the tables of a PlanState.
+using ModelIndex = std::size_t;
 
-    unsigned copies(const std::string& model) const { return find(model).held + find(model).loading; }
+/// The copies and the demand of a model, as far as a plan has gone.
+struct PlannedModel {
+    std::string name;
+    const ModelSpec* spec = nullptr; ///< null for a model that the configuration no longer lists
+    double work = 0; ///< milliseconds per second
+    double unplaced = 0;
+    unsigned held = 0;
+    unsigned loading = 0;
+    bool isUnloaded = false; ///< the plan has taken a copy already
+
+    unsigned copies() const { return held + loading; }
 
     /// Returns whether as many copies are being loaded as are sensible before their effect is seen.
-    bool isLoadingEnough(const std::string& model) const
+    bool isLoadingEnough() const { return loading >= std::max(loadsOfOneModel, held); }
+
+    double workPerCopy() const { return work / std::max(1U, copies()); }
+
+    /// Returns the work for each copy that stays when one copy goes.
+    double workAfterUnload() const { return copies() > 1 ? work / (copies() - 1) : missingWeight * work; }
+
+    /// Returns whether requests have lately found no copy of the model.
+    bool isAskedFor() const { return unplaced >= missedRequests; }
+
+    /// Returns how urgently the model needs another copy, in milliseconds of work per second.
+    double need() const
     {
-        return find(model).loading >= std::max(loadsOfOneModel, find(model).held);
+        return copies() > 0 ? workPerCopy() : missingWeight * work + unplacedRequestWork * unplaced + idleModelWork;
     }
+};
 
-    double workPerCopy(const std::string& model) const { return find(model).work / std::max(1U, copies(model)); }
+/// An upstream that stays, as a plan sees it.
+struct PlannedUpstream {
+    const UpstreamResidency* residency = nullptr;
+    const std::set<std::string>* copiesAtHand = nullptr;
+    std::vector<ModelIndex> held;
+    std::vector<ModelIndex> loading;
+    double freeMb = 0;
+    bool canOrder = false; ///< carries out no order and gets none in this plan
 
-    /// Returns the work for each copy that stays when one copy goes.
-    double workAfterUnload(const std::string& model) const
+    bool charges(ModelIndex model) const
     {
-        const unsigned n = copies(model);
-        return n > 1 ? find(model).work / (n - 1) : missingWeight * find(model).work;
+        return std::find(held.begin(), held.end(), model) != held.end()
+            || std::find(loading.begin(), loading.end(), model) != loading.end();
     }
 
-    /// Returns whether requests have lately found no copy of the model.
-    bool isAskedFor(const std::string& model) const { return find(model).unplaced >= missedRequests; }
+    bool isStoreLoad(const PlannedModel& model) const { return !copiesAtHand || !copiesAtHand->count(model.name); }
+};
 
-    /// Returns how urgently a model needs another copy, in milliseconds of work per second.
-    double need(const std::string& model) const
+/// The state of a plan. What the ledger knows by name is looked up once, since a plan compares each model in need with
+/// each upstream and runs on the thread that serves requests.
+class PlanState {
+public:
+    PlanState(const std::string& service, const ResidencyLedger& ledger, const DemandEstimate& demand,
+        const std::set<std::string>& leaving)
     {
-        if (copies(model) > 0)
-            return workPerCopy(model);
-        return missingWeight * find(model).work + unplacedRequestWork * find(model).unplaced + idleModelWork;
+        for (const auto& spec : ledger.engine().models) {
+            auto& model = m_models[indexOf(spec.name)];
+            model.spec = &spec;
+            model.work = demand.workRate(service, spec.name);
+            model.unplaced = demand.unplaced(service, spec.name);
+        }
+        for (const auto& [id, residency] : ledger.upstreams()) {
+            const bool isChanging = residency.isOrdering || residency.isBusy || !residency.loading.empty()
+                || !residency.unloading.empty();
+            m_changing += isChanging ? 1 : 0;
+            if (!leaving.count(id))
+                addUpstream(ledger, residency, isChanging);
+        }
+        m_upstreamCount = ledger.upstreams().size();
     }
 
-    double workOf(const UpstreamResidency& upstream) const
+    const std::vector<PlannedModel>& models() const { return m_models; }
+    const std::vector<PlannedUpstream>& upstreams() const { return m_upstreams; }
+
+    double workOf(const PlannedUpstream& upstream) const
     {
         double out = 0;
         for (const auto* part : { &upstream.held, &upstream.loading }) {
-            for (const auto& model : *part)
-                out += workPerCopy(model);
+            for (const auto model : *part)
+                out += m_models[model].workPerCopy();
         }
         return out;
     }
 
-    bool canOrder(const UpstreamResidency& upstream) const
+    /// Returns the share of the upstreams that carry out an order or get one in this plan.
+    double changingShare() const
     {
-        return upstream.isKnown && !upstream.isOrdering && !upstream.isBusy && upstream.loading.empty()
-            && upstream.unloading.empty() && !m_leaving.count(upstream.id) && !m_used.count(upstream.id)
-            && !m_ledger.unsettled(upstream.id);
+        return m_upstreamCount == 0 ? 0 : static_cast<double>(m_changing) / static_cast<double>(m_upstreamCount);
     }
 
-    /// Returns how many upstreams carry out an order or get one in this plan.
-    std::size_t changing() const
-    {
-        const auto& all = m_ledger.upstreams();
-        const auto busy = std::count_if(all.begin(), all.end(), [](const auto& it) {
-            return it.second.isOrdering || it.second.isBusy || !it.second.loading.empty()
-                || !it.second.unloading.empty();
-        });
-        return static_cast<std::size_t>(busy) + m_used.size();
-    }
-
-    /// Returns whether the plan has taken a copy of the model already.
-    bool isUnloaded(const std::string& model) const { return find(model).isUnloaded; }
-
-    void use(const PlannedChange& change)
+    /// Notes a change of a model that the plan makes on an upstream.
+    void use(std::size_t upstream, OrderKind kind, ModelIndex model)
     {
-        m_used.insert(change.upstreamId);
-        auto& state = m_models[change.model];
-        if (change.kind == OrderKind::Load) {
+        m_upstreams[upstream].canOrder = false;
+        ++m_changing;
+        auto& state = m_models[model];
+        if (kind == OrderKind::Load) {
             ++state.loading;
             return;
         }
@@ -108,50 +122,62 @@
         state.isUnloaded = true;
     }
 
-    const ResidencyLedger& ledger() const { return m_ledger; }
-
 private:
-    struct ModelState {
-        double work = 0;
-        double unplaced = 0;
-        unsigned held = 0;
-        unsigned loading = 0;
-        bool isUnloaded = false;
-    };
+    ModelIndex indexOf(const std::string& name)
+    {
+        const auto [it, isNew] = m_indices.try_emplace(name, m_models.size());
+        if (isNew)
+            m_models.push_back({ .name = name });
+        return it->second;
+    }
 
-    const ModelState& find(const std::string& model) const
+    void addUpstream(const ResidencyLedger& ledger, const UpstreamResidency& residency, bool isChanging)
     {
-        static const ModelState unknown;
-        auto it = m_models.find(model);
-        return it == m_models.end() ? unknown : it->second;
+        PlannedUpstream out { .residency = &residency, .copiesAtHand = ledger.copiesAtHand(residency.id) };
+        for (const auto& name : residency.held) {
+            out.held.push_back(indexOf(name));
+            ++m_models[out.held.back()].held;
+        }
+        for (const auto& name : residency.loading) {
+            out.loading.push_back(indexOf(name));
+            ++m_models[out.loading.back()].loading;
+        }
+        out.canOrder = residency.isKnown && !isChanging && !ledger.unsettled(residency.id);
+        out.freeMb = out.canOrder ? ledger.freeMb(residency.id) : 0;
+        m_upstreams.push_back(std::move(out));
     }
 
-    const ResidencyLedger& m_ledger;
-    const std::set<std::string>& m_leaving;
-    std::map<std::string, ModelState> m_models;
-    std::set<std::string> m_used; ///< upstreams that get an order in this plan
+    std::unordered_map<std::string, ModelIndex> m_indices;
+    std::vector<PlannedModel> m_models;
+    std::vector<PlannedUpstream> m_upstreams; ///< without those that leave
+    std::size_t m_upstreamCount = 0; ///< with those that leave
+    std::size_t m_changing = 0;
 };
 
 /// An upstream on which a model can be loaded, now or after one of its models is unloaded.
 struct Place {
-    const UpstreamResidency* upstream = nullptr;
-    std::string unloaded; ///< model that has to go first; empty if there is room
+    std::size_t upstream = 0;
+    std::optional<ModelIndex> unloaded; ///< model that has to go first; empty if there is room
     bool isStoreLoad = false;
 };
 
 /// Returns the upstream that can load the model into free memory: with a copy at hand first, then the least busy.
-std::optional<Place> findRoom(const PlanState& state, const ModelSpec& model, bool isStoreAllowed)
+std::optional<Place> findRoom(const PlanState& state, ModelIndex wanted, bool isStoreAllowed)
 {
+    const auto& model = state.models()[wanted];
     std::optional<Place> best;
     std::pair<bool, double> bestRank;
-    for (const auto& [id, upstream] : state.ledger().upstreams()) {
-        if (!state.canOrder(upstream) || upstream.charges(model.name) || state.ledger().freeMb(id) < model.sizeMb)
+    for (std::size_t i = 0; i < state.upstreams().size(); ++i) {
+        const auto& upstream = state.upstreams()[i];
+        if (!upstream.canOrder || upstream.freeMb < model.spec->sizeMb || upstream.charges(wanted))
+            continue;
+        const bool isStoreLoad = upstream.isStoreLoad(model);
+        if (isStoreLoad && !isStoreAllowed)
             continue;
-        const bool isStoreLoad = state.ledger().isStoreLoad(id, model.name);
         const std::pair<bool, double> rank { isStoreLoad, state.workOf(upstream) };
-        if ((isStoreLoad && !isStoreAllowed) || (best && bestRank <= rank))
+        if (best && bestRank <= rank)
             continue;
-        best = Place { .upstream = &upstream, .unloaded = {}, .isStoreLoad = isStoreLoad };
+        best = Place { .upstream = i, .isStoreLoad = isStoreLoad };
         bestRank = rank;
     }
     return best;
@@ -161,67 +187,77 @@
 /// since that load takes a fraction of the time and nothing of the weight store's rate. A last copy goes only if there
 /// is no other, for a model that requests miss and that is needed more.
 std::optional<Place> findVictim(
-    const PlanState& state, const ModelSpec& wanted, bool isStoreAllowed, const PlannerOptions& options)
+    const PlanState& state, ModelIndex wanted, bool isStoreAllowed, const PlannerOptions& options)
 {
-    const double need = state.need(wanted.name);
-    const bool isMissing = state.copies(wanted.name) == 0;
-    const bool mayTakeLast = isMissing && state.isAskedFor(wanted.name);
+    const auto& wantedModel = state.models()[wanted];
+    const double need = wantedModel.need();
+    const bool isMissing = wantedModel.copies() == 0;
+    const bool mayTakeLast = isMissing && wantedModel.isAskedFor();
     // The most work that may be left for each copy that stays, and for the model whose last copy goes.
     const double mostRemaining = isMissing ? std::max(need, options.busyCopyWork) : need / options.replaceRatio;
     const double mostOfLast = need / options.replaceRatio;
     std::optional<Place> best;
     using Rank = std::tuple<bool, bool, double, double>;
     Rank bestRank;
-    for (const auto& [id, upstream] : state.ledger().upstreams()) {
-        const bool isStoreLoad = state.ledger().isStoreLoad(id, wanted.name);
-        if (!state.canOrder(upstream) || upstream.charges(wanted.name) || (isStoreLoad && !isStoreAllowed))
+    for (std::size_t i = 0; i < state.upstreams().size(); ++i) {
+        const auto& upstream = state.upstreams()[i];
+        if (!upstream.canOrder || upstream.charges(wanted))
+            continue;
+        const bool isStoreLoad = upstream.isStoreLoad(wantedModel);
+        if (isStoreLoad && !isStoreAllowed)
             continue;
-        for (const auto& model : upstream.held) {
-            const auto* spec = state.ledger().engine().findModel(model);
-            const double freed = state.ledger().freeMb(id) + (spec ? spec->sizeMb : 0);
-            const bool isLast = state.copies(model) < 2;
-            if (freed < wanted.sizeMb || state.isUnloaded(model))
+        const double upstreamWork = state.workOf(upstream);
+        for (const auto victim : upstream.held) {
+            const auto& model = state.models()[victim];
+            const bool isLast = model.copies() < 2;
+            const double freed = upstream.freeMb + (model.spec ? model.spec->sizeMb : 0);
+            if (freed < wantedModel.spec->sizeMb || model.isUnloaded)
                 continue;
-            const double remaining = state.workAfterUnload(model);
+            const double remaining = model.workAfterUnload();
             if (isLast && (!mayTakeLast || remaining > mostOfLast))
                 continue;
-            const Rank rank { isLast, isStoreLoad, remaining, state.workOf(upstream) };
+            const Rank rank { isLast, isStoreLoad, remaining, upstreamWork };
             if (remaining > mostRemaining || (best && bestRank <= rank))
                 continue;
-            best = Place { .upstream = &upstream, .unloaded = model, .isStoreLoad = isStoreLoad };
+            best = Place { .upstream = i, .unloaded = victim, .isStoreLoad = isStoreLoad };
             bestRank = rank;
         }
     }
     return best;
 }
 
-/// Returns the models in the order in which they need another copy.
-std::vector<const ModelSpec*> modelsByNeed(const PlanState& state)
+/// Returns the models of the configuration in the order in which they need another copy.
+std::vector<ModelIndex> modelsByNeed(const PlanState& state)
 {
-    std::vector<const ModelSpec*> out;
-    for (const auto& model : state.ledger().engine().models)
-        out.push_back(&model);
-    std::stable_sort(out.begin(), out.end(),
-        [&](const auto* a, const auto* b) { return state.need(a->name) > state.need(b->name); });
+    std::vector<std::pair<double, ModelIndex>> needs;
+    for (ModelIndex i = 0; i < state.models().size(); ++i) {
+        if (state.models()[i].spec)
+            needs.emplace_back(state.models()[i].need(), i);
+    }
+    std::stable_sort(needs.begin(), needs.end(), [](const auto& a, const auto& b) { return a.first > b.first; });
+    std::vector<ModelIndex> out;
+    for (const auto& [need, model] : needs)
+        out.push_back(model);
     return out;
 }
 
 std::optional<Place> findPlace(
-    const PlanState& state, const ModelSpec& model, bool isStoreAllowed, const PlannerOptions& options)
+    const PlanState& state, ModelIndex wanted, bool isStoreAllowed, const PlannerOptions& options)
 {
-    const bool isMissing = state.copies(model.name) == 0;
-    const double need = state.need(model.name);
-    if ((!isMissing && need < options.busyCopyWork) || state.isLoadingEnough(model.name))
+    const auto& model = state.models()[wanted];
+    const bool isMissing = model.copies() == 0;
+    const double need = model.need();
+    if ((!isMissing && need < options.busyCopyWork) || model.isLoadingEnough())
         return std::nullopt;
-    const bool isCalm = state.changing() < state.ledger().upstreams().size() * options.calmShare;
+    const bool isCalm = state.changingShare() < options.calmShare;
     const bool isStoreSensible = isStoreAllowed && (isMissing || isCalm || need >= options.storeCopyWork);
-    auto room = findRoom(state, model, isStoreSensible);
+    auto room = findRoom(state, wanted, isStoreSensible);
     if (room && !room->isStoreLoad)
         return room;
     // A copy at hand is ready in a fraction of the time, also if another model has to go first.
-    if (auto local = findVictim(state, model, false, options))
+    if (auto local = findVictim(state, wanted, false, options))
         return local;
-    return room ? room : findVictim(state, model, isStoreSensible, options);
+    return room ? room : findVictim(state, wanted, isStoreSensible, options);
 }
 
 } // namespace
@@ -232,19 +268,19 @@
     PlanState state(service, ledger, demand, leaving);
     std::vector<PlannedChange> out;
     unsigned storeLoads = ledger.storeLoadAllowance();
-    for (const auto* model : modelsByNeed(state)) {
-        const auto place = findPlace(state, *model, storeLoads > 0, options);
+    for (const auto wanted : modelsByNeed(state)) {
+        const auto place = findPlace(state, wanted, storeLoads > 0, options);
         if (!place)
             continue;
         if (place->isStoreLoad)
             --storeLoads;
-        PlannedChange change { OrderKind::Load, place->upstream->id, model->name, state.need(model->name) };
-        if (!place->unloaded.empty()) {
-            change.kind = OrderKind::Unload;
-            change.model = place->unloaded;
-        }
-        state.use(change);
-        out.push_back(std::move(change));
+        const auto kind = place->unloaded ? OrderKind::Unload : OrderKind::Load;
+        const auto changed = place->unloaded.value_or(wanted);
+        out.push_back({ .kind = kind,
+            .upstreamId = state.upstreams()[place->upstream].residency->id,
+            .model = state.models()[changed].name,
+            .workPerCopy = state.models()[wanted].need() });
+        state.use(place->upstream, kind, changed);
     }
     return out;
 }
--- a/src/libserving/residency_ledger.cpp
+++ b/src/libserving/residency_ledger.cpp
@@ -23,23 +23,25 @@
 
 void ResidencyLedger::setEngine(EngineSpec engine)
 {
+    if (m_engine == engine && !m_sizesMb.empty())
+        return;
     m_engine = std::move(engine);
-    double largest = 0;
-    for (const auto& model : m_engine.models)
-        largest = std::max(largest, model.adapterSizeMb);
-    m_adapterReserveMb = largest * m_engine.adapterPlaces;
+    m_sizesMb.clear();
+    m_largestMb = 0;
+    double largestAdapterMb = 0;
+    for (const auto& model : m_engine.models) {
+        m_sizesMb.emplace(model.name, model.sizeMb);
+        m_largestMb = std::max(m_largestMb, model.sizeMb);
+        largestAdapterMb = std::max(largestAdapterMb, model.adapterSizeMb);
+    }
+    m_adapterReserveMb = largestAdapterMb * m_engine.adapterPlaces;
 }
 
 double ResidencyLedger::sizeOf(const std::string& model) const
 {
-    const auto* spec = m_engine.findModel(model);
+    const auto it = m_sizesMb.find(model);
     // A model that the configuration no longer lists still takes memory; the largest listed one is a safe guess.
-    if (spec)
-        return spec->sizeMb;
-    double largest = 0;
-    for (const auto& it : m_engine.models)
-        largest = std::max(largest, it.sizeMb);
-    return largest;
+    return it == m_sizesMb.end() ? m_largestMb : it->second;
 }
 
 void ResidencyLedger::update(const std::vector<const UpstreamEntry*>& entries)
@@ -293,6 +295,12 @@
     return it == m_members.end() || !it->second.localCopies.count(model);
 }
 
+const std::set<std::string>* ResidencyLedger::copiesAtHand(const std::string& id) const
+{
+    auto it = m_members.find(id);
+    return it == m_members.end() ? nullptr : &it->second.localCopies;
+}
+
 unsigned ResidencyLedger::storeLoadAllowance() const
 {
     const auto from = m_clock.now() - loadWindow;
