Limit readings of the store by their progress, not by one deadline with the wait

Cause: one deadline covered the wait at the store, the way and the reading of the body. Class of fault: a time limit that depends on the size of an answer and on the reader's speed; the readings of whole tables (1 s for all pages) had it as well.

Change: an answer must begin 0.7 s after the wait and then go on without a pause of 1.5 s, at most for 10 s; a store that went silent is noticed as soon as before.

--- a/src/include/bulrushstack/net/http_client.h
+++ b/src/include/bulrushstack/net/http_client.h
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace bulrushstack {
 
@@ -33,6 +34,10 @@
     /// Point in time at which the whole call fails with Errc::Timeout.
     SteadyTime deadline = SteadyTime::max();
 
+    /// Point in time by which the response header must have arrived; `progressTimeout` then holds for the body only.
+    /// For calls that wait for an event at the other end and are answered with a long body.
+    std::optional<SteadyTime> headerDeadline;
+
     /// Longest silence while waiting for the header or for the next part of the body; zero: no limit but the deadline.
     std::chrono::nanoseconds progressTimeout {};
 
--- a/src/libfront/table_follower.cpp
+++ b/src/libfront/table_follower.cpp
@@ -11,7 +11,7 @@
 
 namespace asio = boost::asio;
 
-constexpr std::chrono::milliseconds snapshotTimeout { 1000 };
+constexpr TableReadLimits readLimits;
 constexpr std::chrono::milliseconds firstPause { 40 };
 constexpr std::chrono::milliseconds longestPause { 400 };
 
@@ -72,7 +72,7 @@
 asio::awaitable<Result<void>> TableFollower::step()
 {
     if (!m_isSynchronized) {
-        auto snapshot = co_await m_feed.snapshot(m_options.table, m_clock.now() + snapshotTimeout);
+        auto snapshot = co_await m_feed.snapshot(m_options.table, readLimits);
         if (!snapshot)
             co_return snapshot.error();
         if (m_failures > 0)
@@ -84,7 +84,7 @@
     }
     // A store that has not answered is asked in short calls: a long one could hang beyond the store's return.
     const auto wait = m_failures > 0 ? std::chrono::milliseconds(0) : m_options.wait;
-    auto changes = co_await m_feed.changes(m_options.table, m_version, wait);
+    auto changes = co_await m_feed.changes(m_options.table, m_version, wait, readLimits);
     if (!changes)
         co_return changes.error();
     if (m_failures > 0)
--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -216,11 +216,16 @@
     /// Reads header blocks until one is final; interim responses (1xx) are skipped.
     asio::awaitable<Result<void>> readHeader(bool isHead)
     {
+        auto limits = m_options;
+        if (m_options.headerDeadline) {
+            limits.deadline = std::min(m_options.deadline, *m_options.headerDeadline);
+            limits.progressTimeout = {};
+        }
         do {
             m_parser.emplace();
             m_parser->body_limit(boost::none);
             m_parser->skip(isHead);
-            if (!m_pool->arm(m_connection->stream, m_options))
+            if (!m_pool->arm(m_connection->stream, limits))
                 co_return deadlinePassed(Verdict::MayHaveRun);
             auto [ec, n]
                 = co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, asTuple);
--- a/src/libplatform/scripted_server.h
+++ b/src/libplatform/scripted_server.h
@@ -9,6 +9,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <functional>
@@ -36,6 +37,8 @@
     Kind kind = Kind::Respond;
     unsigned status = 200;
     std::string body;
+    std::string delayedBody; ///< sent after the pause
+    std::chrono::milliseconds pause {};
     std::string missingBody; ///< announced in Content-Length but not sent; the connection is then closed
 };
 
@@ -83,8 +86,15 @@
                 co_return;
             }
             const auto text = "HTTP/1.1 " + std::to_string(answer.status) + " X\r\nContent-Length: "
-                + std::to_string(answer.body.size() + answer.missingBody.size()) + "\r\n\r\n" + answer.body;
+                + std::to_string(answer.body.size() + answer.delayedBody.size() + answer.missingBody.size())
+                + "\r\n\r\n" + answer.body;
             co_await boost::asio::async_write(*socket, boost::asio::buffer(text), boost::asio::use_awaitable);
+            if (!answer.delayedBody.empty()) {
+                boost::asio::steady_timer timer(context, answer.pause);
+                co_await timer.async_wait(boost::asio::use_awaitable);
+                co_await boost::asio::async_write(
+                    *socket, boost::asio::buffer(answer.delayedBody), boost::asio::use_awaitable);
+            }
             if (!answer.missingBody.empty()) {
                 socket->close();
                 co_return;
