Derive report interval and contact timeout from one schedule of the fleet's size

Cause: the report interval grows with the number of instances (20 ms each: 1.68 s for 84), the timeout after which the holder counts as gone did not (1.2 s). Reports of missed models (every 60 ms from each instance) had no bound over the fleet either: 1,400 a second for 84 instances.

Change: DemandSchedule holds both; the timeout is longer than the time between two answers for every size, urgent reports are at most 250 a second at the holder. Test: demand_schedule_test.cpp; with the constants of the code before, KeepsInContactWithAHolderThatAnswersEachReport and BoundsTheReportsThatReachTheHolder fail.

--- a/src/libfront/lease_keeper.cpp
+++ b/src/libfront/lease_keeper.cpp
@@ -1,6 +1,7 @@
 #include "lease_keeper.h"
 
 #include "bulrushstack/kernel/tasks.h"
+#include "bulrushstack/serving/demand_schedule.h"
 #include <glog/logging.h>
 
 namespace bulrushstack {
@@ -20,7 +21,6 @@
 constexpr std::chrono::milliseconds leaseValidity { 2000 }; ///< longer than a store that is slow takes for a renewal
 constexpr std::chrono::milliseconds leaseRenewInterval { 700 };
 constexpr std::chrono::milliseconds handoverMargin { 250 }; ///< beside the period that the platform demands
-constexpr std::chrono::milliseconds contactTimeout { 1200 };
 
 LeaseOptions leaseOptions(const FrontState& state)
 {
@@ -54,7 +54,8 @@
 
 bool LeaseKeeper::isInContact() const
 {
-    return m_lastContact && m_state.clock().now() - *m_lastContact < contactTimeout;
+    return m_lastContact
+        && m_state.clock().now() - *m_lastContact < DemandSchedule(m_state.instances()).contactTimeout();
 }
 
 void LeaseKeeper::noteContact() { m_lastContact = m_state.clock().now(); }
--- a/src/libfront/placement_agent.cpp
+++ b/src/libfront/placement_agent.cpp
@@ -1,6 +1,7 @@
 #include "placement_agent.h"
 
 #include "bulrushstack/kernel/tasks.h"
+#include "bulrushstack/serving/demand_schedule.h"
 #include "bulrushstack/serving/duty_pacing.h"
 #include <algorithm>
 #include <glog/logging.h>
@@ -22,10 +23,7 @@
 constexpr std::chrono::milliseconds reachabilityTimeout { 250 };
 constexpr std::chrono::milliseconds reachabilityInterval { 700 };
 
-constexpr std::chrono::milliseconds shortestReportInterval { 400 };
-constexpr std::chrono::milliseconds reportIntervalPerInstance { 20 };
-constexpr std::chrono::milliseconds urgentReportInterval { 60 };
-constexpr std::chrono::milliseconds demandTimeout { 500 };
+constexpr std::chrono::milliseconds scheduleInterval { 60 }; ///< between two looks at whether a report is due
 constexpr std::chrono::seconds reporterLifetime { 6 };
 constexpr std::size_t crashCountsInReply = 32;
 
@@ -64,20 +62,13 @@
 
 asio::awaitable<void> PlacementAgent::stop() { return m_keeper.release(); }
 
-std::chrono::milliseconds PlacementAgent::reportInterval() const
-{
-    if (m_state.hasUrgentDemand())
-        return urgentReportInterval;
-    return std::max<std::chrono::milliseconds>(
-        shortestReportInterval, reportIntervalPerInstance * static_cast<int>(m_state.instances()));
-}
-
 asio::awaitable<void> PlacementAgent::reportDemand()
 {
     auto lastReport = m_state.clock().now();
     while (!m_keeper.isReleased()) {
-        co_await sleepFor(m_state.context(), urgentReportInterval);
-        if (m_state.clock().now() - lastReport < reportInterval())
+        co_await sleepFor(m_state.context(), scheduleInterval);
+        const DemandSchedule schedule(m_state.instances());
+        if (m_state.clock().now() - lastReport < schedule.reportInterval(m_state.hasUrgentDemand()))
             continue;
         lastReport = m_state.clock().now();
         co_await sendDemand();
@@ -96,7 +87,7 @@
         co_return;
     HttpRequest request { .method = "POST", .target = std::string(demandPath), .body = encode(m_state.takeDemand()) };
     HttpCallOptions options;
-    options.deadline = m_state.clock().now() + demandTimeout;
+    options.deadline = m_state.clock().now() + DemandSchedule::reportTimeout();
     auto response = co_await m_client.call(holder->address, std::move(request), options);
     if (!response) {
         // A connection that went silent is not used again, since the next one may work.
--- a/src/libfront/placement_agent.h
+++ b/src/libfront/placement_agent.h
@@ -52,7 +52,6 @@
 
     void noteHolderLost(const LeaseRecord& holder, const std::string& reason);
     void applyReply(const DemandReply& reply);
-    std::chrono::milliseconds reportInterval() const;
     void beginTerm();
     void assumeLoadsOfLastHolder(ServicePlacement& placement);
     void updateService(const ServiceSpec& service);
--- /dev/null
+++ b/src/libserving/demand_schedule_test.cpp
@@ -0,0 +1,44 @@
+#include "bulrushstack/serving/demand_schedule.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace bulrushstack;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(ADemandSchedule)
+
+// Guards against instances of a large fleet that take a holder for gone between two of their own reports, so that they
+// refuse adapters and read the lease from the store instead.
+BOOST_AUTO_TEST_CASE(KeepsInContactWithAHolderThatAnswersEachReport)
+{
+    for (unsigned n = 0; n <= 1000; ++n) {
+        const DemandSchedule schedule(n);
+        const auto longestGap = schedule.reportInterval(false) + DemandSchedule::reportTimeout();
+        BOOST_REQUIRE(schedule.contactTimeout() > longestGap);
+    }
+}
+
+// Guards against urgent reports of a large fleet that take all of the holder's time.
+BOOST_AUTO_TEST_CASE(BoundsTheReportsThatReachTheHolder)
+{
+    constexpr double mostReportsPerSecond = 260;
+    for (unsigned n = 20; n <= 1000; ++n) {
+        for (const bool isUrgent : { false, true }) {
+            const std::chrono::duration<double> interval = DemandSchedule(n).reportInterval(isUrgent);
+            BOOST_REQUIRE(n / interval.count() <= mostReportsPerSecond);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ReportsSoonerWhileRequestsMissTheirModel)
+{
+    for (unsigned n : { 0U, 9U, 84U, 390U })
+        BOOST_TEST((DemandSchedule(n).reportInterval(true) < DemandSchedule(n).reportInterval(false)));
+}
+
+BOOST_AUTO_TEST_CASE(NoticesALostHolderOfASmallFleetSoon)
+{
+    BOOST_TEST((DemandSchedule(9).contactTimeout() <= 1200ms));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
