Believe what upstreams say of themselves in answers: that they leave, or want a pause

Nothing read the fields Server-Leaving and Retry-After of upstreams before.

Change: ServingDirectory holds both statements beside the rows, with the start time of the process that made them. A leaving upstream gets nothing new at once, also while the store is away, from queues, retries and resumed streams, which all choose through the directory; a row that still says ready or comes back does not undo it, a new start does. Planning takes its copies for lost. While all upstreams that could serve a request pause, it is refused at once with the time until the first pause ends. Answers to requests, orders and reports are read.

--- a/src/include/bulrushstack/front/front_binding.h
+++ b/src/include/bulrushstack/front/front_binding.h
@@ -35,6 +35,8 @@
     bool isNotExecuted = false; ///< the upstream states that it did not run the request
     bool isMisdirected = false; ///< another upstream has the address, or the model or adapter is not there
     bool isTransformed = false; ///< the body is encoded, which no caller asked for
+    bool isLeaving = false; ///< the upstream states that it will end
+    std::optional<std::chrono::milliseconds> pause; ///< for which a refusing upstream wants no more requests
     std::optional<StatedLoad> load;
 
     friend bool operator==(const UpstreamHead&, const UpstreamHead&) = default;
@@ -80,12 +82,20 @@
     virtual Result<UpstreamEntry> decodeUpstream(const Row& row) const = 0;
 };
 
+/// What came of an order.
+struct OrderReply {
+    OrderAnswer answer = OrderAnswer::Unknown;
+    bool isLeaving = false; ///< the upstream states that it will end
+
+    friend bool operator==(const OrderReply&, const OrderReply&) = default;
+};
+
 /// Orders to upstreams and questions about their state.
 class UpstreamControl {
 public:
     virtual ~UpstreamControl() = default;
 
-    virtual boost::asio::awaitable<OrderAnswer> give(Address address, UpstreamOrder order, SteadyTime deadline) = 0;
+    virtual boost::asio::awaitable<OrderReply> give(Address address, UpstreamOrder order, SteadyTime deadline) = 0;
     virtual boost::asio::awaitable<Result<UpstreamReport>> report(
         Address address, std::string upstreamId, SteadyTime deadline)
         = 0;
--- a/src/include/bulrushstack/serving/residency_ledger.h
+++ b/src/include/bulrushstack/serving/residency_ledger.h
@@ -22,6 +22,7 @@
     std::uint64_t ordersAccepted = 0;
     std::vector<HeldModel> models;
     std::vector<std::string> arrivingAdapters; ///< MODEL/ADAPTER
+    bool isLeaving = false; ///< the upstream states that it will end
 
     friend bool operator==(const UpstreamReport&, const UpstreamReport&) = default;
 };
--- a/src/include/bulrushstack/serving/upstream_directory.h
+++ b/src/include/bulrushstack/serving/upstream_directory.h
@@ -67,14 +67,39 @@
     void noteStoreLost();
     void noteStoreRegained();
 
+    /// Notes that an upstream said in an answer that it leaves. It gets nothing new until it starts anew, whatever its
+    /// row says meanwhile: a row that still says ready is older. `startedAt` is the start of the process that was
+    /// asked; what an earlier process said does not count. Returns whether this was not known yet.
+    bool noteLeaving(const std::string& id, std::uint64_t startedAt);
+
+    /// Notes that an upstream wants no requests from this instance for the given time, at most `longestPause`. Returns
+    /// whether it was not pausing before.
+    bool notePause(const std::string& id, std::uint64_t startedAt, std::chrono::nanoseconds duration);
+
+    /// Longest pause that an upstream may ask for; a longer one is cut, so that a wrong value does not lose it for
+    /// good.
+    static constexpr std::chrono::seconds longestPause { 60 };
+
     /// Drops the entries whose grace has ended; returns their ids.
     std::vector<std::string> expire();
 
+    /// Returns the upstreams whose pause has ended since the last call.
+    std::vector<std::string> takeEndedPauses();
+
     const UpstreamEntry* find(std::string_view id) const;
 
     /// Returns the entries of a service that may get new requests, in the order of their ids.
     std::vector<const UpstreamEntry*> usable(std::string_view service) const;
 
+    /// Returns the entries of a service that would get new requests but for their pause.
+    std::vector<const UpstreamEntry*> pausing(std::string_view service) const;
+
+    /// Returns when the pause of an upstream ends; empty if it does not pause.
+    std::optional<SteadyTime> pausedUntil(std::string_view id) const;
+
+    /// Returns whether the row of the upstream or one of its answers says that it leaves.
+    bool isLeaving(const UpstreamEntry& entry) const;
+
     /// Returns all entries, including those that are draining.
     std::vector<const UpstreamEntry*> all() const;
 
@@ -87,12 +112,24 @@
         std::optional<SteadyTime> lapsedUntil; ///< removed, and dropped at this time
     };
 
+    /// What an upstream said in its answers. Kept beside the entries, since a row may vanish and come back.
+    struct Statement {
+        std::uint64_t startedAt = 0; ///< of the process that said it
+        bool isLeaving = false;
+        std::optional<SteadyTime> pausedUntil;
+        SteadyTime noted {};
+    };
+
+    Statement* statementOf(const std::string& id, std::uint64_t startedAt);
+    std::vector<const UpstreamEntry*> receptive(std::string_view service, bool isPausing) const;
+
     std::chrono::nanoseconds lapseGraceLeft() const;
     void removeWithGrace(const std::string& id, std::chrono::nanoseconds grace);
 
     const Clock& m_clock;
     DirectoryTimes m_times;
     std::map<std::string, Member, std::less<>> m_members;
+    std::map<std::string, Statement, std::less<>> m_statements;
     bool m_isStoreLost = false;
     std::optional<SteadyTime> m_storeRegained;
     std::uint64_t m_version = 0;
--- a/src/libfront/directory_keeper.cpp
+++ b/src/libfront/directory_keeper.cpp
@@ -189,6 +189,10 @@
             std::clamp<std::chrono::milliseconds>(pause, shortestChangePause, longestChangePause));
         for (const auto& id : m_state.directory().expire())
             LOG(INFO) << "event=upstream-expired upstream=" << id;
+        for (const auto& id : m_state.directory().takeEndedPauses()) {
+            LOG(INFO) << "event=upstream-pause-ended upstream=" << id;
+            m_state.wakeWaiting();
+        }
         if (i % expiresPerCleanUp != 0)
             continue;
         m_state.hints().expire();
--- a/src/libfront/front_state.cpp
+++ b/src/libfront/front_state.cpp
@@ -77,24 +77,52 @@
 
 bool FrontState::isModelHeld(const std::string& service, const std::string& model) const
 {
-    return !holders(service, ServingRequest { .model = model }).empty();
+    const ServingRequest request { .model = model };
+    return !holders(service, request).empty() || pauseOfHolders(service, request);
 }
 
 std::vector<const UpstreamEntry*> FrontState::holders(const std::string& service, const ServingRequest& request) const
 {
     auto out = m_directory.usable(service);
-    if (request.model.empty())
-        return out;
-    std::erase_if(out, [&](const UpstreamEntry* it) {
-        if (m_retiring.count({ it->id, request.model }))
-            return true;
-        if (const auto hint = m_hints.find(it->id, request.model, request.adapter))
-            return !*hint || !it->findModel(request.model);
-        return !it->holds(request.model, request.adapter);
-    });
+    std::erase_if(out, [&](const UpstreamEntry* it) { return !isHolder(*it, request); });
     return out;
 }
 
+bool FrontState::isHolder(const UpstreamEntry& upstream, const ServingRequest& request) const
+{
+    if (request.model.empty())
+        return true;
+    if (m_retiring.count({ upstream.id, request.model }))
+        return false;
+    if (const auto hint = m_hints.find(upstream.id, request.model, request.adapter))
+        return *hint && upstream.findModel(request.model);
+    return upstream.holds(request.model, request.adapter);
+}
+
+std::optional<Milliseconds> FrontState::pauseOfHolders(const std::string& service, const ServingRequest& request) const
+{
+    if (!holders(service, request).empty())
+        return std::nullopt;
+    std::optional<SteadyTime> soonest;
+    for (const auto* it : m_directory.pausing(service)) {
+        const auto until = m_directory.pausedUntil(it->id);
+        if (isHolder(*it, request) && until && (!soonest || *until < *soonest))
+            soonest = until;
+    }
+    if (!soonest)
+        return std::nullopt;
+    return millisecondsOf(*soonest - m_clock.now());
+}
+
+void FrontState::noteLeaving(const std::string& id, std::uint64_t startedAt, std::string_view source)
+{
+    if (!m_directory.noteLeaving(id, startedAt))
+        return;
+    LOG(INFO) << "event=upstream-leaving upstream=" << id << " source=" << source << " started_at=" << startedAt
+              << " directory=" << m_directory.version();
+    wakeWaiting();
+}
+
 void FrontState::setRetiring(const std::vector<RetiringCopy>& copies)
 {
     m_retiring.clear();
--- a/src/libfront/front_state.h
+++ b/src/libfront/front_state.h
@@ -64,6 +64,14 @@
     /// Returns whether any upstream of the service holds the model, with whatever adapters.
     bool isModelHeld(const std::string& service, const std::string& model) const;
 
+    /// Returns how long all upstreams that could serve the request still pause; empty if one does not, or if none
+    /// could.
+    std::optional<Milliseconds> pauseOfHolders(const std::string& service, const ServingRequest& request) const;
+
+    /// Notes that an upstream said that it leaves, in an answer of the given kind. `startedAt` is the start of the
+    /// process that was asked.
+    void noteLeaving(const std::string& id, std::uint64_t startedAt, std::string_view source);
+
     /// Sets the copies that get no new requests, as the holder of the placement lease stated them.
     void setRetiring(const std::vector<RetiringCopy>& copies);
 
@@ -92,6 +100,7 @@
 
 private:
     double budgetBurst() const;
+    bool isHolder(const UpstreamEntry& upstream, const ServingRequest& request) const;
 
     boost::asio::io_context& m_context;
     const Clock& m_clock;
--- a/src/libfront/placement_agent.cpp
+++ b/src/libfront/placement_agent.cpp
@@ -328,7 +328,7 @@
             continue;
         entries.push_back(entry);
         const auto down = m_down.find(entry->id);
-        if (entry->isDraining || (down != m_down.end() && down->second == entry->startedAt))
+        if (m_state.directory().isLeaving(*entry) || (down != m_down.end() && down->second == entry->startedAt))
             placement.leaving.insert(entry->id);
     }
     placement.ledger.update(entries);
@@ -351,9 +351,12 @@
 {
     const auto* entry = m_state.directory().find(upstream);
     if (entry) {
+        const auto startedAt = entry->startedAt;
         const auto deadline = m_state.clock().now() + reportTimeout;
         auto report = co_await m_binding.control().report(entry->address, upstream, deadline);
         auto* placement = findPlacement(service);
+        if (report && report->isLeaving)
+            m_state.noteLeaving(upstream, startedAt, "report");
         if (report && placement) {
             placement->ledger.noteReport(upstream, *report);
             LOG(INFO) << "event=upstream-report upstream=" << upstream << " orders=" << report->ordersAccepted
@@ -426,7 +429,11 @@
         = order.kind == OrderKind::Load && placement->ledger.isStoreLoad(order.upstreamId, order.model);
     order = placement->ledger.begin(std::move(order));
     const auto started = m_state.clock().now();
-    const auto answer = co_await m_binding.control().give(entry->address, order, started + orderTimeout);
+    const auto startedAt = entry->startedAt;
+    const auto reply = co_await m_binding.control().give(entry->address, order, started + orderTimeout);
+    const auto answer = reply.answer;
+    if (reply.isLeaving)
+        m_state.noteLeaving(order.upstreamId, startedAt, "order");
     if (auto* after = findPlacement(service))
         after->ledger.finish(order, answer);
     m_metrics.noteOrder(toString(order.kind), toString(answer));
--- a/src/libfront/request_attempt.cpp
+++ b/src/libfront/request_attempt.cpp
@@ -51,6 +51,7 @@
 asio::awaitable<std::optional<Failure>> RequestRun::attempt(const RatedUpstream& chosen)
 {
     Attempt attempt { .id = chosen.upstream->id,
+        .startedAt = chosen.upstream->startedAt,
         .address = chosen.upstream->address,
         .sent = { .sent = m_state.clock().now(),
             .urgency = urgency(),
@@ -103,6 +104,7 @@
 {
     auto& stream = *attempt.stream;
     attempt.head = m_services.format.decodeHead(stream.status(), stream.headers());
+    noteStatements(attempt);
     for (unsigned i = 0; !attempt.head.requestId.empty() && attempt.head.requestId != m_request.id; ++i) {
         LOG(WARNING) << "event=stray-answer request=" << m_request.id << " upstream=" << attempt.id
                      << " answer_for=" << attempt.head.requestId << " status=" << stream.status();
@@ -135,6 +137,19 @@
     co_return std::nullopt;
 }
 
+/// An upstream that ended meanwhile may have left its address to another one, whose answers do not speak for it.
+void RequestRun::noteStatements(const Attempt& attempt)
+{
+    if (attempt.head.isMisdirected)
+        return;
+    if (attempt.head.isLeaving)
+        m_state.noteLeaving(attempt.id, attempt.startedAt, "request");
+    auto& directory = m_state.directory();
+    if (attempt.head.pause && directory.notePause(attempt.id, attempt.startedAt, *attempt.head.pause))
+        LOG(INFO) << "event=upstream-pause upstream=" << attempt.id << " source=request request=" << m_request.id
+                  << " pause_ms=" << attempt.head.pause->count() << " directory=" << directory.version();
+}
+
 void RequestRun::noteFirstAnswer(Attempt& attempt)
 {
     if (attempt.hadFirstAnswer)
--- a/src/libfront/request_run.cpp
+++ b/src/libfront/request_run.cpp
@@ -149,6 +149,9 @@
         auto rated = rate();
         if (!rated.empty())
             co_return rated.front();
+        m_refusalPause = m_state.pauseOfHolders(m_service->name, m_request);
+        if (m_refusalPause)
+            co_return std::nullopt;
         if (!m_service->engine || !m_tried.empty())
             co_return std::nullopt;
         const bool isWorthAnotherLook = co_await waitForResidency();
--- a/src/libfront/request_run.h
+++ b/src/libfront/request_run.h
@@ -46,6 +46,7 @@
 private:
     struct Attempt {
         std::string id;
+        std::uint64_t startedAt = 0; ///< of the upstream
         Address address;
         SentRequest sent;
         std::unique_ptr<HttpStream> stream;
@@ -67,6 +68,7 @@
     boost::asio::awaitable<void> refuse(Problem problem, std::optional<Milliseconds> retryAfter);
     boost::asio::awaitable<void> giveUp(Failure failure);
 
+    void noteStatements(const Attempt& attempt);
     void noteFirstAnswer(Attempt& attempt);
     void finishAttempt(Attempt& attempt, const std::optional<Failure>& failure);
     bool isRefusedForLoad(const RatedUpstream& chosen);
--- a/src/libfront/request_run_test.cpp
+++ b/src/libfront/request_run_test.cpp
@@ -1,6 +1,7 @@
 #include "request_run.h"
 
 #include "bulrushstack/kernel/run_awaitable.h"
+#include "bulrushstack/serving/retry_after.h"
 #include "raw_server.h"
 
 #include <boost/test/unit_test.hpp>
@@ -11,7 +12,7 @@
 
 namespace {
 
-/// Headers of a small format of its own: X-Id, X-Seal, X-Not-Run, X-Model.
+/// Headers of a small format of its own: X-Id, X-Seal, X-Not-Run, X-Model, X-Leaving, X-Pause, X-Retry-Ms.
 class TestFormat final : public RequestFormat {
 public:
     Result<ServingRequest> decode(const HttpRequest& request) const override
@@ -41,7 +42,9 @@
             .isGenuine = headers.find("X-Seal").has_value(),
             .isNotExecuted = headers.find("X-Not-Run").has_value(),
             .isMisdirected = status == 421,
-            .isTransformed = headers.find("Content-Encoding").has_value() };
+            .isTransformed = headers.find("Content-Encoding").has_value(),
+            .isLeaving = headers.find("X-Leaving").has_value(),
+            .pause = headers.find("X-Pause") ? std::optional(readRetryAfter(*headers.find("X-Pause"))) : std::nullopt };
     }
 
     HttpHeaders answerFields(const HttpHeaders& headers) const override
@@ -59,6 +62,8 @@
     {
         if (!retryAfter)
             response.headers.remove("Retry-After");
+        else
+            response.headers.set("X-Retry-Ms", std::to_string(retryAfter->count()));
     }
 
     bool isEventStream(const HttpHeaders& headers) const override
@@ -113,6 +118,8 @@
 
 const std::string served = answer("200 OK", "X-Id: 7\r\nX-Seal: s\r\n", "whole");
 const std::string refused = answer("503 Busy", "X-Id: 7\r\nX-Not-Run: 1\r\n", "");
+const std::string servedByLeaving = answer("200 OK", "X-Id: 7\r\nX-Seal: s\r\nX-Leaving: 1\r\n", "whole");
+const std::string pausing = answer("503 Busy", "X-Id: 7\r\nX-Not-Run: 1\r\nX-Pause: 30\r\n", "");
 const std::string failed = answer("500 Error", "X-Id: 7\r\nX-Seal: s\r\n", "error");
 
 std::string chunk(std::string_view text)
@@ -212,6 +219,45 @@
     BOOST_TEST(upstreams[0]->connections() == 0u);
 }
 
+// Guards against requests to an upstream that has said in an answer that it leaves.
+BOOST_AUTO_TEST_CASE(IsNotSentToAnUpstreamThatHasSaidItLeaves)
+{
+    addUpstream({ servedByLeaving, served });
+    addUpstream({ served });
+    BOOST_TEST(call("/once/x")->status == 200u);
+    BOOST_TEST(call("/once/x")->status == 200u);
+    BOOST_TEST(upstreams[0]->received().size() == 1u);
+    BOOST_TEST(upstreams[1]->received().size() == 1u);
+}
+
+BOOST_AUTO_TEST_SUITE(WhoseUpstreamWantsAPause)
+
+// Guards against retries and new requests in the pause that an upstream asked for.
+BOOST_AUTO_TEST_CASE(GoesElsewhere)
+{
+    addUpstream({ pausing, served });
+    addUpstream({ served, served });
+    BOOST_TEST(call("/once/x")->status == 200u);
+    BOOST_TEST(call("/once/x")->status == 200u);
+    BOOST_TEST(upstreams[0]->received().size() == 1u);
+}
+
+// Guards against callers that wait, or come back too soon, while all upstreams pause.
+BOOST_AUTO_TEST_CASE(IsRefusedAtOnceUntilTheFirstPauseEnds)
+{
+    addUpstream({ pausing });
+    for (int i = 0; i < 2; ++i) {
+        auto response = call("/once/x");
+        BOOST_TEST(response->status == 503u);
+        const auto pause = std::stoi(response->headers.find("X-Retry-Ms").value());
+        BOOST_TEST(pause > 20'000);
+        BOOST_TEST(pause <= 30'000);
+    }
+    BOOST_TEST(upstreams[0]->received().size() == 1u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(ThatMayRunOnlyOnce)
 
 // Guards against a call that runs twice, and against a refusal that says it has not run.
--- a/src/libserving/upstream_directory.cpp
+++ b/src/libserving/upstream_directory.cpp
@@ -9,6 +9,9 @@
 
 constexpr std::chrono::nanoseconds noGrace { 0 };
 
+/// How long a statement of an upstream is kept after its entry is gone: longer than a row stays away in an outage.
+constexpr std::chrono::minutes statementLifetime { 5 };
+
 } // namespace
 
 const HeldModel* UpstreamEntry::findModel(std::string_view model) const
@@ -34,6 +37,8 @@
 bool ServingDirectory::apply(UpstreamEntry entry)
 {
     auto& member = m_members[entry.id];
+    if (auto it = m_statements.find(entry.id); it != m_statements.end() && it->second.startedAt != entry.startedAt)
+        m_statements.erase(it);
     const bool isChanged = member.entry != entry || member.lapsedUntil;
     member.entry = std::move(entry);
     member.lapsedUntil.reset();
@@ -103,6 +108,57 @@
     return m_storeRegained ? *m_storeRegained + m_times.lapseGrace - m_clock.now() : noGrace;
 }
 
+ServingDirectory::Statement* ServingDirectory::statementOf(const std::string& id, std::uint64_t startedAt)
+{
+    auto it = m_members.find(id);
+    if (it == m_members.end() || it->second.entry.startedAt != startedAt)
+        return nullptr;
+    auto& out = m_statements[id];
+    out.startedAt = startedAt;
+    out.noted = m_clock.now();
+    return &out;
+}
+
+bool ServingDirectory::noteLeaving(const std::string& id, std::uint64_t startedAt)
+{
+    auto* statement = statementOf(id, startedAt);
+    if (!statement || statement->isLeaving)
+        return false;
+    statement->isLeaving = true;
+    ++m_version;
+    return true;
+}
+
+bool ServingDirectory::notePause(const std::string& id, std::uint64_t startedAt, std::chrono::nanoseconds duration)
+{
+    auto* statement = statementOf(id, startedAt);
+    if (!statement || duration <= noGrace)
+        return false;
+    const bool isNew = !statement->pausedUntil;
+    const auto pause = std::min<std::chrono::nanoseconds>(duration, longestPause);
+    const auto until = m_clock.now() + std::chrono::duration_cast<SteadyTime::duration>(pause);
+    statement->pausedUntil = std::max(statement->pausedUntil.value_or(until), until);
+    ++m_version;
+    return isNew;
+}
+
+std::vector<std::string> ServingDirectory::takeEndedPauses()
+{
+    std::vector<std::string> out;
+    for (auto& [id, statement] : m_statements) {
+        if (!statement.pausedUntil || *statement.pausedUntil > m_clock.now())
+            continue;
+        statement.pausedUntil.reset();
+        out.push_back(id);
+    }
+    std::erase_if(m_statements, [this](const auto& it) {
+        const auto& [id, statement] = it;
+        const bool saysNothing = !statement.isLeaving && !statement.pausedUntil;
+        return saysNothing || (!m_members.count(id) && m_clock.now() - statement.noted > statementLifetime);
+    });
+    return out;
+}
+
 std::vector<std::string> ServingDirectory::expire()
 {
     std::vector<std::string> out;
@@ -125,15 +181,39 @@
 }
 
 std::vector<const UpstreamEntry*> ServingDirectory::usable(std::string_view service) const
+{
+    return receptive(service, false);
+}
+
+std::vector<const UpstreamEntry*> ServingDirectory::pausing(std::string_view service) const
+{
+    return receptive(service, true);
+}
+
+std::vector<const UpstreamEntry*> ServingDirectory::receptive(std::string_view service, bool isPausing) const
 {
     std::vector<const UpstreamEntry*> out;
     for (const auto& [id, member] : m_members) {
-        if (member.entry.service == service && !member.entry.isDraining)
+        if (member.entry.service == service && !isLeaving(member.entry) && pausedUntil(id).has_value() == isPausing)
             out.push_back(&member.entry);
     }
     return out;
 }
 
+std::optional<SteadyTime> ServingDirectory::pausedUntil(std::string_view id) const
+{
+    auto it = m_statements.find(id);
+    const bool isPausing
+        = it != m_statements.end() && it->second.pausedUntil && *it->second.pausedUntil > m_clock.now();
+    return isPausing ? it->second.pausedUntil : std::nullopt;
+}
+
+bool ServingDirectory::isLeaving(const UpstreamEntry& entry) const
+{
+    auto it = m_statements.find(entry.id);
+    return entry.isDraining || (it != m_statements.end() && it->second.isLeaving);
+}
+
 std::vector<const UpstreamEntry*> ServingDirectory::all() const
 {
     std::vector<const UpstreamEntry*> out;
--- a/src/libserving/upstream_directory_test.cpp
+++ b/src/libserving/upstream_directory_test.cpp
@@ -38,6 +38,87 @@
     BOOST_TEST(directory.find("a") != nullptr);
 }
 
+BOOST_AUTO_TEST_SUITE(WhenAnUpstreamSaysThatItLeaves)
+
+// Guards against requests to an upstream that has said in an answer that it leaves.
+BOOST_AUTO_TEST_CASE(GivesItNothingNewAtOnceAlsoWhileTheStoreIsAway)
+{
+    directory.noteStoreLost();
+    BOOST_TEST(directory.noteLeaving("a", 0));
+    BOOST_TEST(usable() == 3u);
+    BOOST_TEST(directory.isLeaving(*directory.find("a")));
+    BOOST_TEST(!directory.noteLeaving("a", 0));
+}
+
+// Guards against a stale row that undoes what the upstream itself said.
+BOOST_AUTO_TEST_CASE(KeepsToThatWhenItsRowStillSaysReadyOrVanishesAndComesBack)
+{
+    directory.noteLeaving("a", 0);
+    directory.apply(entry("a"));
+    BOOST_TEST(usable() == 3u);
+    directory.remove({ "a" });
+    directory.takeEndedPauses();
+    directory.apply(entry("a"));
+    BOOST_TEST(usable() == 3u);
+}
+
+// Guards against an upstream that came back under its id and is never used again.
+BOOST_AUTO_TEST_CASE(UsesItAgainWhenItHasStartedAnew)
+{
+    directory.noteLeaving("a", 0);
+    auto restarted = entry("a");
+    restarted.startedAt = 7;
+    directory.apply(restarted);
+    BOOST_TEST(usable() == 4u);
+    BOOST_TEST(!directory.noteLeaving("a", 0)); // an answer of the process before
+    BOOST_TEST(usable() == 4u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenAnUpstreamAsksForAPause)
+
+// Guards against requests to an upstream that wants none for a time.
+BOOST_AUTO_TEST_CASE(GivesItNothingUntilThePauseEnds)
+{
+    BOOST_TEST(directory.notePause("a", 0, 2s));
+    BOOST_TEST(usable() == 3u);
+    BOOST_TEST(directory.pausing("s").size() == 1u);
+    clock.advance(1999ms);
+    BOOST_TEST(usable() == 3u);
+    BOOST_TEST(directory.takeEndedPauses().empty());
+    clock.advance(1ms);
+    BOOST_TEST(usable() == 4u);
+    BOOST_TEST(directory.takeEndedPauses().size() == 1u);
+    BOOST_TEST(directory.takeEndedPauses().empty());
+}
+
+BOOST_AUTO_TEST_CASE(KeepsTheLongerOfTwoPauses)
+{
+    directory.notePause("a", 0, 3s);
+    BOOST_TEST(!directory.notePause("a", 0, 1s));
+    clock.advance(2s);
+    BOOST_TEST(usable() == 3u);
+}
+
+BOOST_AUTO_TEST_CASE(BoundsThePause)
+{
+    directory.notePause("a", 0, 24h);
+    clock.advance(ServingDirectory::longestPause);
+    BOOST_TEST(usable() == 4u);
+}
+
+BOOST_AUTO_TEST_CASE(EndsItWithThePauseOfAProcessThatIsGone)
+{
+    directory.notePause("a", 0, 30s);
+    auto restarted = entry("a");
+    restarted.startedAt = 7;
+    directory.apply(restarted);
+    BOOST_TEST(usable() == 4u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhenTheStoreWasAway)
 
 // Guards against a service without upstreams after an outage in which the registrations lapsed.
