Bound what is read of an answer that does not end

Change: the client keeps at most 256 KiB of an incomplete header or chunk line, takes at most 16 interim responses for one request, and an event of a stream may have 1 MiB. Header lines were bounded by the parser before, whole bodies by the limit of the call.

Tests: http_client_test, suite AnswersWithoutEnd, and IsCutWhenAnEventDoesNotEnd. Without the limits InInterimResponses, InAChunkExtension and IsCutWhenAnEventDoesNotEnd fail (timeouts); the other cases passed before and pass now.

Not done: memory under 100 such connections was not measured; the soak does not draw this fault.

--- a/src/libfront/event_splitter.h
+++ b/src/libfront/event_splitter.h
@@ -16,6 +16,9 @@
     /// Returns what is left at the end of the series, which need not end with an empty line.
     std::string takeRest();
 
+    /// Returns how many bytes of an event are held back until its end.
+    std::size_t pendingBytes() const { return m_rest.size(); }
+
     /// Drops a part of an event that was cut off.
     void dropPartialEvent() { m_rest.clear(); }
 
--- a/src/libfront/request_attempt.cpp
+++ b/src/libfront/request_attempt.cpp
@@ -28,6 +28,7 @@
 
 constexpr Milliseconds crashProbeTimeout { 200 };
 constexpr unsigned staleAnswerLimit = 3;
+constexpr std::size_t eventLimit = 1024 * 1024; ///< bytes of one event of a stream
 
 Failure unusableAnswer(std::string detail)
 {
@@ -209,6 +210,10 @@
             co_return part.error();
         }
         std::string events = *part ? m_events.take(**part) : m_events.takeRest();
+        if (m_events.pendingBytes() > eventLimit) {
+            m_events.dropPartialEvent();
+            co_return unusableAnswer("an event exceeds " + std::to_string(eventLimit) + " bytes");
+        }
         if (!events.empty() || !*part) {
             noteFirstAnswer(attempt);
             if (!m_isStreaming) {
--- a/src/libfront/request_run_test.cpp
+++ b/src/libfront/request_run_test.cpp
@@ -364,6 +364,16 @@
     BOOST_TEST(call("/events/x").has_error());
 }
 
+// Guards against an event without end that takes the memory of the instance, or holds its caller until the deadline.
+BOOST_AUTO_TEST_CASE(IsCutWhenAnEventDoesNotEnd)
+{
+    const std::string endless(4 * 1024 * 1024, 'a');
+    addUpstream({ streamHead + chunk("id: 1\ndata: a\n\n") + chunk("id: 2\ndata: " + endless) });
+    const auto started = clock.now();
+    BOOST_TEST(call("/events/x").has_error());
+    BOOST_TEST((clock.now() - started < 3000ms));
+}
+
 // Guards against a missing or repeated event where a stream goes on elsewhere.
 BOOST_AUTO_TEST_CASE(GoesOnElsewhereBehindItsLastWholeEvent)
 {
--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -18,8 +18,12 @@
 namespace detail {
 
 struct ClientConnection {
+    /// Bytes that are kept while a header, or what stands between two chunks, is incomplete.
+    static constexpr std::size_t bufferLimit = 256 * 1024;
+
     explicit ClientConnection(asio::io_context& context)
         : stream(context)
+        , buffer(bufferLimit)
     {
     }
 
@@ -221,7 +225,13 @@
             limits.deadline = std::min(m_options.deadline, *m_options.headerDeadline);
             limits.progressTimeout = {};
         }
+        static constexpr unsigned interimResponseLimit = 16;
+        unsigned headers = 0;
         do {
+            if (headers++ > interimResponseLimit)
+                co_return Failure { .code = Errc::Malformed,
+                    .verdict = Verdict::MayHaveRun,
+                    .detail = "more than " + std::to_string(interimResponseLimit) + " interim responses" };
             m_parser.emplace();
             m_parser->body_limit(boost::none);
             m_parser->skip(isHead);
--- a/src/libnet/http_client_test.cpp
+++ b/src/libnet/http_client_test.cpp
@@ -150,6 +150,54 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against memory that grows, or a call that hangs, while the other end sends bytes that are no answer.
+BOOST_FIXTURE_TEST_SUITE(AnswersWithoutEnd, RawFixture)
+
+const std::string endless(8 * 1024 * 1024, 'a');
+
+void checkThatItIsCut(RawFixture& fixture, std::string text, HttpCallOptions options = {})
+{
+    RawServer server(fixture.context, { std::move(text) });
+    const auto started = fixture.clock.now();
+    const auto response = fixture.call(server, options);
+    BOOST_REQUIRE(response.has_error());
+    BOOST_TEST((response.error().code != Errc::Timeout));
+    BOOST_TEST((response.error().verdict == Verdict::MayHaveRun));
+    BOOST_TEST((fixture.clock.now() - started < 10s));
+}
+
+BOOST_AUTO_TEST_CASE(BeforeTheStatusLine) { checkThatItIsCut(*this, endless); }
+
+BOOST_AUTO_TEST_CASE(InAHeaderLine) { checkThatItIsCut(*this, "HTTP/1.1 200 OK\r\nX: " + endless); }
+
+BOOST_AUTO_TEST_CASE(InManyHeaderLines)
+{
+    std::string text = "HTTP/1.1 200 OK\r\n";
+    for (int i = 0; i < 100'000; ++i)
+        text += "X-" + std::to_string(i) + ": a\r\n";
+    checkThatItIsCut(*this, std::move(text));
+}
+
+BOOST_AUTO_TEST_CASE(InInterimResponses)
+{
+    std::string text;
+    for (int i = 0; i < 100'000; ++i)
+        text += "HTTP/1.1 103 Early Hints\r\n\r\n";
+    checkThatItIsCut(*this, std::move(text));
+}
+
+BOOST_AUTO_TEST_CASE(InAChunkExtension)
+{
+    checkThatItIsCut(*this, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;" + endless);
+}
+
+BOOST_AUTO_TEST_CASE(InABodyWithoutALength)
+{
+    checkThatItIsCut(*this, "HTTP/1.1 200 OK\r\n\r\n" + endless, { .isUnframedAccepted = true, .bodyLimit = 100'000 });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(AStrayAnswer, RawFixture)
 
 // Guards against the late answer of an earlier request that reaches the caller of this one.
