--- a/testsuite/lib/soak_faults.py
+++ b/testsuite/lib/soak_faults.py
@@ -1,5 +1,6 @@
 """Faults of the soak: each strikes, lasts for a while and is taken back. Everything is drawn from one seed."""
 
+import asyncio
 import dataclasses
 import signal
 import time
@@ -25,13 +26,15 @@
 class Injector:
     """Draws faults and takes them back; a few may overlap."""
 
-    def __init__(self, site, random):
+    def __init__(self, site, random, has_statements=False):
         self.site, self.random = site, random
         self.start = time.monotonic()
         self.active, self.history = [], []
         self.kinds = [self.kill_instance, self.freeze_instance, self.roll_instance, self.change_settings, self.store_mode,
                       self.store_partly, self.store_slow, self.store_forgets, self.crash_worker, self.worker_fails,
                       self.orders_late, self.drain_worker, self.change_configuration, self.cut_store_connections]
+        if has_statements:  # an option, so that the schedules of older seeds stay
+            self.kinds += [self.worker_leaves, self.worker_pauses] * 3
 
     def now(self):
         return time.monotonic() - self.start
@@ -176,6 +179,31 @@
         setattr(worker, share, self.random.choice([0.2, 0.5, 1.0]))
         return self._fault(share.replace("_share", "s"), worker.name, lambda: setattr(worker, share, 0.0))
 
+    def worker_leaves(self):
+        """Says in its answers that it leaves while its entry still says ready, then ends and comes back."""
+        worker = self._worker()
+        if not worker:
+            return None
+        worker.says_leaving = True
+        lasts = self.random.uniform(2.5, 5.0)
+
+        async def end():
+            await asyncio.sleep(lasts)
+            if worker.is_up and worker.says_leaving:
+                await worker.crash(restart_after=0.5)
+        self.site.spawn(end())
+        return Fault("leaves by its answers", worker.name, self.now(), lasts + 0.7, lambda: None)
+
+    def worker_pauses(self):
+        worker = self._worker()
+        if not worker:
+            return None
+        worker.pause = self.random.choice([0.7, 1.5, 3.0])
+
+        def undo():
+            worker.pause = None
+        return self._fault("wants pauses", worker.name, undo)
+
     def orders_late(self):
         worker = self._worker(engines_only=True)
         if not worker:
--- a/testsuite/platform-faults/run.py
+++ b/testsuite/platform-faults/run.py
@@ -120,6 +120,33 @@
     script.say("another request for the model is served")
 
 
+def statements(script, site, instances):
+    script.section("an upstream says in its answers that it leaves, while its entry says ready")
+    site.workers["plain-1"].says_leaving = True
+    site.call_all([(instances[it % 2], checkout()) for it in range(12)])
+    wait_until(lambda: len({it.instance for it in site.statements}) == 2, "both instances heard it")
+    before = len(site.arrivals)
+    served = sum(it.is_served for it in site.call_all([(instances[it % 2], checkout()) for it in range(8)]))
+    script.say(f"served {served} of 8 elsewhere: {all('plain-1' not in it.worker for it in site.arrivals[before:])}")
+    site.do(site.workers["plain-1"].crash(restart_after=0.1))
+    born = f"plain-1@{site.workers['plain-1'].born}"
+    wait_until(lambda: all(it.is_served for it in site.call_all([(instances[it % 2], checkout()) for it in range(8)]))
+               and any(it.worker == born for it in site.arrivals), "the new process is used")
+    script.say("used again after a new start")
+    script.section("all upstreams of a service want a pause")
+    for name in ("plain-0", "plain-1"):
+        site.workers[name].pause = 5.0
+    site.call_all([(instances[it % 2], checkout()) for it in range(8)])
+    before = len(site.arrivals)
+    outcomes = site.call_all([(instances[it % 2], checkout()) for it in range(8)])
+    script.say(f"refused at once {sum(it.promises_not_run for it in outcomes)} of 8, arrivals {len(site.arrivals) - before}")
+    for name in ("plain-0", "plain-1"):
+        site.workers[name].pause = None
+    for instance in instances:
+        site.wait_served(instance, checkout(), "served after the pause")
+    script.say("served after the pause")
+
+
 def leave(script, site, instances):
     script.section("an upstream announces that it leaves")
     site.spawn(site.workers["plain-0"].drain(4.0))
@@ -139,6 +166,7 @@
         lose_orders(script, site, instances)
         lose_holder(script, site, instances)
         crash_upstreams(script, site, instances)
+        statements(script, site, instances)
         leave(script, site, instances)
         serving_site.report_promises(script, site)
     return script.text()
