--- a/src/include/bulrushstack/serving/upstream_directory.h
+++ b/src/include/bulrushstack/serving/upstream_directory.h
@@ -100,6 +100,15 @@
     /// Returns whether the row of the upstream or one of its answers says that it leaves.
     bool isLeaving(const UpstreamEntry& entry) const;
 
+    /// How many upstreams have said in answers that they leave, and how many pause now.
+    struct StatementCounts {
+        std::size_t leaving = 0;
+        std::size_t pausing = 0;
+
+        friend bool operator==(const StatementCounts&, const StatementCounts&) = default;
+    };
+    StatementCounts countStatements() const;
+
     /// Returns all entries, including those that are draining.
     std::vector<const UpstreamEntry*> all() const;
 
--- a/src/libfront/directory_keeper.cpp
+++ b/src/libfront/directory_keeper.cpp
@@ -193,6 +193,8 @@
             LOG(INFO) << "event=upstream-pause-ended upstream=" << id;
             m_state.wakeWaiting();
         }
+        const auto statements = m_state.directory().countStatements();
+        m_metrics.setStatements(statements.leaving, statements.pausing);
         if (i % expiresPerCleanUp != 0)
             continue;
         m_state.hints().expire();
--- a/src/libfront/front_metrics.cpp
+++ b/src/libfront/front_metrics.cpp
@@ -58,6 +58,8 @@
                         .Add({}, latencyBounds()))
     , m_version(gauge(registry, "bulrush_front_configuration_version", "Version of the configuration in force"))
     , m_upstreams(gauge(registry, "bulrush_front_upstreams", "Upstreams in the directory"))
+    , m_leaving(gauge(registry, "bulrush_front_leaving_upstreams", "Upstreams that said in an answer that they leave"))
+    , m_pausing(gauge(registry, "bulrush_front_pausing_upstreams", "Upstreams that want no requests for a time"))
     , m_holder(gauge(registry, "bulrush_front_placement_holder", "1 while this instance holds the placement lease"))
     , m_loopDelays(BuildHistogram()
                        .Name("bulrush_front_loop_delay_seconds")
@@ -104,6 +106,12 @@
 
 void FrontMetrics::setUpstreams(std::size_t usable) { m_upstreams.Set(static_cast<double>(usable)); }
 
+void FrontMetrics::setStatements(std::size_t leaving, std::size_t pausing)
+{
+    m_leaving.Set(static_cast<double>(leaving));
+    m_pausing.Set(static_cast<double>(pausing));
+}
+
 void FrontMetrics::setHolder(bool isHolder) { m_holder.Set(isHolder ? 1 : 0); }
 
 void FrontMetrics::noteLoopDelay(std::chrono::nanoseconds delay) { m_loopDelays.Observe(seconds(delay)); }
--- a/src/libfront/front_metrics.h
+++ b/src/libfront/front_metrics.h
@@ -24,6 +24,7 @@
     void noteStoreFailure(std::string_view table);
     void setConfigurationVersion(std::uint64_t version);
     void setUpstreams(std::size_t usable);
+    void setStatements(std::size_t leaving, std::size_t pausing);
     void setHolder(bool isHolder);
     void noteLoopDelay(std::chrono::nanoseconds delay);
     void notePlan(std::chrono::nanoseconds duration);
@@ -38,6 +39,8 @@
     prometheus::Histogram& m_firstEvents;
     prometheus::Gauge& m_version;
     prometheus::Gauge& m_upstreams;
+    prometheus::Gauge& m_leaving;
+    prometheus::Gauge& m_pausing;
     prometheus::Gauge& m_holder;
     prometheus::Histogram& m_loopDelays;
     prometheus::Histogram& m_plans;
--- a/src/libserving/upstream_directory.cpp
+++ b/src/libserving/upstream_directory.cpp
@@ -208,6 +208,16 @@
     return isPausing ? it->second.pausedUntil : std::nullopt;
 }
 
+ServingDirectory::StatementCounts ServingDirectory::countStatements() const
+{
+    StatementCounts out;
+    for (const auto& [id, statement] : m_statements) {
+        out.leaving += statement.isLeaving ? 1 : 0;
+        out.pausing += pausedUntil(id) ? 1 : 0;
+    }
+    return out;
+}
+
 bool ServingDirectory::isLeaving(const UpstreamEntry& entry) const
 {
     auto it = m_statements.find(entry.id);
--- a/src/libserving/upstream_directory_test.cpp
+++ b/src/libserving/upstream_directory_test.cpp
@@ -93,6 +93,15 @@
     BOOST_TEST(directory.takeEndedPauses().empty());
 }
 
+BOOST_AUTO_TEST_CASE(IsCountedWhileItPauses)
+{
+    directory.notePause("a", 0, 2s);
+    directory.noteLeaving("b", 0);
+    BOOST_CHECK((directory.countStatements() == ServingDirectory::StatementCounts { .leaving = 1, .pausing = 1 }));
+    clock.advance(2s);
+    BOOST_CHECK((directory.countStatements() == ServingDirectory::StatementCounts { .leaving = 1, .pausing = 0 }));
+}
+
 BOOST_AUTO_TEST_CASE(KeepsTheLongerOfTwoPauses)
 {
     directory.notePause("a", 0, 3s);
