Log how long a failed call to the store took

The clock of TableFollower was left without a reader when its deadlines went to the limits of a reading, which the linter refuses. It now gives the line dependency-lost the time that the failed call took (after_ms): a call that was given up late points to the instance's own event loop.

--- a/src/libfront/table_follower.cpp
+++ b/src/libfront/table_follower.cpp
@@ -44,6 +44,7 @@
 asio::awaitable<void> TableFollower::run()
 {
     while (!m_isStopped) {
+        const auto asked = m_clock.now();
         auto done = co_await step();
         if (done) {
             if (m_failures > 0) {
@@ -61,8 +62,8 @@
         }
         if (m_failures++ == 0) {
             LOG(WARNING) << "event=dependency-lost dependency=store table=" << m_options.table
-                         << " version=" << m_version << " error=\"" << done.error().code.message() << ": "
-                         << done.error().detail << "\"";
+                         << " version=" << m_version << " after_ms=" << millisecondsOf(m_clock.now() - asked).count()
+                         << " error=\"" << done.error().code.message() << ": " << done.error().detail << "\"";
             m_observer.onStoreLost(done.error());
         }
         co_await pauseAfterFailure();
