--- a/src/libserving/placement_planner.cpp
+++ b/src/libserving/placement_planner.cpp
@@ -236,6 +236,7 @@
     }
     std::stable_sort(needs.begin(), needs.end(), [](const auto& a, const auto& b) { return a.first > b.first; });
     std::vector<ModelIndex> out;
+    out.reserve(needs.size());
     for (const auto& [need, model] : needs)
         out.push_back(model);
     return out;
