--- a/src/bulrushctl/command_runner_test.cpp
+++ b/src/bulrushctl/command_runner_test.cpp
@@ -218,6 +218,27 @@
     BOOST_TEST(output.str().find("in force") != std::string::npos);
 }
 
+// Guards against --wait reporting success on the basis of an instance list that was read before the change was accepted
+// and may lack instances that serve the previous revision.
+BOOST_AUTO_TEST_CASE(WaitsForAnInstanceListAfterTheChange)
+{
+    options.shouldWait = true;
+    api.postResponses = { acceptedResponse(5) };
+    api.getResponses["/operator/v1"] = {
+        jsonResponse(200, R"({"revision":4})"),
+        jsonResponse(200, R"({"instance":"a","revision":5,"peers":[],"instances_age_ms":null})"),
+        jsonResponse(200, R"({"instance":"a","revision":5,"peers":[],"instances_age_ms":9000000})"),
+    };
+    BOOST_TEST((applyModel() == ExitStatus::WaitTimedOut));
+    BOOST_TEST(errors.str().find("instance list is older") != std::string::npos);
+    BOOST_TEST((applyModel() == ExitStatus::WaitTimedOut));
+    api.getResponses["/operator/v1"] = {
+        jsonResponse(200, R"({"revision":4})"),
+        jsonResponse(200, R"({"instance":"a","revision":5,"peers":[],"instances_age_ms":0})"),
+    };
+    BOOST_TEST((applyModel() == ExitStatus::Success));
+}
+
 // Guards against printing an object without the revision on which later edits are based.
 BOOST_AUTO_TEST_CASE(ShowsObjectsInFileFormat)
 {
--- a/src/bulrushctl/operator_client.cpp
+++ b/src/bulrushctl/operator_client.cpp
@@ -108,12 +108,18 @@
     std::uint64_t revision, std::chrono::nanoseconds timeout)
 {
     static constexpr std::chrono::milliseconds pollInterval { 100 };
-    const auto deadline = m_clock.now() + timeout;
+    const auto acceptedAt = m_clock.now();
+    const auto deadline = acceptedAt + timeout;
     while (true) {
         std::vector<std::string> lagging { "the instance does not report its status" };
+        const auto askedAt = m_clock.now();
         auto response = co_await get("/operator/v1/status");
-        if (response && response->status == 200)
+        if (response && response->status == 200) {
             lagging = laggingInstances(response->body, revision);
+            // An older list may lack instances that were already ready when the change was accepted.
+            if (!isInstanceListRecent(response->body, askedAt - acceptedAt))
+                lagging.emplace_back("the instance list is older than the change");
+        }
         if (lagging.empty() || m_clock.now() >= deadline)
             co_return lagging;
         co_await sleepFor(m_context, pollInterval);
--- a/src/bulrushctl/operator_client.h
+++ b/src/bulrushctl/operator_client.h
@@ -35,8 +35,9 @@
     /// response, say whether the change may have been executed.
     boost::asio::awaitable<Result<OperatorResponse>> sendChange(ConfigurationChange change);
 
-    /// Polls until the instance and all its live peers report at least the revision. Returns descriptions of the
-    /// instances that still lag when the timeout expires; empty on success.
+    /// Polls until the instance and all its live peers report at least the revision, on the basis of an instance list
+    /// that was read after this call. Returns descriptions of what still lags when the timeout expires; empty on
+    /// success.
     boost::asio::awaitable<std::vector<std::string>> waitForRevision(
         std::uint64_t revision, std::chrono::nanoseconds timeout);
 
--- a/src/bulrushctl/output_format.cpp
+++ b/src/bulrushctl/output_format.cpp
@@ -241,6 +241,16 @@
     return out + "\n" + formatTable(peers) + "\n" + formatTable(upstreams);
 }
 
+bool isInstanceListRecent(const nlohmann::json& status, std::chrono::nanoseconds maxAge)
+{
+    if (!status.is_object() || !status.contains("instances_age_ms"))
+        return true;
+    const auto& age = status.at("instances_age_ms");
+    const auto maxMilliseconds = std::chrono::floor<std::chrono::milliseconds>(maxAge).count();
+    return age.is_number_unsigned() && maxMilliseconds >= 0
+        && age.get<std::uint64_t>() <= static_cast<std::uint64_t>(maxMilliseconds);
+}
+
 std::vector<std::string> laggingInstances(const nlohmann::json& status, std::uint64_t revision)
 {
     std::vector<std::string> out;
--- a/src/bulrushctl/output_format.h
+++ b/src/bulrushctl/output_format.h
@@ -2,6 +2,8 @@
 
 #include "bulrushstack/config/configuration_store.h"
 
+#include <chrono>
+
 namespace bulrushstack {
 
 /// Returns the rows as lines with aligned columns. The first row is the header.
@@ -31,6 +33,10 @@
 /// Returns the status document of an instance as text, with tables of its peers and upstreams.
 std::string formatStatus(const nlohmann::json& status);
 
+/// Returns whether the instance list on which a status document is based has at most the given age. A document of a
+/// daemon that does not report the age counts as recent.
+bool isInstanceListRecent(const nlohmann::json& status, std::chrono::nanoseconds maxAge);
+
 /// Returns "ID at revision N" for each of the instance and its live peers that reports a lower revision, or none.
 std::vector<std::string> laggingInstances(const nlohmann::json& status, std::uint64_t revision);
 
--- a/src/include/bulrushstack/membership/directory.h
+++ b/src/include/bulrushstack/membership/directory.h
@@ -51,14 +51,18 @@
 public:
     InstanceDirectory(const Clock& clock, InstanceDirectoryOptions options);
 
-    /// Replaces the known instances by a new version of the platform's instance list. Observations of instances that
-    /// are no longer in the list are discarded, except for their leaving state.
+    /// Replaces the known instances by a new version of the platform's instance list, which was requested at the given
+    /// time. Observations of instances that are no longer in the list are discarded, except for their leaving state.
+    void updateInstanceList(const std::vector<InstanceRecord>& records, SteadyTime requestedAt);
+
+    /// As above, for a list that was requested just now.
     void updateInstanceList(const std::vector<InstanceRecord>& records);
 
     /// Records that the given incarnation of an instance is leaving. The instance need not be in the instance list yet.
     void markLeaving(std::string_view id, std::uint64_t incarnation);
 
-    /// Returns the ids and incarnations of the leaving instances and upstreams, sorted by id.
+    /// Returns the ids of the leaving instances and upstreams and the highest incarnation of each that is known to be
+    /// leaving, sorted by id.
     std::vector<std::pair<std::string, std::uint64_t>> leaving() const;
 
     /// Records whether a connection to an upstream succeeded.
@@ -79,7 +83,7 @@
     UpstreamSnapshot upstreams() const;
     std::vector<PeerView> peers() const;
 
-    /// Returns the time since the last update of the instance list; max() before the first.
+    /// Returns the time since the current instance list was requested; max() before the first.
     std::chrono::nanoseconds instanceListAge() const;
 
 private:
--- a/src/libmembership/directory.cpp
+++ b/src/libmembership/directory.cpp
@@ -11,6 +11,11 @@
 }
 
 void InstanceDirectory::updateInstanceList(const std::vector<InstanceRecord>& records)
+{
+    updateInstanceList(records, m_clock.now());
+}
+
+void InstanceDirectory::updateInstanceList(const std::vector<InstanceRecord>& records, SteadyTime requestedAt)
 {
     std::map<std::string, Member, std::less<>> members;
     for (const auto& record : records) {
@@ -27,7 +32,7 @@
         members.emplace(record.id, std::move(member));
     }
     m_members = std::move(members);
-    m_instanceListTime = m_clock.now();
+    m_instanceListTime = requestedAt;
 }
 
 void InstanceDirectory::markLeaving(std::string_view id, std::uint64_t incarnation)
@@ -42,7 +47,7 @@
     std::vector<std::pair<std::string, std::uint64_t>> out;
     for (const auto& [id, member] : m_members) {
         if (isLeaving(member.record))
-            out.emplace_back(id, member.record.incarnation);
+            out.emplace_back(id, m_leaving.at(id));
     }
     return out;
 }
--- a/src/libmembership/directory_test.cpp
+++ b/src/libmembership/directory_test.cpp
@@ -51,6 +51,20 @@
     BOOST_TEST((onlyUpstream().record.state == InstanceState::Live));
 }
 
+// Guards against an instance that is taken for its predecessor for good: it can raise its incarnation above that of the
+// predecessor only if it is told which one left.
+BOOST_AUTO_TEST_CASE(IsPassedOnWithTheIncarnationThatLeft)
+{
+    directory.updateInstanceList({ engine("e") });
+    directory.recordHeartbeat("e", 900, InstanceState::Leaving, 0, {});
+    directory.updateInstanceList({});
+    directory.updateInstanceList({ engine("e") });
+    directory.recordHeartbeat("e", 400, InstanceState::Live, 0, {});
+    BOOST_TEST((directory.leaving() == std::vector<std::pair<std::string, std::uint64_t>> { { "e", 900 } }));
+    directory.recordHeartbeat("e", 901, InstanceState::Live, 0, {});
+    BOOST_TEST(directory.leaving().empty());
+}
+
 BOOST_AUTO_TEST_CASE(IsKeptIfReportedBeforeTheInstanceList)
 {
     directory.recordHeartbeat("e", 3, InstanceState::Leaving, 0, {});
--- a/src/libmembership/heartbeat.cpp
+++ b/src/libmembership/heartbeat.cpp
@@ -37,6 +37,16 @@
     }
 }
 
+std::optional<std::uint64_t> ownLeavingIncarnation(const Heartbeat& heartbeat, const std::string& ownId)
+{
+    std::optional<std::uint64_t> out;
+    for (const auto& [id, incarnation] : heartbeat.leaving) {
+        if (id == ownId)
+            out = std::max(out.value_or(incarnation), incarnation);
+    }
+    return out;
+}
+
 std::vector<PeerView> selectHeartbeatPeers(const std::vector<PeerView>& peers, const std::string& ownId)
 {
     // With 8 random peers per instance, an update reaches 390 instances in about 3 heartbeat intervals.
--- a/src/libmembership/heartbeat.h
+++ b/src/libmembership/heartbeat.h
@@ -28,6 +28,9 @@
 /// field is missing or invalid.
 std::optional<Heartbeat> parseHeartbeat(const nlohmann::json& message);
 
+/// Returns the highest incarnation of this instance that the sender knows to be leaving; empty if there is none.
+std::optional<std::uint64_t> ownLeavingIncarnation(const Heartbeat& heartbeat, const std::string& ownId);
+
 /// Returns the peers to send heartbeats to: all peers of a small deployment, otherwise a fixed number chosen by
 /// rendezvous hashing, so that the traffic of an instance does not grow with the size of the deployment.
 std::vector<PeerView> selectHeartbeatPeers(const std::vector<PeerView>& peers, const std::string& ownId);
--- a/src/libmembership/heartbeat_test.cpp
+++ b/src/libmembership/heartbeat_test.cpp
@@ -53,6 +53,14 @@
     BOOST_TEST(parseHeartbeat(message).has_value());
 }
 
+// Guards against an instance that does not notice that others take it for its predecessor, which has left.
+BOOST_AUTO_TEST_CASE(NameTheLeavingIncarnationOfTheReceiver)
+{
+    const Heartbeat heartbeat { .from = "b", .leaving = { { "a", 4 }, { "c", 9 }, { "a", 6 } } };
+    BOOST_TEST(ownLeavingIncarnation(heartbeat, "a").value() == 6u);
+    BOOST_TEST(!ownLeavingIncarnation(heartbeat, "b").has_value());
+}
+
 BOOST_AUTO_TEST_CASE(GoToAllPeersOfASmallDeployment)
 {
     BOOST_TEST(selectHeartbeatPeers(peerViews(9), "i0").size() == 8u);
--- a/src/libmembership/membership_service.cpp
+++ b/src/libmembership/membership_service.cpp
@@ -67,6 +67,11 @@
     prometheus::Family<prometheus::Gauge>& peerMesh;
 };
 
+bool containsInstance(const std::vector<InstanceRecord>& records, const std::string& id)
+{
+    return std::any_of(records.begin(), records.end(), [&](const InstanceRecord& record) { return record.id == id; });
+}
+
 } // namespace
 
 struct MembershipService::State : std::enable_shared_from_this<MembershipService::State> {
@@ -111,6 +116,7 @@
                                                ///< has neither arrived nor failed
     std::set<std::pair<std::string, std::uint64_t>> loggedLeaving; ///< ids and incarnations logged as leaving
     std::minstd_rand random { std::random_device()() };
+    bool isListed = false; ///< whether an instance list has contained this instance
     bool isLeaving = false;
     bool isStopped = false;
 };
@@ -140,7 +146,8 @@
 asio::awaitable<void> MembershipService::State::pollInstanceList()
 {
     static constexpr std::chrono::seconds instanceListTimeout { 2 };
-    auto records = co_await platform.instances().list(runtime.clock().now() + instanceListTimeout);
+    const auto requestedAt = runtime.clock().now();
+    auto records = co_await platform.instances().list(requestedAt + instanceListTimeout);
     metrics.countPoll("roster", records.has_value());
     if (!records) {
         LOG_EVERY_N(WARNING, 20) << "event=roster-failed error=\"" << records.error().detail << "\"";
@@ -149,7 +156,11 @@
         co_return;
     }
     const bool isFirst = directory.instanceListAge() == std::chrono::nanoseconds::max();
-    directory.updateInstanceList(*records);
+    directory.updateInstanceList(*records, requestedAt);
+    if (!isListed && containsInstance(*records, runtime.identity().id)) {
+        isListed = true;
+        runtime.setReady("instance-list", true);
+    }
     updateMemberMetrics();
     if (isFirst)
         co_await requestFirstReports();
@@ -262,8 +273,14 @@
 {
     directory.recordHeartbeat(
         heartbeat.from, heartbeat.incarnation, heartbeat.state, heartbeat.revision, heartbeat.digest);
-    for (const auto& [id, incarnation] : heartbeat.leaving)
-        directory.markLeaving(id, incarnation);
+    const auto& ownId = runtime.identity().id;
+    // The mark is that of an earlier process, which was started while the wall clock was ahead.
+    if (const auto own = ownLeavingIncarnation(heartbeat, ownId); own && !isLeaving)
+        mesh.raiseIncarnation(*own + 1);
+    for (const auto& [id, incarnation] : heartbeat.leaving) {
+        if (id != ownId)
+            directory.markLeaving(id, incarnation);
+    }
     // Announcements of the current revision are passed on as well: they count as contact, which keeps this instance
     // ready during an outage of the store.
     for (const auto& peer : directory.peers()) {
@@ -282,6 +299,8 @@
     auto& runtime = registry.find<RuntimeService>("runtime");
     m_state = std::make_shared<State>(registry, runtime);
     runtime.setReady("membership", false, "the instance list has not been read yet");
+    // Until then, the other instances would not wait for this one when a change must be in force everywhere.
+    runtime.setReady("instance-list", false, "this instance is not in the instance list yet");
     m_state->mesh.handle("heartbeat", [weak = std::weak_ptr(m_state)](const nlohmann::json& request) -> nlohmann::json {
         auto state = weak.lock();
         auto heartbeat = parseHeartbeat(request);
--- a/src/libreport/operator_api_test.cpp
+++ b/src/libreport/operator_api_test.cpp
@@ -29,11 +29,13 @@
     }
     ConfigurationStore& store() override { return m_store; }
     std::vector<PeerView> peers() const override { return peerViews; }
+    std::chrono::nanoseconds instanceListAge() const override { return listAge; }
     UpstreamSnapshot upstreams() const override { return upstreamViews; }
 
     ConfigurationPtr current = Configuration::empty();
     std::vector<PeerView> peerViews;
     UpstreamSnapshot upstreamViews;
+    std::chrono::nanoseconds listAge = std::chrono::nanoseconds::max();
 
 private:
     ConfigurationStore& m_store;
@@ -143,11 +145,13 @@
     upstream.resident = { { .model = "m", .version = "1", .state = ResidentState::Ready },
         { .model = "n", .version = "1", .state = ResidentState::Loading } };
     backend.upstreamViews = { upstream };
+    backend.listAge = 40ms + 1ns;
     const auto status = get("/operator/v1/status");
     BOOST_TEST(status.at("instance") == "a");
     BOOST_TEST(status.at("ready") == false);
     BOOST_TEST(status.at("revision") == 0u);
     BOOST_TEST(status.at("digest") == Configuration::empty()->digest());
+    BOOST_TEST(status.at("instances_age_ms") == 41);
     BOOST_TEST((status.at("peers")
         == nlohmann::json::parse(
             R"([{"id":"b","zone":"z","state":"leaving","incarnation":4,"revision":3,"age_ms":1500}])")));
--- a/src/libreport/operator_backend.h
+++ b/src/libreport/operator_backend.h
@@ -17,6 +17,10 @@
 
     virtual ConfigurationStore& store() = 0;
     virtual std::vector<PeerView> peers() const = 0;
+
+    /// Returns the time since the list that names the peers was requested; max() before the first.
+    virtual std::chrono::nanoseconds instanceListAge() const = 0;
+
     virtual UpstreamSnapshot upstreams() const = 0;
 };
 
--- a/src/libreport/operator_service.cpp
+++ b/src/libreport/operator_service.cpp
@@ -26,6 +26,7 @@
     }
     ConfigurationStore& store() override { return m_configuration.store(); }
     std::vector<PeerView> peers() const override { return m_membership.directory().peers(); }
+    std::chrono::nanoseconds instanceListAge() const override { return m_membership.directory().instanceListAge(); }
     UpstreamSnapshot upstreams() const override { return m_membership.directory().upstreams(); }
 
 private:
--- a/src/libreport/status_document.cpp
+++ b/src/libreport/status_document.cpp
@@ -6,12 +6,12 @@
 
 namespace {
 
-/// Returns the age in milliseconds; null for the maximum value, which means that no heartbeat was received.
+/// Returns the age in milliseconds, rounded up; null for the maximum value, which means that nothing was received.
 nlohmann::json ageInMilliseconds(std::chrono::nanoseconds age)
 {
     if (age == std::chrono::nanoseconds::max())
         return nullptr;
-    return std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
+    return std::chrono::ceil<std::chrono::milliseconds>(age).count();
 }
 
 nlohmann::json peerDocument(const PeerView& peer)
@@ -49,7 +49,7 @@
     return { { "instance", runtime.identity().id }, { "zone", runtime.identity().zone }, { "version", BULRUSH_VERSION },
         { "ready", runtime.isReady() }, { "unmet", runtime.unmetConditions() },
         { "revision", configuration->revision() }, { "digest", configuration->digest() }, { "peers", std::move(peers) },
-        { "upstreams", std::move(upstreams) } };
+        { "instances_age_ms", ageInMilliseconds(backend.instanceListAge()) }, { "upstreams", std::move(upstreams) } };
 }
 
 } // namespace bulrushstack
