Exchange messages between instances over HTTP instead of nng

Operators saw: an instance did not exit within 60 s of SIGTERM, after event=service-stop service=peers. Cause: nng 1.5.2 of Debian. nng_close() does not return when connections are opened or closed at the same time: its reaper thread waits for a task that is never run, all task threads being idle (backtraces of a loop of three meshes that send to each other and stop: 4 of 4 runs of 100 rounds hang). Ruled out: the order in which the mesh closes its listener, sockets and contexts (three orders, all hang). A blocked reaper also ends reconnecting in a running process. Second fault found in the same trace: nng's timeouts wait on CLOCK_REALTIME, so that a clock set back delays them. Change: PeerMesh uses HttpServer and HttpClient of the same package, with the same envelopes and steady deadlines; libnng is no dependency any more. A message whose connection was closed is sent once more under a new number. Instances of the two versions do not hear each other; configuration still comes from the store. Third fault: a process that starts after its clock was set back has a lower incarnation than its predecessor, and peers refused its messages until the clock had caught up. They now tell it the incarnation they know.

--- a/Makefile
+++ b/Makefile
@@ -53,6 +53,7 @@
 
 package-check:
 	tools/check-package-order
+	tools/check-wall-clock
 
 clean:
 	rm -rf build build-*
--- a/src/include/bulrushstack/net/peer_mesh.h
+++ b/src/include/bulrushstack/net/peer_mesh.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bulrushstack/kernel/clock.h"
 #include "bulrushstack/kernel/result.h"
 #include "bulrushstack/kernel/settings.h"
 
@@ -17,7 +18,9 @@
 struct PeerMeshOptions {
     Address address; ///< address on which this instance listens for peers and at which they reach it
     std::string instanceId;
-    std::uint64_t incarnation = 0; ///< higher in each new process with the same instance id
+    /// Higher in each new process with the same instance id, unless the wall clock was set back in between; see
+    /// PeerMesh::raiseIncarnation().
+    std::uint64_t incarnation = 0;
     std::vector<std::string> keys; ///< shared secrets: the first one signs sent messages, all are accepted
     std::size_t messageLimit = 1024 * 1024; ///< maximum size of a received message, in bytes
 };
@@ -35,10 +38,10 @@
     friend bool operator==(const PeerMeshCounters&, const PeerMeshCounters&) = default;
 };
 
-/// Request-reply messaging between instances: CBOR messages over nng (TCP), authenticated with HMAC-SHA256.
+/// Request-reply messaging between instances: CBOR messages over HTTP, authenticated with HMAC-SHA256.
 ///
-/// Every message must be idempotent, since a request that timed out may have been handled. All methods must be called
-/// on the thread of the io_context.
+/// Every message must be idempotent: a request that timed out may have been handled, and one whose connection was
+/// closed is sent a second time. All methods must be called on the thread of the io_context.
 class PeerMesh {
 public:
     /// Handles an authenticated request of a peer and returns the body of the reply. The request is a map; "type"
@@ -46,7 +49,7 @@
     /// reported to the peer as a malformed request.
     using Handler = std::function<nlohmann::json(const nlohmann::json& request)>;
 
-    PeerMesh(boost::asio::io_context& context, PeerMeshOptions options);
+    PeerMesh(boost::asio::io_context& context, const Clock& clock, PeerMeshOptions options);
     ~PeerMesh();
 
     PeerMesh(const PeerMesh&) = delete;
@@ -58,17 +61,22 @@
     /// Starts listening for peers. Returns an error if the address cannot be bound.
     std::error_code start();
 
-    /// Closes all sockets. Pending requests fail with Errc::Cancelled.
-    void stop();
+    /// Stops listening, finishes replies in progress and closes all connections. Pending requests fail with
+    /// Errc::Cancelled.
+    boost::asio::awaitable<void> stop();
 
     /// Sends a request and returns the reply, with "from" and "incarnation" of the sender added. Fails with NotRun if
-    /// no socket can be opened. Every other failure, such as Errc::Timeout, Errc::Unauthenticated or Errc::Malformed,
-    /// has the verdict MayHaveRun, since the peer may have handled the request.
+    /// no connection can be opened. Every other failure, such as Errc::Timeout, Errc::Unauthenticated or
+    /// Errc::Malformed, has the verdict MayHaveRun, since the peer may have handled the request.
     boost::asio::awaitable<Result<nlohmann::json>> request(
         Address peer, nlohmann::json message, std::chrono::nanoseconds timeout);
 
-    /// Closes the connection to a peer that is not expected to return. A later request() opens a new one.
-    void disconnect(const Address& peer);
+    /// Raises the incarnation under which messages are sent to at least the given one. Needed when other instances
+    /// know a higher incarnation of an earlier process of this instance and ignore this one as outdated.
+    void raiseIncarnation(std::uint64_t minimum);
+
+    /// Returns the incarnation under which messages are sent.
+    std::uint64_t incarnation() const;
 
     PeerMeshCounters counters() const;
 
--- a/src/libexecution/service_calls_journaled.cpp
+++ b/src/libexecution/service_calls_journaled.cpp
@@ -302,7 +302,7 @@
     /// the key is refused from then on.
     bool mayContinue() const
     {
-        return !m_core->isStopped && m_core->deps.clock.wallNow() - m_startTime < m_core->options.retention;
+        return !m_core->isStopped && m_core->deps.clock.now() - m_startTime < m_core->options.retention;
     }
 
     asio::awaitable<void> waitBeforeRetry(unsigned round)
@@ -325,7 +325,7 @@
             .attempt = attempt,
             .instance = self.id,
             .incarnation = self.incarnation,
-            .time = m_startTime,
+            .time = m_recordTime,
             .state = state,
             .outcome = std::nullopt };
     }
@@ -392,7 +392,8 @@
 
     ServiceCallCorePtr m_core;
     std::shared_ptr<JournaledCall> m_call;
-    WallTime m_startTime = m_core->deps.clock.wallNow();
+    SteadyTime m_startTime = m_core->deps.clock.now();
+    WallTime m_recordTime = m_core->deps.clock.wallNow(); ///< time of the rows, which outlive this process
     std::vector<UndispatchedClaim> m_undispatchedClaims;
     unsigned m_claimCount = 0; ///< claims made so far
     bool m_isClaimHeld = false;
--- a/src/libnet/net_services.cpp
+++ b/src/libnet/net_services.cpp
@@ -22,18 +22,14 @@
     };
     if (settings.isSet("peer-key-previous"))
         options.keys.push_back(settings.text("peer-key-previous"));
-    m_mesh = std::make_unique<PeerMesh>(registry.context(), std::move(options));
+    m_mesh = std::make_unique<PeerMesh>(registry.context(), runtime.clock(), std::move(options));
     if (auto ec = m_mesh->start())
         throw std::runtime_error(
             "cannot listen on --peer-address " + settings.address("peer-address").toString() + ": " + ec.message());
     LOG(INFO) << "event=listen port=peers address=" << settings.address("peer-address").toString();
 }
 
-boost::asio::awaitable<void> PeerMeshService::stop()
-{
-    m_mesh->stop();
-    co_return;
-}
+boost::asio::awaitable<void> PeerMeshService::stop() { co_await m_mesh->stop(); }
 
 std::vector<SettingSpec> peerSettings()
 {
--- a/src/libnet/peer_envelope.cpp
+++ b/src/libnet/peer_envelope.cpp
@@ -66,6 +66,12 @@
     return envelopeFailure(Errc::Malformed, "not a message of protocol version 1");
 }
 
+std::uint64_t ReplayGuard::incarnationOf(const std::string& from) const
+{
+    auto it = m_windows.find(from);
+    return it == m_windows.end() ? 0 : it->second.incarnation;
+}
+
 bool ReplayGuard::accept(const std::string& from, std::uint64_t incarnation, std::uint64_t sequence)
 {
     static constexpr std::uint64_t windowSize = 64;
--- a/src/libnet/peer_envelope.h
+++ b/src/libnet/peer_envelope.h
@@ -39,6 +39,9 @@
     /// Returns whether the message is new and records its sequence number.
     bool accept(const std::string& from, std::uint64_t incarnation, std::uint64_t sequence);
 
+    /// Returns the highest incarnation received from the sender; 0 if there is none.
+    std::uint64_t incarnationOf(const std::string& from) const;
+
 private:
     struct Window {
         std::uint64_t incarnation = 0;
--- a/src/libnet/peer_mesh.cpp
+++ b/src/libnet/peer_mesh.cpp
@@ -1,17 +1,14 @@
 #include "bulrushstack/net/peer_mesh.h"
 
 #include "bulrushstack/kernel/ids.h"
+#include "bulrushstack/net/http_client.h"
+#include "bulrushstack/net/http_server.h"
 #include "peer_envelope.h"
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
+#include <algorithm>
 #include <glog/logging.h>
 #include <map>
-#include <nng/nng.h>
-#include <nng/protocol/reqrep0/rep.h>
-#include <nng/protocol/reqrep0/req.h>
+#include <set>
 
 namespace bulrushstack {
 
@@ -19,144 +16,151 @@
 
 namespace {
 
-std::string urlOf(const Address& address) { return "tcp://" + address.toString(); }
+constexpr std::string_view messageTarget = "/peer/v1/messages";
+constexpr std::string_view messageType = "application/cbor";
 
-std::error_code toErrorCode(int status)
+/// A connection that was closed by the peer, or a raised incarnation, is worth one more attempt.
+constexpr int maxAttempts = 2;
+
+/// Shorter than the server's idle timeout, so that a connection is rarely closed just when it is used again.
+constexpr std::chrono::seconds maxIdleTime { 30 };
+constexpr std::chrono::seconds keepAliveTimeout { 3 };
+
+/// A peer that does not read its reply delays a shutdown for at most this long.
+constexpr std::chrono::seconds replyWriteTimeout { 1 };
+
+constexpr std::size_t connectionLimit = 512;
+
+constexpr std::string_view staleIncarnation = "stale incarnation";
+
+HttpServerOptions serverOptions(const PeerMeshOptions& options)
 {
-    switch (status) {
-    case 0:
-        return {};
-    case NNG_ETIMEDOUT:
-        return Errc::Timeout;
-    case NNG_ECLOSED:
-    case NNG_ECANCELED:
-        return Errc::Cancelled;
-    case NNG_EADDRINUSE:
-        return std::make_error_code(std::errc::address_in_use);
-    default:
-        return Errc::Unavailable;
-    }
+    HttpServerOptions out;
+    out.address = options.address;
+    out.bodyLimit = options.messageLimit;
+    out.connectionLimit = connectionLimit;
+    out.writeTimeout = replyWriteTimeout;
+    return out;
 }
 
-nng_msg* newMessage(std::string_view data)
+HttpResponse messageResponse(unsigned status, std::string body)
 {
-    nng_msg* message = nullptr;
-    if (nng_msg_alloc(&message, 0) != 0 || nng_msg_append(message, data.data(), data.size()) != 0)
-        throw std::bad_alloc();
-    return message;
+    HttpResponse response;
+    response.status = status;
+    response.headers.set("Content-Type", std::string(messageType));
+    response.body = std::move(body);
+    return response;
 }
 
-std::string_view contents(nng_msg* message)
+Failure peerFailure(Errc code, const Address& peer, std::string_view detail)
 {
-    return { static_cast<const char*>(nng_msg_body(message)), nng_msg_len(message) };
+    return {
+        .code = code, .verdict = Verdict::MayHaveRun, .detail = "peer " + peer.toString() + ": " + std::string(detail)
+    };
 }
 
-/// An asynchronous nng operation (nng_aio) whose completion handler runs on the io_context.
-class AioOperation {
-public:
-    AioOperation(asio::io_context& context, std::function<void()> completion)
-        : m_context(context)
-        , m_completion(std::move(completion))
-    {
-        if (nng_aio_alloc(&m_aio, &AioOperation::onDone, this) != 0)
-            throw std::bad_alloc();
-    }
-
-    ~AioOperation()
-    {
-        // An aborted send or a reply that was not consumed leaves its message in the nng_aio, which does not free it.
-        nng_aio_stop(m_aio);
-        if (nng_msg* message = takeMessage())
-            nng_msg_free(message);
-        nng_aio_free(m_aio);
-    }
-
-    AioOperation(const AioOperation&) = delete;
-    AioOperation& operator=(const AioOperation&) = delete;
-
-    nng_aio* aio() { return m_aio; }
-
-    /// Returns the message held by the operation and passes its ownership to the caller; null if there is none.
-    nng_msg* takeMessage()
-    {
-        nng_msg* message = nng_aio_get_msg(m_aio);
-        nng_aio_set_msg(m_aio, nullptr);
-        return message;
-    }
-
-private:
-    // Called by nng on one of its own threads.
-    static void onDone(void* argument)
-    {
-        auto* self = static_cast<AioOperation*>(argument);
-        asio::post(self->m_context, self->m_completion);
-    }
-
-    asio::io_context& m_context;
-    std::function<void()> m_completion;
-    nng_aio* m_aio = nullptr;
-};
-
-/// A request that was sent and waits for its reply.
-struct PendingRequest {
-    explicit PendingRequest(asio::io_context& context)
-        : completionTimer(context, asio::steady_timer::time_point::max())
-    {
-    }
-
-    ~PendingRequest() { nng_ctx_close(context); }
-
-    asio::steady_timer completionTimer; ///< cancelled to wake the waiting coroutine when the request is done
-    nng_ctx context = NNG_CTX_INITIALIZER;
-    std::unique_ptr<AioOperation> operation;
-    bool isSent = false;
-    bool isDone = false;
-    int status = 0;
-    std::string reply;
-};
-
 } // namespace
 
-struct PeerMesh::State : std::enable_shared_from_this<PeerMesh::State> {
-    /// An nng context that receives requests and sends their replies, one at a time.
-    struct Responder {
-        nng_ctx context = NNG_CTX_INITIALIZER;
-        std::unique_ptr<AioOperation> operation;
-        bool isSending = false; ///< whether the operation sends a reply; otherwise it receives a request
-    };
-
-    State(asio::io_context& ioContext, PeerMeshOptions meshOptions)
-        : context(ioContext)
+struct PeerMesh::State final : HttpHandler {
+    State(asio::io_context& context, const Clock& meshClock, PeerMeshOptions meshOptions)
+        : clock(meshClock)
         , options(std::move(meshOptions))
+        , incarnation(options.incarnation)
+        , client(context, clock)
+        , server(std::make_unique<HttpServer>(context, serverOptions(options), *this))
     {
     }
 
-    std::error_code listen();
-    void receiveNext(Responder& responder);
-    void onResponderDone(Responder& responder);
-    nng_msg* handleRequest(std::string_view data);
-    nng_socket* socketFor(const Address& peer);
-    void onRequestDone(const std::shared_ptr<PendingRequest>& pending);
+    asio::awaitable<void> handle(HttpExchange& exchange) override;
+    HttpResponse handleMessage(std::string_view data);
+    nlohmann::json callHandler(const PeerEnvelope& request);
+    HttpResponse signReply(unsigned status, const PeerEnvelope& request, nlohmann::json body);
     PeerEnvelope newEnvelope(nlohmann::json body);
+    asio::awaitable<Result<PeerEnvelope>> exchange(
+        const Address& peer, const nlohmann::json& message, const HttpCallOptions& callOptions);
+    Result<PeerEnvelope> readReply(const Address& peer, const HttpResponse& response, const std::string& tag);
+    bool raiseIncarnationAfter(const PeerEnvelope& reply);
     void countRejection(const std::error_code& code);
+    void cancelRequests();
 
-    asio::io_context& context;
+    const Clock& clock;
     PeerMeshOptions options;
+    std::uint64_t incarnation;
     std::map<std::string, Handler> handlers;
-    nng_socket listener = NNG_SOCKET_INITIALIZER;
-    std::vector<std::unique_ptr<Responder>> responders;
-    std::map<Address, nng_socket> sockets;
+    HttpClient client;
+    std::unique_ptr<HttpServer> server;
+    std::set<std::shared_ptr<HttpCancellation>> pendingRequests;
     ReplayGuard replayGuard;
     PeerMeshCounters counters;
     std::uint64_t sequence = 0;
     bool isStopped = false;
 };
 
+asio::awaitable<void> PeerMesh::State::handle(HttpExchange& exchange)
+{
+    const auto& request = exchange.request();
+    if (request.method != "POST" || request.target != messageTarget) {
+        co_await exchange.respond(messageResponse(404, {}));
+        co_return;
+    }
+    co_await exchange.respond(handleMessage(request.body));
+}
+
+HttpResponse PeerMesh::State::handleMessage(std::string_view data)
+{
+    ++counters.requestsReceived;
+    counters.bytesReceived += data.size();
+    auto request = decodeSignedEnvelope(data, options.keys, options.messageLimit);
+    if (!request) {
+        countRejection(request.error().code);
+        return messageResponse(request.error().code == Errc::Unauthenticated ? 401 : 400, {});
+    }
+    if (request->to != options.address.toString()) {
+        ++counters.rejectedReplayed;
+        return messageResponse(409, {});
+    }
+    const auto known = replayGuard.incarnationOf(request->from);
+    if (request->incarnation < known) {
+        ++counters.rejectedReplayed;
+        return signReply(409, *request, { { "error", staleIncarnation }, { "known", known } });
+    }
+    if (!replayGuard.accept(request->from, request->incarnation, request->sequence)) {
+        ++counters.rejectedReplayed;
+        return messageResponse(409, {});
+    }
+    return signReply(200, *request, callHandler(*request));
+}
+
+nlohmann::json PeerMesh::State::callHandler(const PeerEnvelope& request)
+{
+    auto body = request.body;
+    body["from"] = request.from;
+    body["incarnation"] = request.incarnation;
+    try {
+        auto it = handlers.find(body.value("type", std::string()));
+        if (it != handlers.end())
+            return it->second(body);
+    } catch (const nlohmann::json::exception&) {
+        ++counters.rejectedMalformed;
+        return { { "error", "malformed request" } };
+    }
+    return { { "error", "unknown type" } };
+}
+
+HttpResponse PeerMesh::State::signReply(unsigned status, const PeerEnvelope& request, nlohmann::json body)
+{
+    auto reply = newEnvelope(std::move(body));
+    reply.tag = request.tag;
+    auto signedMessage = encodeSignedEnvelope(reply, options.keys.front());
+    counters.bytesSent += signedMessage.size();
+    return messageResponse(status, std::move(signedMessage));
+}
+
 PeerEnvelope PeerMesh::State::newEnvelope(nlohmann::json body)
 {
     PeerEnvelope envelope;
     envelope.from = options.instanceId;
-    envelope.incarnation = options.incarnation;
+    envelope.incarnation = incarnation;
     envelope.sequence = ++sequence;
     envelope.body = std::move(body);
     return envelope;
@@ -170,217 +174,135 @@
         ++counters.rejectedMalformed;
 }
 
-std::error_code PeerMesh::State::listen()
+/// Sends the message once, under a new sequence number, and returns the authenticated reply.
+asio::awaitable<Result<PeerEnvelope>> PeerMesh::State::exchange(
+    const Address& peer, const nlohmann::json& message, const HttpCallOptions& callOptions)
 {
-    static constexpr int responderCount = 8; // maximum number of requests between receipt and reply at the same time
-    if (int status = nng_rep0_open(&listener); status != 0)
-        return toErrorCode(status);
-    nng_socket_set_size(listener, NNG_OPT_RECVMAXSZ, options.messageLimit);
-    if (int status = nng_listen(listener, urlOf(options.address).c_str(), nullptr, 0); status != 0)
-        return toErrorCode(status);
-    for (int i = 0; i < responderCount; ++i) {
-        auto responder = std::make_unique<Responder>();
-        if (int status = nng_ctx_open(&responder->context, listener); status != 0)
-            return toErrorCode(status);
-        auto* raw = responder.get();
-        responder->operation = std::make_unique<AioOperation>(context, [weak = weak_from_this(), raw] {
-            auto self = weak.lock();
-            if (self && !self->isStopped)
-                self->onResponderDone(*raw);
-        });
-        receiveNext(*responder);
-        responders.push_back(std::move(responder));
-    }
-    return {};
-}
-
-void PeerMesh::State::receiveNext(Responder& responder)
-{
-    responder.isSending = false;
-    nng_ctx_recv(responder.context, responder.operation->aio());
+    auto envelope = newEnvelope(message);
+    envelope.to = peer.toString();
+    envelope.tag = randomId();
+    HttpRequest request;
+    request.method = "POST";
+    request.target = messageTarget;
+    request.headers.set("Content-Type", std::string(messageType));
+    request.body = encodeSignedEnvelope(envelope, options.keys.front());
+    ++counters.requestsSent;
+    counters.bytesSent += request.body.size();
+    auto response = co_await client.call(peer, std::move(request), callOptions);
+    if (!response)
+        co_return response.error();
+    counters.bytesReceived += response->body.size();
+    co_return readReply(peer, *response, envelope.tag);
 }
 
-void PeerMesh::State::onResponderDone(Responder& responder)
+Result<PeerEnvelope> PeerMesh::State::readReply(
+    const Address& peer, const HttpResponse& response, const std::string& tag)
 {
-    auto* aio = responder.operation->aio();
-    const int status = nng_aio_result(aio);
-    if (responder.isSending) {
-        if (status != 0)
-            nng_msg_free(responder.operation->takeMessage());
-        receiveNext(responder);
-        return;
-    }
-    if (status != 0) {
-        if (status != NNG_ECLOSED)
-            receiveNext(responder);
-        return;
-    }
-    nng_msg* request = responder.operation->takeMessage();
-    nng_msg* reply = handleRequest(contents(request));
-    nng_msg_free(request);
+    if (response.status == 401)
+        return peerFailure(Errc::Unauthenticated, peer, "the peer accepts none of this instance's keys");
+    auto reply = decodeSignedEnvelope(response.body, options.keys, options.messageLimit);
     if (!reply) {
-        receiveNext(responder);
-        return;
+        countRejection(reply.error().code);
+        return peerFailure(static_cast<Errc>(reply.error().code.value()), peer, reply.error().detail);
     }
-    responder.isSending = true;
-    nng_aio_set_msg(aio, reply);
-    nng_ctx_send(responder.context, aio);
+    if (reply->tag != tag) {
+        countRejection(Errc::MismatchedResponse);
+        return peerFailure(Errc::MismatchedResponse, peer, "the reply belongs to another request");
+    }
+    return reply;
 }
 
-nng_msg* PeerMesh::State::handleRequest(std::string_view data)
+/// Raises the incarnation if the reply says that the peer knows a higher one of this instance: that of an earlier
+/// process that was started while the wall clock was ahead. Returns whether the message is to be sent again.
+bool PeerMesh::State::raiseIncarnationAfter(const PeerEnvelope& reply)
 {
-    ++counters.requestsReceived;
-    counters.bytesReceived += data.size();
-    auto request = decodeSignedEnvelope(data, options.keys, options.messageLimit);
-    if (!request) {
-        countRejection(request.error().code);
-        return nullptr;
-    }
-    const bool isAddressedToThisInstance = request->to == options.address.toString();
-    if (!isAddressedToThisInstance || !replayGuard.accept(request->from, request->incarnation, request->sequence)) {
-        ++counters.rejectedReplayed;
-        return nullptr;
-    }
-    auto& body = request->body;
-    body["from"] = request->from;
-    body["incarnation"] = request->incarnation;
-    nlohmann::json replyBody { { "error", "unknown type" } };
-    auto it = handlers.find(body.value("type", std::string()));
-    if (it != handlers.end()) {
-        try {
-            replyBody = it->second(body);
-        } catch (const nlohmann::json::exception&) {
-            ++counters.rejectedMalformed;
-            replyBody = { { "error", "malformed request" } };
-        }
-    }
-    auto reply = newEnvelope(std::move(replyBody));
-    reply.tag = request->tag;
-    const auto signedMessage = encodeSignedEnvelope(reply, options.keys.front());
-    counters.bytesSent += signedMessage.size();
-    return newMessage(signedMessage);
+    if (reply.body.value("error", nlohmann::json()) != staleIncarnation)
+        return false;
+    const auto known = reply.body.value("known", nlohmann::json());
+    if (!known.is_number_unsigned() || known.get<std::uint64_t>() == std::numeric_limits<std::uint64_t>::max())
+        return false;
+    const auto raised = std::max(incarnation, known.get<std::uint64_t>() + 1);
+    if (raised != incarnation)
+        LOG(INFO) << "event=incarnation-raised instance=" << options.instanceId << " from=" << incarnation
+                  << " to=" << raised << " reported_by=" << reply.from;
+    incarnation = raised;
+    return true;
 }
 
-nng_socket* PeerMesh::State::socketFor(const Address& peer)
+void PeerMesh::State::cancelRequests()
 {
-    auto it = sockets.find(peer);
-    if (it != sockets.end())
-        return &it->second;
-    static constexpr nng_duration minimumReconnectDelay = 50; // ms
-    static constexpr nng_duration maximumReconnectDelay = 1000; // ms
-    nng_socket socket = NNG_SOCKET_INITIALIZER;
-    if (nng_req0_open(&socket) != 0)
-        return nullptr;
-    nng_socket_set_size(socket, NNG_OPT_RECVMAXSZ, options.messageLimit);
-    nng_socket_set_ms(socket, NNG_OPT_RECONNMINT, minimumReconnectDelay);
-    nng_socket_set_ms(socket, NNG_OPT_RECONNMAXT, maximumReconnectDelay);
-    // Disable nng's automatic resending: the receiver rejects a repeated sequence number as a replay.
-    nng_socket_set_ms(socket, NNG_OPT_REQ_RESENDTIME, NNG_DURATION_INFINITE);
-    if (nng_dial(socket, urlOf(peer).c_str(), nullptr, NNG_FLAG_NONBLOCK) != 0) {
-        nng_close(socket);
-        return nullptr;
-    }
-    return &sockets.emplace(peer, socket).first->second;
+    isStopped = true;
+    for (const auto& it : pendingRequests)
+        it->cancel();
 }
 
-void PeerMesh::State::onRequestDone(const std::shared_ptr<PendingRequest>& pending)
+PeerMesh::PeerMesh(asio::io_context& context, const Clock& clock, PeerMeshOptions options)
+    : m_state(std::make_shared<State>(context, clock, std::move(options)))
 {
-    auto* aio = pending->operation->aio();
-    pending->status = nng_aio_result(aio);
-    if (pending->status == 0 && !pending->isSent) {
-        pending->isSent = true;
-        nng_ctx_recv(pending->context, aio);
-        return;
-    }
-    if (pending->status == 0) {
-        nng_msg* message = pending->operation->takeMessage();
-        pending->reply = std::string(contents(message));
-        nng_msg_free(message);
-    } else if (!pending->isSent) {
-        nng_msg_free(pending->operation->takeMessage());
-    }
-    pending->isDone = true;
-    pending->completionTimer.cancel();
 }
 
-PeerMesh::PeerMesh(asio::io_context& context, PeerMeshOptions options)
-    : m_state(std::make_shared<State>(context, std::move(options)))
+PeerMesh::~PeerMesh()
 {
+    m_state->cancelRequests();
+    m_state->server.reset();
 }
 
-PeerMesh::~PeerMesh() { stop(); }
-
 void PeerMesh::handle(std::string type, Handler handler) { m_state->handlers[std::move(type)] = std::move(handler); }
 
-std::error_code PeerMesh::start() { return m_state->listen(); }
+std::error_code PeerMesh::start() { return m_state->server->start(); }
 
-void PeerMesh::stop()
+asio::awaitable<void> PeerMesh::stop()
 {
-    if (std::exchange(m_state->isStopped, true))
-        return;
-    nng_close(m_state->listener);
-    for (const auto& [peer, socket] : m_state->sockets)
-        nng_close(socket);
-    m_state->sockets.clear();
-    m_state->responders.clear();
+    auto state = m_state;
+    state->cancelRequests();
+    co_await state->server->drain();
 }
 
 asio::awaitable<Result<nlohmann::json>> PeerMesh::request(
     Address peer, nlohmann::json message, std::chrono::nanoseconds timeout)
 {
     auto state = m_state;
-    auto pending = std::make_shared<PendingRequest>(state->context);
-    auto* socket = state->isStopped ? nullptr : state->socketFor(peer);
-    if (!socket || nng_ctx_open(&pending->context, *socket) != 0)
-        co_return Failure { .code = Errc::Unavailable,
-            .verdict = Verdict::NotRun,
-            .detail = "cannot open a socket to peer " + peer.toString() };
-
-    auto envelope = state->newEnvelope(std::move(message));
-    envelope.to = peer.toString();
-    envelope.tag = randomId();
-    const auto signedMessage = encodeSignedEnvelope(envelope, state->options.keys.front());
-    ++state->counters.requestsSent;
-    state->counters.bytesSent += signedMessage.size();
-
-    pending->operation = std::make_unique<AioOperation>(state->context, [state, weak = std::weak_ptr(pending)] {
-        if (auto request = weak.lock())
-            state->onRequestDone(request);
-    });
-    auto* aio = pending->operation->aio();
-    nng_aio_set_timeout(aio, static_cast<nng_duration>(std::chrono::ceil<std::chrono::milliseconds>(timeout).count()));
-    nng_aio_set_msg(aio, newMessage(signedMessage));
-    nng_ctx_send(pending->context, aio);
-    while (!pending->isDone)
-        co_await pending->completionTimer.async_wait(asio::as_tuple(asio::use_awaitable));
-
-    if (pending->status != 0)
-        co_return Failure { .code = toErrorCode(pending->status),
-            .verdict = Verdict::MayHaveRun,
-            .detail = "peer " + peer.toString() + ": " + nng_strerror(pending->status) };
-    state->counters.bytesReceived += pending->reply.size();
-    auto reply = decodeSignedEnvelope(pending->reply, state->options.keys, state->options.messageLimit);
-    if (!reply || reply->tag != envelope.tag) {
-        const std::error_code code = reply ? std::error_code(Errc::MismatchedResponse) : reply.error().code;
-        state->countRejection(code);
-        co_return Failure { .code = code,
-            .verdict = Verdict::MayHaveRun,
-            .detail = "peer " + peer.toString() + " sent an invalid reply or one to another request" };
+    auto cancellation = std::make_shared<HttpCancellation>();
+    if (state->isStopped)
+        cancellation->cancel();
+    state->pendingRequests.insert(cancellation);
+    HttpCallOptions options;
+    options.deadline = state->clock.now() + std::chrono::duration_cast<SteadyTime::duration>(timeout);
+    options.maxIdle = maxIdleTime;
+    options.tcpKeepAliveTimeout = keepAliveTimeout;
+    options.cancellation = cancellation;
+    options.bodyLimit = state->options.messageLimit;
+    Result<PeerEnvelope> reply = peerFailure(Errc::Unavailable, peer, "not sent");
+    for (int attempt = 1; attempt <= maxAttempts; ++attempt) {
+        reply = co_await state->exchange(peer, message, options);
+        const bool isWorthRetrying
+            = reply ? state->raiseIncarnationAfter(*reply) : reply.error().code == Errc::ConnectionClosed;
+        if (!isWorthRetrying)
+            break;
+        options.maxIdle = {};
+    }
+    state->pendingRequests.erase(cancellation);
+    if (!reply) {
+        if (reply.error().code == Errc::Timeout)
+            state->client.closeIdleConnections(peer);
+        co_return reply.error();
     }
     reply->body["from"] = reply->from;
     reply->body["incarnation"] = reply->incarnation;
     co_return std::move(reply->body);
 }
 
-void PeerMesh::disconnect(const Address& peer)
+void PeerMesh::raiseIncarnation(std::uint64_t minimum)
 {
-    auto it = m_state->sockets.find(peer);
-    if (it == m_state->sockets.end())
+    if (minimum <= m_state->incarnation)
         return;
-    nng_close(it->second);
-    m_state->sockets.erase(it);
+    LOG(INFO) << "event=incarnation-raised instance=" << m_state->options.instanceId << " from=" << m_state->incarnation
+              << " to=" << minimum;
+    m_state->incarnation = minimum;
 }
 
+std::uint64_t PeerMesh::incarnation() const { return m_state->incarnation; }
+
 PeerMeshCounters PeerMesh::counters() const { return m_state->counters; }
 
 } // namespace bulrushstack
--- a/src/libnet/peer_mesh_test.cpp
+++ b/src/libnet/peer_mesh_test.cpp
@@ -3,6 +3,8 @@
 #include "loopback.h"
 #include "peer_envelope.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -24,8 +26,8 @@
         auto optionsA = optionsFor("a", std::move(keysOfA));
         auto optionsB = optionsFor("b", std::move(keysOfB));
         addressB = optionsB.address;
-        a = std::make_unique<PeerMesh>(context, optionsA);
-        b = std::make_unique<PeerMesh>(context, optionsB);
+        a = std::make_unique<PeerMesh>(context, clock, optionsA);
+        b = std::make_unique<PeerMesh>(context, clock, optionsB);
         b->handle("add", [](const nlohmann::json& request) {
             return nlohmann::json { { "sum", request.at("x").get<int>() + 1 }, { "caller", request.at("from") } };
         });
@@ -39,11 +41,25 @@
     }
 
     boost::asio::io_context context;
+    SystemClock clock;
     std::unique_ptr<PeerMesh> a;
     std::unique_ptr<PeerMesh> b;
     Address addressB;
 };
 
+/// Sends one request after the other until one fails, and then counts itself as ended.
+boost::asio::awaitable<void> sendUntilFailure(PeerMesh& from, Address to, int& ended)
+{
+    nlohmann::json message = nlohmann::json::object();
+    message["type"] = "add";
+    message["x"] = 1;
+    for (bool isServed = true; isServed;) {
+        auto reply = co_await from.request(to, message, 1s);
+        isServed = reply.has_value();
+    }
+    ++ended;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Peers)
@@ -72,10 +88,71 @@
 BOOST_AUTO_TEST_CASE(MessageSignedWithAnotherKeyIsDropped)
 {
     startMeshes({ "k" }, { "other" });
+    auto reply = sendRequest({ { "type", "add" }, { "x", 1 } });
+    BOOST_REQUIRE(reply.has_error());
+    BOOST_TEST((reply.error().code == Errc::Unauthenticated));
+    BOOST_TEST(b->counters().rejectedUnauthenticated == 1u);
+}
+
+// Guards against a request that waits beyond its timeout for a peer that accepts connections and stays silent.
+BOOST_AUTO_TEST_CASE(SilentPeerTimesOut)
+{
+    startMeshes({ "k" }, { "k" });
+    boost::asio::ip::tcp::acceptor silent(context, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+    addressB.port = silent.local_endpoint().port();
     auto reply = sendRequest({ { "type", "add" }, { "x", 1 } }, 100ms);
     BOOST_REQUIRE(reply.has_error());
     BOOST_TEST((reply.error().code == Errc::Timeout));
-    BOOST_TEST(b->counters().rejectedUnauthenticated == 1u);
+}
+
+// Guards against a peer that stays unreachable after its restart because of connections to the earlier process.
+BOOST_AUTO_TEST_CASE(RestartedPeerIsReachedByTheNextRequest)
+{
+    startMeshes({ "k" }, { "k" });
+    BOOST_REQUIRE(sendRequest({ { "type", "add" }, { "x", 1 } }));
+    runAwaitable(context, b->stop());
+    BOOST_TEST(sendRequest({ { "type", "add" }, { "x", 1 } }).has_error());
+    PeerMeshOptions options { .address = addressB, .instanceId = "b", .incarnation = 8, .keys = { "k" } };
+    b = std::make_unique<PeerMesh>(context, clock, options);
+    BOOST_REQUIRE(!b->start());
+    BOOST_TEST(sendRequest({ { "type", "subtract" } })->at("error") == "unknown type");
+}
+
+// Guards against a process whose messages are ignored until its clock has caught up with that of its predecessor: the
+// wall clock, from which the incarnation is read, was set back between the two starts.
+BOOST_AUTO_TEST_CASE(ProcessStartedAfterTheClockWasSetBackIsHeard)
+{
+    startMeshes({ "k" }, { "k" });
+    BOOST_REQUIRE(sendRequest({ { "type", "add" }, { "x", 1 } }));
+    auto options = optionsFor("a", { "k" });
+    options.incarnation = 3;
+    a = std::make_unique<PeerMesh>(context, clock, options);
+    BOOST_REQUIRE(!a->start());
+    auto reply = sendRequest({ { "type", "add" }, { "x", 1 } });
+    BOOST_REQUIRE(reply);
+    BOOST_TEST(reply->at("sum") == 2);
+    BOOST_TEST(a->incarnation() == 8u);
+}
+
+// Guards against a shutdown that never ends when it comes while requests are on their way in both directions.
+BOOST_AUTO_TEST_CASE(StopsWhileRequestsAreInFlight)
+{
+    static constexpr int roundCount = 100;
+    for (int round = 0; round < roundCount; ++round) {
+        startMeshes({ "k" }, { "k" });
+        int ended = 0;
+        for (int i = 0; i < 4; ++i) {
+            boost::asio::co_spawn(context, sendUntilFailure(*a, addressB, ended), boost::asio::detached);
+        }
+        context.restart();
+        context.run_for(std::chrono::microseconds(100 * round));
+        context.restart();
+        runAwaitable(context, b->stop());
+        runAwaitable(context, a->stop());
+        context.restart();
+        while (ended < 4 && context.run_one_for(5s) > 0) { }
+        BOOST_REQUIRE(ended == 4);
+    }
 }
 
 // Guards against a key rotation during which instances reject each other's messages.
