Let a few instances read the store and add up the demand for the others

Change: package relay. From 24 instances on the lease holder names two or more readers in each availability zone, those with the largest share of a processor. They follow the store, pass on rows that say something new under the versions of the store, and add up the demand on its way to the holder. The others judge a reader by the age of its answers and fall back on the next one, then on the store. Small deployments work as before.

--- a/src/include/bulrushstack/front/placement_messages.h
+++ b/src/include/bulrushstack/front/placement_messages.h
@@ -1,9 +1,12 @@
 #pragma once
 
 #include "bulrushstack/kernel/result.h"
+#include "bulrushstack/relay/store_reader.h"
 #include "bulrushstack/serving/model_demand.h"
 #include "bulrushstack/serving/suspect_requests.h"
 
+#include <chrono>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -21,7 +24,8 @@
     friend bool operator==(const AdapterDemand&, const AdapterDemand&) = default;
 };
 
-/// Demand that an instance reports to the holder of the placement lease.
+/// Demand that an instance reports to the holder of the placement lease. A reader adds the demand that other instances
+/// reported to it.
 struct DemandMessage {
     std::string instance;
     std::vector<ModelDemand> models;
@@ -29,6 +33,8 @@
     std::vector<CrashCount> crashes;
     /// Ids of upstreams to which a connection failed recently.
     std::vector<std::string> unreachable;
+    /// The instances whose demand the message contains, the sender first.
+    std::vector<RelayMember> reporters;
 
     friend bool operator==(const DemandMessage&, const DemandMessage&) = default;
 };
@@ -41,16 +47,27 @@
     friend bool operator==(const RetiringReplica&, const RetiringReplica&) = default;
 };
 
-/// Reply of the lease holder to a demand message.
+/// Reply of the lease holder to a demand message, or of a reader that passes on what the holder replied to it.
 struct DemandReply {
-    /// Whether the instance that replies holds the lease. If not, the lease must be read again.
+    /// Whether the reply is that of the lease holder, possibly passed on. If not, the lease must be read again.
     bool isHolder = false;
     /// Version of the row of the lease after its last renewal.
     std::uint64_t leaseVersion = 0;
-    /// Number of instances that report their demand.
+    /// Number of instances whose demand the holder knows.
     unsigned instances = 1;
     std::vector<RetiringReplica> retiring;
     std::vector<CrashCount> crashes;
+    /// Id and address of the holder.
+    std::string holder;
+    Address holderAddress;
+    /// Time since the holder replied.
+    std::chrono::milliseconds age {};
+    /// Number of instances that report to the one that replies.
+    unsigned reporters = 0;
+    /// Whether the one that replies is a reader, which claims the lease if it lapses.
+    bool isReader = false;
+    /// Readers of the receiver's availability zone; empty while the holder does not know all instances.
+    std::optional<std::vector<StoreReader>> readers;
 
     friend bool operator==(const DemandReply&, const DemandReply&) = default;
 };
--- a/src/include/bulrushstack/platform/table_feed.h
+++ b/src/include/bulrushstack/platform/table_feed.h
@@ -8,6 +8,8 @@
 struct TableSnapshot {
     std::vector<Row> rows; ///< a value that is not valid JSON is discarded (nlohmann::json::is_discarded())
     RowVersion version = 0;
+    /// Whether the source of the rows lost the store shortly before. Rows may then be missing for a while.
+    bool isAfterOutage = false;
 
     friend bool operator==(const TableSnapshot&, const TableSnapshot&) = default;
 };
@@ -16,6 +18,7 @@
 struct TableChanges {
     std::vector<Row> rows; ///< a row that was removed has version 0
     RowVersion version = 0; ///< version from which the next call continues
+    bool isAfterOutage = false; ///< as in TableSnapshot
 
     friend bool operator==(const TableChanges&, const TableChanges&) = default;
 };
--- /dev/null
+++ b/src/libfront/demand_collector.cpp
@@ -0,0 +1,45 @@
+#include "demand_collector.h"
+
+namespace bulrushstack {
+
+void DemandCollector::add(const DemandMessage& message)
+{
+    for (const auto& it : message.models) {
+        auto& demand = m_models[{ it.service, it.model }];
+        demand.service = it.service;
+        demand.model = it.model;
+        demand.requests += it.requests;
+        demand.workMs += it.workMs;
+        demand.unplaced += it.unplaced;
+        m_isUrgent = m_isUrgent || it.unplaced > 0;
+    }
+    for (const auto& it : message.adapters)
+        m_adapters[{ it.service, it.model, it.adapter }] = it;
+    for (const auto& it : message.crashes)
+        m_crashes[it.digest] += it.crashes;
+    m_unreachable.insert(message.unreachable.begin(), message.unreachable.end());
+    for (const auto& it : message.reporters)
+        m_reporters[it.instance] = it;
+}
+
+void DemandCollector::takeInto(DemandMessage& message)
+{
+    add(message);
+    const auto own = std::move(message.reporters);
+    DemandMessage out { .instance = message.instance, .reporters = own };
+    for (auto& [key, demand] : m_models)
+        out.models.push_back(std::move(demand));
+    for (auto& [key, demand] : m_adapters)
+        out.adapters.push_back(std::move(demand));
+    for (const auto& [digest, crashes] : m_crashes)
+        out.crashes.push_back({ .digest = digest, .crashes = crashes });
+    out.unreachable.assign(m_unreachable.begin(), m_unreachable.end());
+    for (auto& [instance, member] : m_reporters) {
+        if (instance != message.instance)
+            out.reporters.push_back(std::move(member));
+    }
+    message = std::move(out);
+    *this = DemandCollector();
+}
+
+} // namespace bulrushstack
--- a/src/libfront/front_metrics.cpp
+++ b/src/libfront/front_metrics.cpp
@@ -66,6 +66,14 @@
           gauge(registry, "bulrush_front_pausing_upstreams", "Upstreams that want no requests for a time"))
     , m_leaseHolder(
           gauge(registry, "bulrush_front_placement_holder", "1 while this instance holds the placement lease"))
+    , m_storeReaders(
+          gauge(registry, "bulrush_front_store_readers", "Known readers of the store in this availability zone"))
+    , m_isStoreReader(gauge(registry, "bulrush_front_store_reader", "1 while this instance reads the store for others"))
+    , m_areTablesRelayed(
+          gauge(registry, "bulrush_front_tables_relayed", "1 while this instance reads the tables from a reader"))
+    , m_storeReadAge(gauge(
+          registry, "bulrush_front_store_read_age_seconds", "Time since this instance itself last read the store"))
+    , m_relayAnswers(gauge(registry, "bulrush_front_relay_answers", "Answers to other instances about tables"))
     , m_loopDelays(BuildHistogram()
                        .Name("bulrush_front_loop_delay_seconds")
                        .Help("How late the event loop runs a timer")
@@ -122,6 +130,15 @@
 
 void FrontMetrics::setLeaseHolder(bool isHolder) { m_leaseHolder.Set(isHolder ? 1 : 0); }
 
+void FrontMetrics::setRelayStatus(const StoreRelayStatus& status)
+{
+    m_storeReaders.Set(static_cast<double>(status.readers));
+    m_isStoreReader.Set(status.isReader ? 1 : 0);
+    m_areTablesRelayed.Set(status.isRelayed ? 1 : 0);
+    m_storeReadAge.Set(seconds(status.storeReadAge));
+    m_relayAnswers.Set(static_cast<double>(status.answers));
+}
+
 void FrontMetrics::recordLoopDelay(std::chrono::nanoseconds delay) { m_loopDelays.Observe(seconds(delay)); }
 
 void FrontMetrics::recordPlanningTime(std::chrono::nanoseconds duration) { m_planningTimes.Observe(seconds(duration)); }
--- a/src/libfront/front_metrics.h
+++ b/src/libfront/front_metrics.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "bulrushstack/relay/store_relay.h"
+
 #include <chrono>
 #include <map>
 #include <prometheus/counter.h>
@@ -27,6 +29,7 @@
     void setUpstreamCount(std::size_t count);
     void setUnavailableUpstreams(std::size_t leaving, std::size_t pausing);
     void setLeaseHolder(bool isHolder);
+    void setRelayStatus(const StoreRelayStatus& status);
     void recordLoopDelay(std::chrono::nanoseconds delay);
     void recordPlanningTime(std::chrono::nanoseconds duration);
 
@@ -43,6 +46,11 @@
     prometheus::Gauge& m_leavingUpstreams;
     prometheus::Gauge& m_pausingUpstreams;
     prometheus::Gauge& m_leaseHolder;
+    prometheus::Gauge& m_storeReaders;
+    prometheus::Gauge& m_isStoreReader;
+    prometheus::Gauge& m_areTablesRelayed;
+    prometheus::Gauge& m_storeReadAge;
+    prometheus::Gauge& m_relayAnswers;
     prometheus::Histogram& m_loopDelays;
     prometheus::Histogram& m_planningTimes;
 };
--- a/src/libfront/front_service.cpp
+++ b/src/libfront/front_service.cpp
@@ -130,6 +130,42 @@
     RuntimeService& m_runtime;
 };
 
+/// Handles the requests of other instances: for tables of the store, and for the placement agent.
+class ControlHandler final : public HttpHandler {
+public:
+    ControlHandler(TableRelay& tables, HttpHandler& agent)
+        : m_tables(tables)
+        , m_agent(agent)
+    {
+    }
+
+    asio::awaitable<void> handle(HttpExchange& exchange) override
+    {
+        const bool isForRelay = exchange.request().method == "POST" && exchange.request().path() == relayPath;
+        if (!isForRelay) {
+            co_await m_agent.handle(exchange);
+            co_return;
+        }
+        auto response = co_await m_tables.handle(exchange.request());
+        co_await exchange.respond(std::move(response));
+    }
+
+private:
+    TableRelay& m_tables;
+    HttpHandler& m_agent;
+};
+
+StoreRelayOptions relayOptions(const RuntimeService& runtime, const Settings& settings, std::uint64_t randomSeed)
+{
+    StoreRelayOptions out { .randomSeed = randomSeed };
+    out.self = { .instance = runtime.identity().id,
+        .zone = runtime.identity().zone,
+        .address = settings.address("control-address"),
+        .processorShare = settings.number("processor-share") };
+    out.readerChoice.minInstances = static_cast<unsigned>(settings.number("relay-min-instances"));
+    return out;
+}
+
 void startServer(HttpServer& server, std::string_view setting, const Address& address)
 {
     if (auto ec = server.start())
@@ -149,8 +185,10 @@
         , state(context, runtime.clock(), runtime.identity().id, runtime.identity().zone, readPlatformLimits(settings))
         , metrics(runtime.metrics())
         , binding(createBinding(client, runtime.clock(), settings.address("store-address")))
-        , agent(state, client, *binding, metrics, settings.address("control-address"))
-        , storeSynchronizer(state, *binding, metrics)
+        , relay(context, client, runtime.clock(), relayOptions(runtime, settings, state.random()), binding->tableFeed())
+        , agent(state, client, *binding, metrics, relay)
+        , controlHandler(relay.tables(), agent)
+        , storeSynchronizer(state, *binding, metrics, relay)
         , loopMonitor(state, metrics)
         , ingress({ .state = state,
               .client = client,
@@ -161,7 +199,7 @@
         , metricsHandler(runtime)
         , ingressServer(context, ingressOptions(settings.address("listen-address"), {}), ingress)
         , readinessServer(context, controlOptions(settings.address("ready-address")), readiness)
-        , controlServer(context, controlOptions(settings.address("control-address")), agent)
+        , controlServer(context, controlOptions(settings.address("control-address")), controlHandler)
         , metricsServer(context, controlOptions(settings.address("metrics-address")), metricsHandler)
     {
         storeSynchronizer.onUpstreamsLoaded = [this] { runtime.setReady("directory", true); };
@@ -177,7 +215,9 @@
     FrontState state;
     FrontMetrics metrics;
     std::unique_ptr<FrontBinding> binding;
+    StoreRelay relay;
     PlacementAgent agent;
+    ControlHandler controlHandler;
     StoreSynchronizer storeSynchronizer;
     LoopMonitor loopMonitor;
     Ingress ingress;
@@ -273,6 +313,16 @@
             .help = "the platform's store",
             .required = true,
             .isReloadable = true },
+        { .name = "processor-share",
+            .kind = SettingKind::Number,
+            .defaultValue = "1",
+            .help
+            = "share of a processor core that this instance may use; instances with a larger share take more of the "
+              "common work" },
+        { .name = "relay-min-instances",
+            .kind = SettingKind::Number,
+            .defaultValue = "24",
+            .help = "number of instances from which on a few of them read the store for the others" },
         { .name = "retry-ratio",
             .kind = SettingKind::Number,
             .defaultValue = "0.1",
--- a/src/libfront/lease_manager.cpp
+++ b/src/libfront/lease_manager.cpp
@@ -2,6 +2,7 @@
 
 #include "bulrushstack/kernel/tasks.h"
 #include "bulrushstack/serving/demand_report_schedule.h"
+#include <algorithm>
 #include <glog/logging.h>
 
 namespace bulrushstack {
@@ -15,6 +16,11 @@
 constexpr std::chrono::milliseconds leaseLoopInterval { 100 };
 /// Maximum random delay at the start. Instances start together, and the delay lets one of them write the lease first.
 constexpr std::chrono::milliseconds leaseStartJitter { 250 };
+/// Delay at the start of an instance with hardly any share of a processor. The holder plans for all instances, so that
+/// instances with a larger share claim the lease first.
+constexpr std::chrono::milliseconds smallInstanceDelay { 600 };
+/// Time for which an instance relies on a reader to claim the lease.
+constexpr std::chrono::milliseconds readerContactTimeout { 3000 };
 constexpr std::chrono::milliseconds leaseCallTimeout { 900 };
 constexpr std::chrono::milliseconds leaseReadInterval { 800 };
 constexpr std::chrono::milliseconds leaseRetryDelay { 250 };
@@ -45,11 +51,11 @@
 
 } // namespace
 
-LeaseManager::LeaseManager(FrontState& state, FrontBinding& binding, FrontMetrics& metrics, Address ownAddress)
+LeaseManager::LeaseManager(FrontState& state, FrontBinding& binding, FrontMetrics& metrics, RelayMember self)
     : m_state(state)
     , m_binding(binding)
     , m_metrics(metrics)
-    , m_ownAddress(std::move(ownAddress))
+    , m_self(std::move(self))
     , m_lease(leaseOptions(state))
 {
 }
@@ -60,18 +66,35 @@
 
 bool LeaseManager::hasRecentHolderContact() const
 {
-    return m_lastHolderContact
-        && m_state.clock().now() - *m_lastHolderContact < DemandReportSchedule(m_state.instanceCount()).holderTimeout();
+    const auto timeout = DemandReportSchedule(m_reporterCount).holderTimeout();
+    return holderContactAge() < (m_isContactRelayed ? 2 * timeout : timeout);
 }
 
-void LeaseManager::recordHolderContact() { m_lastHolderContact = m_state.clock().now(); }
+std::chrono::nanoseconds LeaseManager::holderContactAge() const
+{
+    return m_lastHolderContact ? m_state.clock().now() - *m_lastHolderContact : std::chrono::nanoseconds::max();
+}
+
+void LeaseManager::recordHolderContact()
+{
+    m_lastHolderContact = m_state.clock().now();
+    m_isContactRelayed = false;
+}
 
-void LeaseManager::recordRenewalByHolder(const LeaseRecord& holder, std::uint64_t version)
+void LeaseManager::recordRenewalByHolder(
+    LeaseRecord renewed, std::chrono::nanoseconds replyAge, bool isRelayed, unsigned reporters)
 {
-    LeaseRecord renewed = holder;
-    renewed.version = version;
     m_lease.observe(std::move(renewed), m_state.clock().bootNow());
-    recordHolderContact();
+    m_lastHolderContact = m_state.clock().now() - std::chrono::duration_cast<SteadyTime::duration>(replyAge);
+    m_isContactRelayed = isRelayed;
+    m_reporterCount = reporters;
+}
+
+void LeaseManager::recordReaderContact() { m_lastReaderContact = m_state.clock().now(); }
+
+bool LeaseManager::hasRecentReaderContact() const
+{
+    return m_lastReaderContact && m_state.clock().now() - *m_lastReaderContact < readerContactTimeout;
 }
 
 void LeaseManager::invalidateHolder()
@@ -84,7 +107,10 @@
 
 asio::awaitable<void> LeaseManager::run()
 {
-    co_await sleepFor(m_state.context(), std::chrono::milliseconds(m_state.random() % leaseStartJitter.count()));
+    const auto sizeDelay = std::chrono::duration_cast<std::chrono::milliseconds>(
+        smallInstanceDelay * std::clamp(1 - m_self.processorShare, 0.0, 1.0));
+    co_await sleepFor(
+        m_state.context(), sizeDelay + std::chrono::milliseconds(m_state.random() % leaseStartJitter.count()));
     while (!m_isReleased) {
         const auto now = m_state.clock().bootNow();
         const bool isHolder = m_lease.isHolder(now);
@@ -95,7 +121,8 @@
             m_wasHolder = isHolder;
         }
         const bool isReadDue = now - m_lastRead >= leaseReadInterval;
-        if (m_mustRead || (!isHolder && !hasRecentHolderContact() && isReadDue))
+        const bool isReadUseful = !isHolder && !hasRecentHolderContact() && !hasRecentReaderContact();
+        if (m_mustRead || (isReadUseful && isReadDue))
             co_await readLease();
         if (shouldWrite())
             co_await writeLease();
@@ -106,7 +133,8 @@
 bool LeaseManager::shouldWrite() const
 {
     const auto now = m_state.clock().bootNow();
-    return m_lease.shouldWrite(now) && (m_lease.isOwn() || (!hasRecentHolderContact() && now >= m_earliestClaim));
+    const bool mayClaim = !hasRecentHolderContact() && !hasRecentReaderContact() && now >= m_earliestClaim;
+    return m_lease.shouldWrite(now) && (m_lease.isOwn() || mayClaim);
 }
 
 std::optional<LeaseRecord> LeaseManager::otherHolder() const
@@ -139,7 +167,7 @@
     const bool isOwnWrite
         = m_pendingWriteSentAt && record.holder == m_state.instanceId() && record.version > m_lease.expectedVersion();
     if (isOwnWrite)
-        m_lease.recordWrite(record.version, m_ownAddress, *m_pendingWriteSentAt);
+        m_lease.recordWrite(record.version, m_self.address, *m_pendingWriteSentAt);
     else
         m_lease.observe(std::move(record), now);
     m_pendingWriteSentAt.reset();
@@ -148,11 +176,11 @@
 asio::awaitable<void> LeaseManager::writeLease()
 {
     const auto sentAt = m_state.clock().bootNow();
-    auto transaction = makeLeaseTransaction(m_lease.expectedVersion(), m_state.instanceId(), m_ownAddress.toString());
+    auto transaction = makeLeaseTransaction(m_lease.expectedVersion(), m_state.instanceId(), m_self.address.toString());
     auto version
         = co_await m_binding.tableService().commit(std::move(transaction), m_state.clock().now() + leaseCallTimeout);
     if (version) {
-        m_lease.recordWrite(*version, m_ownAddress, sentAt);
+        m_lease.recordWrite(*version, m_self.address, sentAt);
         co_return;
     }
     LOG(INFO) << "event=lease-write-failed version=" << m_lease.expectedVersion() << " error=\""
--- a/src/libfront/placement_agent.cpp
+++ b/src/libfront/placement_agent.cpp
@@ -29,6 +29,10 @@
 constexpr std::chrono::milliseconds demandReportCheckInterval { 60 };
 /// An instance that sent no demand report for this time no longer counts toward the number of instances.
 constexpr std::chrono::seconds instanceExpiry { 6 };
+/// Time after which a new holder has heard of all instances and chooses the readers.
+constexpr std::chrono::milliseconds readerChoiceDelay { 1500 };
+/// Maximum time between two reports of an instance that does not know the readers yet.
+constexpr std::chrono::milliseconds maxIntervalWithoutReaders { 1500 };
 constexpr std::size_t maxCrashCountsInReply = 32;
 
 /// Time between an accepted order and the moment when the upstream accepts requests for the adapter.
@@ -48,12 +52,13 @@
 } // namespace
 
 PlacementAgent::PlacementAgent(
-    FrontState& state, HttpClient& client, FrontBinding& binding, FrontMetrics& metrics, Address controlAddress)
+    FrontState& state, HttpClient& client, FrontBinding& binding, FrontMetrics& metrics, StoreRelay& relay)
     : m_state(state)
     , m_client(client)
     , m_binding(binding)
     , m_metrics(metrics)
-    , m_leaseManager(state, binding, metrics, std::move(controlAddress))
+    , m_relay(relay)
+    , m_leaseManager(state, binding, metrics, relay.self())
     , m_demandEstimator(state.clock())
 {
 }
@@ -72,65 +77,146 @@
     auto lastReport = m_state.clock().now();
     while (!m_leaseManager.isReleased()) {
         co_await sleepFor(m_state.context(), demandReportCheckInterval);
-        const DemandReportSchedule schedule(m_state.instanceCount());
-        if (m_state.clock().now() - lastReport < schedule.reportInterval(m_state.hasUrgentDemand()))
+        const DemandReportSchedule schedule(m_leaseManager.reporterCount());
+        const bool isUrgent = m_state.hasUrgentDemand() || m_collector.isUrgent();
+        auto interval = schedule.reportInterval(isUrgent);
+        if (!m_holderReply.readers)
+            interval = std::min(interval, maxIntervalWithoutReaders);
+        if (m_state.clock().now() - lastReport < interval)
             continue;
         lastReport = m_state.clock().now();
         co_await sendDemand();
     }
 }
 
+DemandMessage PlacementAgent::collectDemand()
+{
+    auto out = m_state.collectAndResetDemand();
+    out.reporters.push_back(m_relay.self());
+    m_collector.takeInto(out);
+    return out;
+}
+
 asio::awaitable<void> PlacementAgent::sendDemand()
 {
     if (m_leaseManager.isHolder()) {
         m_leaseManager.recordHolderContact();
-        applyReply(processDemand(m_state.collectAndResetDemand()));
+        applyReply(processDemand(collectDemand()));
         co_return;
     }
-    const auto holder = m_leaseManager.otherHolder();
-    if (!holder)
+    m_holderSince.reset();
+    if (auto reader = m_relay.selector().choose()) {
+        const Address address = reader->address;
+        co_await sendDemandTo(address, std::move(reader));
         co_return;
-    HttpRequest request {
-        .method = "POST", .target = std::string(demandPath), .body = encode(m_state.collectAndResetDemand())
-    };
+    }
+    if (const auto holder = m_leaseManager.otherHolder())
+        co_await sendDemandTo(holder->address, std::nullopt);
+}
+
+/// Sends the collected demand to the holder, or to a reader that passes it on.
+asio::awaitable<void> PlacementAgent::sendDemandTo(Address address, std::optional<StoreReader> reader)
+{
+    HttpRequest request { .method = "POST", .target = std::string(demandPath), .body = encode(collectDemand()) };
     HttpCallOptions options;
     options.deadline = m_state.clock().now() + DemandReportSchedule::reportTimeout();
-    auto response = co_await m_client.call(holder->address, std::move(request), options);
+    auto response = co_await m_client.call(address, std::move(request), options);
+    const auto holder = m_leaseManager.otherHolder();
+    const std::string holderName = holder ? holder->holder : std::string("none");
     if (!response) {
         // The idle connections are closed, since they may have stopped responding while a new connection may work.
-        m_client.closeIdleConnections(holder->address);
+        m_client.closeIdleConnections(address);
+        if (reader)
+            m_relay.selector().recordFailure(reader->instance);
         if (m_isHolderReachable && !m_leaseManager.hasRecentHolderContact())
-            recordHolderLost(*holder, response.error().detail);
+            recordHolderLost(holderName, response.error().detail);
         co_return;
     }
     auto reply = decodeDemandReply(response->body);
-    if (response->status != 200 || !reply || !reply->isHolder) {
-        m_leaseManager.invalidateHolder();
-        if (m_isHolderReachable)
-            recordHolderLost(
-                *holder, "the instance does not hold the lease, status " + std::to_string(response->status));
+    if (response->status == 200 && reply) {
+        handleReply(*reply, reader);
         co_return;
     }
+    if (reader)
+        m_relay.selector().recordFailure(reader->instance);
+    else
+        m_leaseManager.invalidateHolder();
+    if (m_isHolderReachable)
+        recordHolderLost(holderName, "the response has status " + std::to_string(response->status));
+}
+
+void PlacementAgent::handleReply(const DemandReply& reply, const std::optional<StoreReader>& reader)
+{
+    const auto known = m_leaseManager.otherHolder();
+    if (reader && reply.isReader)
+        m_leaseManager.recordReaderContact();
+    if (!reply.isHolder) {
+        if (!reader)
+            m_leaseManager.invalidateHolder();
+        if (m_isHolderReachable && !m_leaseManager.hasRecentHolderContact())
+            recordHolderLost(known ? known->holder : "none", "the instance does not hold the lease");
+        return;
+    }
+    LeaseRecord renewed { .holder = reply.holder, .address = reply.holderAddress, .version = reply.leaseVersion };
+    if (renewed.holder.empty() && known) {
+        renewed.holder = known->holder;
+        renewed.address = known->address;
+    }
     if (!m_isHolderReachable)
-        LOG(INFO) << "event=dependency-regained dependency=placement-holder holder=" << holder->holder
-                  << " version=" << holder->version;
+        LOG(INFO) << "event=dependency-regained dependency=placement-holder holder=" << renewed.holder
+                  << " version=" << renewed.version << " reader=" << (reader ? reader->instance : "none");
     m_isHolderReachable = true;
-    m_leaseManager.recordRenewalByHolder(*holder, reply->leaseVersion);
-    m_state.suspectRequests().merge(reply->crashes);
-    applyReply(*reply);
+    const unsigned reporters = reply.reporters > 0 ? reply.reporters : reply.instances;
+    m_leaseManager.recordRenewalByHolder(std::move(renewed), reply.age, reader.has_value(), reporters);
+    m_state.suspectRequests().merge(reply.crashes);
+    applyReply(reply);
+    m_holderReply = reply;
 }
 
-void PlacementAgent::recordHolderLost(const LeaseRecord& holder, const std::string& reason)
+void PlacementAgent::recordHolderLost(const std::string& holder, const std::string& reason)
 {
     m_isHolderReachable = false;
-    LOG(WARNING) << "event=dependency-lost dependency=placement-holder holder=" << holder.holder
-                 << " version=" << holder.version << " error=\"" << reason << "\"";
+    LOG(WARNING) << "event=dependency-lost dependency=placement-holder holder=" << holder << " error=\"" << reason
+                 << "\"";
 }
 
 void PlacementAgent::applyReply(const DemandReply& reply)
 {
     m_state.setInstanceCount(reply.instances);
     m_state.setRetiringReplicas(reply.retiring);
+    if (reply.readers)
+        m_relay.setReaders(*reply.readers);
+}
+
+/// Collects the demand of an instance that reports to this reader, and passes on what the holder last replied.
+DemandReply PlacementAgent::relayDemand(const DemandMessage& message)
+{
+    m_collector.add(message);
+    const auto now = m_state.clock().now();
+    m_directReports[message.instance] = now;
+    std::erase_if(m_directReports, [&](const auto& it) { return now - it.second > instanceExpiry; });
+    DemandReply out;
+    if (m_leaseManager.hasRecentHolderContact()) {
+        out = m_holderReply;
+        out.age = millisecondsOf(m_leaseManager.holderContactAge());
+    }
+    out.reporters = static_cast<unsigned>(m_directReports.size());
+    out.isReader = m_relay.isUsableReader();
+    return out;
+}
+
+std::optional<std::vector<StoreReader>> PlacementAgent::chooseReaders(const std::string& zone)
+{
+    const auto now = m_state.clock().now();
+    if (!m_holderSince)
+        m_holderSince = now;
+    if (now - *m_holderSince < readerChoiceDelay)
+        return std::nullopt;
+    std::vector<RelayMember> members;
+    members.reserve(m_reporters.size());
+    for (const auto& [instance, reporter] : m_reporters)
+        members.push_back(reporter.member);
+    return chooseStoreReaders(members, zone, m_relay.readerChoice());
 }
 
 DemandReply PlacementAgent::processDemand(const DemandMessage& message)
@@ -151,11 +237,21 @@
         if (m_state.directory().find(it) && m_monitoredUpstreams.insert(it).second)
             spawnLogged(m_state.context(), monitorReachability(it), "reachability");
     }
-    m_lastReportTimes[message.instance] = now;
-    std::erase_if(m_lastReportTimes, [&](const auto& it) { return now - it.second > instanceExpiry; });
+    // An instance of the previous version names itself only.
+    m_reporters[message.instance].member.instance = message.instance;
+    m_reporters[message.instance].lastReport = now;
+    for (const auto& it : message.reporters)
+        m_reporters[it.instance] = { .member = it, .lastReport = now };
+    std::erase_if(m_reporters, [&](const auto& it) { return now - it.second.lastReport > instanceExpiry; });
+    m_directReports[message.instance] = now;
+    std::erase_if(m_directReports, [&](const auto& it) { return now - it.second > instanceExpiry; });
     DemandReply out { .isHolder = true,
         .leaseVersion = m_leaseManager.lease().expectedVersion(),
-        .instances = static_cast<unsigned>(m_lastReportTimes.size()) };
+        .instances = static_cast<unsigned>(m_reporters.size()),
+        .holder = m_relay.self().instance,
+        .holderAddress = m_relay.self().address,
+        .reporters = static_cast<unsigned>(m_directReports.size()),
+        .isReader = m_relay.isUsableReader() };
     for (const auto& [service, placement] : m_placements) {
         for (const auto& [id, upstream] : placement.tracker.upstreams()) {
             for (const auto& model : upstream.unloading)
@@ -163,6 +259,7 @@
         }
     }
     out.crashes = m_state.suspectRequests().counts(maxCrashCountsInReply);
+    out.readers = chooseReaders(m_reporters[message.instance].member.zone);
     return out;
 }
 
@@ -176,7 +273,11 @@
             co_await exchange.respond(jsonErrorResponse(400, message.error().detail));
             co_return;
         }
-        const auto reply = isHolder ? processDemand(*message) : DemandReply();
+        DemandReply reply;
+        if (isHolder)
+            reply = processDemand(*message);
+        else if (m_relay.tables().isActive())
+            reply = relayDemand(*message);
         co_await exchange.respond(jsonResponse(200, encode(reply)));
         co_return;
     }
--- a/src/libfront/placement_agent.h
+++ b/src/libfront/placement_agent.h
@@ -2,8 +2,10 @@
 
 #include "bulrushstack/net/http_client.h"
 #include "bulrushstack/net/http_server.h"
+#include "bulrushstack/relay/store_relay.h"
 #include "bulrushstack/serving/model_demand.h"
 #include "bulrushstack/serving/placement_planner.h"
+#include "demand_collector.h"
 #include "front_metrics.h"
 #include "front_state.h"
 #include "lease_manager.h"
@@ -17,11 +19,12 @@
 namespace bulrushstack {
 
 /// Sends orders to the upstreams while this instance holds the placement lease, and reports the demand of this instance
-/// to the holder otherwise. Other instances reach it over HTTP, through HttpHandler.
+/// to the holder otherwise, directly or through a reader. The holder also chooses the readers. Other instances reach
+/// the agent over HTTP, through HttpHandler.
 class PlacementAgent final : public AdapterPlacement, public HttpHandler {
 public:
     PlacementAgent(
-        FrontState& state, HttpClient& client, FrontBinding& binding, FrontMetrics& metrics, Address controlAddress);
+        FrontState& state, HttpClient& client, FrontBinding& binding, FrontMetrics& metrics, StoreRelay& relay);
 
     /// Starts the loops for the lease, the demand reports and the planning. They run until stop() is called.
     void start();
@@ -50,11 +53,21 @@
         std::set<AdapterKey> loadingAdapters;
     };
 
+    struct Reporter {
+        RelayMember member;
+        SteadyTime lastReport {};
+    };
+
     boost::asio::awaitable<void> reportDemand();
     boost::asio::awaitable<void> sendDemand();
+    boost::asio::awaitable<void> sendDemandTo(Address address, std::optional<StoreReader> reader);
+    void handleReply(const DemandReply& reply, const std::optional<StoreReader>& reader);
+    DemandMessage collectDemand();
+    DemandReply relayDemand(const DemandMessage& message);
+    std::optional<std::vector<StoreReader>> chooseReaders(const std::string& zone);
     boost::asio::awaitable<void> runPlanning();
 
-    void recordHolderLost(const LeaseRecord& holder, const std::string& reason);
+    void recordHolderLost(const std::string& holder, const std::string& reason);
     void applyReply(const DemandReply& reply);
     void beginTerm();
     void assumeLoadsOfPreviousHolder(ServicePlacement& placement);
@@ -75,14 +88,22 @@
     HttpClient& m_client;
     FrontBinding& m_binding;
     FrontMetrics& m_metrics;
+    StoreRelay& m_relay;
     LeaseManager m_leaseManager;
+    DemandCollector m_collector;
+    /// Last reply of the holder, which is passed on to the instances that report to this one.
+    DemandReply m_holderReply;
     /// State of the connection to the lease holder as last logged.
     bool m_isHolderReachable = false;
     /// Fencing token of the lease term at whose beginning the trackers were last reset.
     std::uint64_t m_termFence = 0;
     DemandEstimator m_demandEstimator;
-    /// Time of the last demand report of each instance.
-    std::map<std::string, SteadyTime> m_lastReportTimes;
+    /// Instances whose demand this one knows as the holder, with the time of their last report.
+    std::map<std::string, Reporter> m_reporters;
+    /// Time of the last report of each instance that reports to this one directly.
+    std::map<std::string, SteadyTime> m_directReports;
+    /// Time at which this instance became the holder.
+    std::optional<SteadyTime> m_holderSince;
     std::map<std::string, ServicePlacement> m_placements;
     /// Upstreams whose reachability is being checked.
     std::set<std::string> m_monitoredUpstreams;
--- a/src/libfront/placement_messages.cpp
+++ b/src/libfront/placement_messages.cpp
@@ -7,13 +7,90 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ModelDemand, service, model, requests, workMs, unplaced)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CrashCount, digest, crashes)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AdapterDemand, service, model, adapter, refusedBy)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(DemandMessage, instance, models, adapters, crashes, unreachable)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RetiringReplica, upstream, model)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(DemandReply, isHolder, leaseVersion, instances, retiring, crashes)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AdapterReply, upstream)
 
 namespace {
 
+using nlohmann::json;
+
+Address readAddress(const json& document, const char* field)
+{
+    return parseAddress(document.value(field, "")).value_or(Address());
+}
+
+} // namespace
+
+void to_json(json& out, const RelayMember& member)
+{
+    out = { { "instance", member.instance }, { "zone", member.zone }, { "address", member.address.toString() },
+        { "processorShare", member.processorShare } };
+}
+
+void from_json(const json& document, RelayMember& out)
+{
+    document.at("instance").get_to(out.instance);
+    document.at("zone").get_to(out.zone);
+    out.address = readAddress(document, "address");
+    document.at("processorShare").get_to(out.processorShare);
+}
+
+void to_json(json& out, const StoreReader& reader)
+{
+    out = { { "instance", reader.instance }, { "address", reader.address.toString() } };
+}
+
+void from_json(const json& document, StoreReader& out)
+{
+    document.at("instance").get_to(out.instance);
+    out.address = readAddress(document, "address");
+}
+
+void to_json(json& out, const DemandMessage& message)
+{
+    out = { { "instance", message.instance }, { "models", message.models }, { "adapters", message.adapters },
+        { "crashes", message.crashes }, { "unreachable", message.unreachable }, { "reporters", message.reporters } };
+}
+
+// Fields that instances of the previous version do not send are optional.
+void from_json(const json& document, DemandMessage& out)
+{
+    document.at("instance").get_to(out.instance);
+    document.at("models").get_to(out.models);
+    document.at("adapters").get_to(out.adapters);
+    document.at("crashes").get_to(out.crashes);
+    document.at("unreachable").get_to(out.unreachable);
+    out.reporters = document.value("reporters", std::vector<RelayMember>());
+}
+
+void to_json(json& out, const DemandReply& reply)
+{
+    out = { { "isHolder", reply.isHolder }, { "leaseVersion", reply.leaseVersion }, { "instances", reply.instances },
+        { "retiring", reply.retiring }, { "crashes", reply.crashes }, { "holder", reply.holder },
+        { "holderAddress", reply.holderAddress.toString() }, { "ageMs", reply.age.count() },
+        { "reporters", reply.reporters }, { "isReader", reply.isReader } };
+    if (reply.readers)
+        out["readers"] = *reply.readers;
+}
+
+void from_json(const json& document, DemandReply& out)
+{
+    document.at("isHolder").get_to(out.isHolder);
+    document.at("leaseVersion").get_to(out.leaseVersion);
+    document.at("instances").get_to(out.instances);
+    document.at("retiring").get_to(out.retiring);
+    document.at("crashes").get_to(out.crashes);
+    out.holder = document.value("holder", "");
+    out.holderAddress = readAddress(document, "holderAddress");
+    out.age = std::chrono::milliseconds(document.value("ageMs", std::uint32_t { 0 }));
+    out.reporters = document.value("reporters", 0U);
+    out.isReader = document.value("isReader", false);
+    if (document.contains("readers"))
+        out.readers = document.at("readers").get<std::vector<StoreReader>>();
+}
+
+namespace {
+
 template <typename T> std::string encodeAs(const T& value)
 {
     return nlohmann::json(value).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
--- a/src/libfront/store_synchronizer.cpp
+++ b/src/libfront/store_synchronizer.cpp
@@ -24,15 +24,26 @@
 constexpr std::chrono::milliseconds minChangeBatchDelay { 400 };
 constexpr std::chrono::milliseconds maxChangeBatchDelay { 1000 };
 
+/// Times of a reader, whose reads are those of many instances. An answer of the store at least every second proves to
+/// them that the reader is not cut off.
+constexpr std::chrono::milliseconds readerLongPollTime { 500 };
+constexpr std::chrono::milliseconds readerChangeBatchDelay { 700 };
+constexpr std::chrono::milliseconds maxPollTimeOfReaders { 2000 };
+/// The reader has already collected the changes that it passes on.
+constexpr std::chrono::milliseconds relayedChangeBatchDelay { 20 };
+
+/// A long poll that gets no response from a failed store must end before a change that follows the store's recovery is
+/// due.
+std::chrono::milliseconds longPollTime(const FrontState& state)
+{
+    const auto& limits = state.platformLimits();
+    const auto time = millisecondsOf(limits.stablePeriod + limits.configurationPeriod - longPollMargin);
+    return std::clamp(time, longPollMargin, maxLongPollTime);
+}
+
 TableFollowerOptions followerOptions(FrontState& state, std::string table)
 {
-    // A long poll that gets no response from a failed store must end before a change that follows the store's recovery
-    // is due.
-    const auto longPollTime = millisecondsOf(
-        state.platformLimits().stablePeriod + state.platformLimits().configurationPeriod - longPollMargin);
-    return { .table = std::move(table),
-        .longPollTime = std::clamp(longPollTime, longPollMargin, maxLongPollTime),
-        .randomSeed = state.random() };
+    return { .table = std::move(table), .longPollTime = longPollTime(state), .randomSeed = state.random() };
 }
 
 } // namespace
@@ -44,17 +55,27 @@
     {
     }
 
-    void onSnapshot(const TableSnapshot& snapshot) override { applyRows(snapshot.rows); }
-    void onChanges(const TableChanges& changes) override { applyRows(changes.rows); }
+    void onSnapshot(const TableSnapshot& snapshot) override
+    {
+        m_synchronizer.m_relay.tables().recordSnapshot(table(), snapshot);
+        applyRows(snapshot.rows);
+    }
 
-    void onStoreLost(const Failure&) override
+    void onChanges(const TableChanges& changes) override
     {
-        m_synchronizer.m_metrics.recordStoreFailure(m_synchronizer.m_binding.rowFormat().configurationTable());
+        for (const auto& row : changes.rows)
+            m_synchronizer.m_relay.tables().recordRow(table(), row, changes.version);
+        applyRows(changes.rows);
     }
 
+    void onStoreLost(const Failure&) override { m_synchronizer.m_metrics.recordStoreFailure(table()); }
+
     void onStoreRegained() override { }
+    void onOutageReported() override { }
 
 private:
+    std::string table() const { return m_synchronizer.m_binding.rowFormat().configurationTable(); }
+
     void applyRows(const std::vector<Row>& rows)
     {
         for (const auto& row : rows) {
@@ -93,6 +114,7 @@
 
     void onSnapshot(const TableSnapshot& snapshot) override
     {
+        m_synchronizer.m_relay.tables().recordSnapshot(table(), snapshot);
         std::vector<UpstreamEntry> entries;
         for (const auto& row : snapshot.rows) {
             if (auto entry = decode(row))
@@ -108,15 +130,20 @@
     void onChanges(const TableChanges& changes) override
     {
         std::vector<std::string> removed;
+        auto& relay = m_synchronizer.m_relay.tables();
         for (const auto& row : changes.rows) {
             std::erase(removed, row.id.key);
             auto entry = row.version > 0 ? decode(row) : std::nullopt;
-            if (!entry)
+            if (!entry) {
                 removed.push_back(row.id.key);
-            else if (const bool isDraining = entry->isDraining; directory().apply(std::move(*entry)))
+                relay.recordRow(table(), { .id = row.id }, changes.version);
+            } else if (const bool isDraining = entry->isDraining; directory().apply(std::move(*entry))) {
+                relay.recordRow(table(), row, changes.version);
                 LOG(INFO) << "event=upstream-changed upstream=" << row.id.key << " row_version=" << row.version
                           << " draining=" << isDraining;
+            }
         }
+        relay.recordVersion(table(), changes.version);
         for (const auto& id : removed) {
             if (directory().find(id))
                 LOG(INFO) << "event=upstream-removed upstream=" << id << " version=" << changes.version
@@ -129,12 +156,24 @@
     void onStoreLost(const Failure&) override
     {
         directory().recordStoreLost();
-        m_synchronizer.m_metrics.recordStoreFailure(m_synchronizer.m_binding.rowFormat().upstreamTable());
+        m_synchronizer.m_relay.tables().recordStoreLost();
+        m_synchronizer.m_metrics.recordStoreFailure(table());
     }
 
-    void onStoreRegained() override { directory().recordStoreRegained(); }
+    void onStoreRegained() override
+    {
+        directory().recordStoreRegained();
+        m_synchronizer.m_relay.tables().recordStoreRegained();
+    }
+
+    void onOutageReported() override
+    {
+        directory().recordStoreLost();
+        directory().recordStoreRegained();
+    }
 
 private:
+    std::string table() const { return m_synchronizer.m_binding.rowFormat().upstreamTable(); }
     UpstreamDirectory& directory() { return m_synchronizer.m_state.directory(); }
 
     std::optional<UpstreamEntry> decode(const Row& row)
@@ -157,15 +196,16 @@
     bool m_hasSnapshot = false;
 };
 
-StoreSynchronizer::StoreSynchronizer(FrontState& state, FrontBinding& binding, FrontMetrics& metrics)
+StoreSynchronizer::StoreSynchronizer(FrontState& state, FrontBinding& binding, FrontMetrics& metrics, StoreRelay& relay)
     : m_state(state)
     , m_binding(binding)
     , m_metrics(metrics)
+    , m_relay(relay)
     , m_configurationObserver(std::make_unique<ConfigurationObserver>(*this))
     , m_upstreamObserver(std::make_unique<UpstreamObserver>(*this))
-    , m_configurationFollower(state.context(), state.clock(), binding.tableFeed(),
+    , m_configurationFollower(state.context(), state.clock(), relay.feed(),
           followerOptions(state, binding.rowFormat().configurationTable()), *m_configurationObserver)
-    , m_upstreamFollower(state.context(), state.clock(), binding.tableFeed(),
+    , m_upstreamFollower(state.context(), state.clock(), relay.feed(),
           followerOptions(state, binding.rowFormat().upstreamTable()), *m_upstreamObserver)
 {
 }
@@ -184,13 +224,33 @@
     m_upstreamFollower.stop();
 }
 
+/// Adapts how often the tables are read to where they are read from and to how many instances do the same.
+void StoreSynchronizer::adaptPolling()
+{
+    auto& tables = m_relay.tables();
+    const bool isReader = tables.isActive();
+    const auto delay = changeBatchDelayPerInstance * static_cast<int>(m_state.instanceCount());
+    const auto storeDelay = std::clamp<std::chrono::milliseconds>(delay, minChangeBatchDelay, maxChangeBatchDelay);
+    m_upstreamFollower.setChangeBatchDelay(isReader ? readerChangeBatchDelay
+            : m_relay.feed().isRelayed()            ? relayedChangeBatchDelay
+                                                    : storeDelay);
+    // A short wait lets an instance that becomes a reader read the tables anew soon.
+    const bool maybeReader = m_state.instanceCount() >= m_relay.readerChoice().minInstances;
+    const auto pollTime = maybeReader ? std::min(longPollTime(m_state), maxPollTimeOfReaders) : longPollTime(m_state);
+    m_configurationFollower.setLongPollTime(pollTime);
+    m_upstreamFollower.setLongPollTime(isReader ? readerLongPollTime : pollTime);
+    const auto& format = m_binding.rowFormat();
+    if (isReader && !tables.hasContent(format.upstreamTable()))
+        m_upstreamFollower.resynchronize();
+    if (isReader && !tables.hasContent(format.configurationTable()))
+        m_configurationFollower.resynchronize();
+}
+
 asio::awaitable<void> StoreSynchronizer::runMaintenance()
 {
     for (unsigned i = 1; !m_isStopped; ++i) {
         co_await sleepFor(m_state.context(), maintenanceInterval);
-        const auto delay = changeBatchDelayPerInstance * static_cast<int>(m_state.instanceCount());
-        m_upstreamFollower.setChangeBatchDelay(
-            std::clamp<std::chrono::milliseconds>(delay, minChangeBatchDelay, maxChangeBatchDelay));
+        adaptPolling();
         for (const auto& id : m_state.directory().expire())
             LOG(INFO) << "event=upstream-expired upstream=" << id;
         for (const auto& id : m_state.directory().takeEndedPauses()) {
@@ -199,6 +259,7 @@
         }
         const auto counts = m_state.directory().countAnnouncements();
         m_metrics.setUnavailableUpstreams(counts.leaving, counts.pausing);
+        m_metrics.setRelayStatus(m_relay.status());
         if (i % maintenanceRoundsPerCleanup != 0)
             continue;
         m_state.residencyHints().expire();
--- a/src/libfront/store_synchronizer.h
+++ b/src/libfront/store_synchronizer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bulrushstack/relay/store_relay.h"
 #include "front_metrics.h"
 #include "front_state.h"
 #include "table_follower.h"
@@ -8,10 +9,11 @@
 
 namespace bulrushstack {
 
-/// Keeps the configuration and the directory of upstreams of a FrontState up to date with the platform's store.
+/// Keeps the configuration and the directory of upstreams of a FrontState up to date with the platform's store,
+/// directly or through a reader, and passes them on while this instance is a reader.
 class StoreSynchronizer {
 public:
-    StoreSynchronizer(FrontState& state, FrontBinding& binding, FrontMetrics& metrics);
+    StoreSynchronizer(FrontState& state, FrontBinding& binding, FrontMetrics& metrics, StoreRelay& relay);
 
     void start();
     void stop();
@@ -26,10 +28,12 @@
     class UpstreamObserver;
 
     boost::asio::awaitable<void> runMaintenance();
+    void adaptPolling();
 
     FrontState& m_state;
     FrontBinding& m_binding;
     FrontMetrics& m_metrics;
+    StoreRelay& m_relay;
     std::unique_ptr<TableObserver> m_configurationObserver;
     std::unique_ptr<TableObserver> m_upstreamObserver;
     TableFollower m_configurationFollower;
--- a/src/libfront/table_follower.cpp
+++ b/src/libfront/table_follower.cpp
@@ -79,6 +79,8 @@
             co_return snapshot.error();
         if (m_failures > 0)
             m_observer.onStoreRegained();
+        if (snapshot->isAfterOutage)
+            m_observer.onOutageReported();
         m_observer.onSnapshot(*snapshot);
         m_version = snapshot->version;
         m_isSynchronized = true;
@@ -91,6 +93,8 @@
         co_return changes.error();
     if (m_failures > 0)
         m_observer.onStoreRegained();
+    if (changes->isAfterOutage)
+        m_observer.onOutageReported();
     m_version = std::max(m_version, changes->version);
     if (changes->rows.empty())
         co_return Result<void>();
--- a/src/libfront/table_follower.h
+++ b/src/libfront/table_follower.h
@@ -25,6 +25,9 @@
     virtual void onStoreLost(const Failure& failure) = 0;
     /// Called twice when the store responds again: before and after the data of the response is delivered.
     virtual void onStoreRegained() = 0;
+
+    /// Called before rows are delivered whose source, another instance, lost the store shortly before.
+    virtual void onOutageReported() = 0;
 };
 
 struct TableFollowerOptions {
@@ -52,6 +55,12 @@
     /// Sets the time in which further changes are collected before the next call.
     void setChangeBatchDelay(std::chrono::milliseconds delay) { m_changeBatchDelay = delay; }
 
+    /// Sets the maximum time that the store may wait for changes, from the next call on.
+    void setLongPollTime(std::chrono::milliseconds time) { m_options.longPollTime = time; }
+
+    /// Makes the next call read the whole table.
+    void resynchronize() { m_isSynchronized = false; }
+
 private:
     boost::asio::awaitable<Result<void>> poll();
     boost::asio::awaitable<void> backOffAfterFailure();
--- a/src/libfront/table_follower_test.cpp
+++ b/src/libfront/table_follower_test.cpp
@@ -49,6 +49,7 @@
 class Recorder final : public TableObserver {
 public:
     std::vector<std::string> recorded;
+    std::function<void()> onChange;
 
     void onSnapshot(const TableSnapshot& snapshot) override
     {
@@ -57,8 +58,11 @@
     void onChanges(const TableChanges& changes) override
     {
         recorded.push_back("changes " + std::to_string(changes.version));
+        if (onChange)
+            onChange();
     }
     void onStoreLost(const Failure&) override { recorded.push_back("lost"); }
+    void onOutageReported() override { recorded.push_back("outage"); }
     void onStoreRegained() override
     {
         if (recorded.empty() || recorded.back() != "regained")
@@ -104,6 +108,26 @@
     BOOST_TEST(run() == expected, boost::test_tools::per_element());
 }
 
+// Guards against rows that expired in an outage of the store being taken as gone by an instance that reads the table
+// from another one and has not noticed the outage.
+BOOST_AUTO_TEST_CASE(ReportsAnOutageOfTheSourceBeforeItsRows)
+{
+    feed.snapshots = { TableSnapshot { .version = 5, .isAfterOutage = true } };
+    feed.changeResults = { TableChanges { .rows = { Row { .version = 7 } }, .version = 7, .isAfterOutage = true } };
+    const std::vector<std::string> expected { "outage", "snapshot 5", "outage", "changes 7" };
+    BOOST_TEST(run() == expected, boost::test_tools::per_element());
+}
+
+// Guards against an instance that starts to pass a table on without its content.
+BOOST_AUTO_TEST_CASE(ReadsASnapshotWhenAskedTo)
+{
+    feed.snapshots = { TableSnapshot { .version = 5 }, TableSnapshot { .version = 6 } };
+    feed.changeResults = { changesTo(6) };
+    recorder.onChange = [this] { follower.resynchronize(); };
+    const std::vector<std::string> expected { "snapshot 5", "changes 6", "snapshot 6" };
+    BOOST_TEST(run() == expected, boost::test_tools::per_element());
+}
+
 // Guards against a call that hangs beyond the recovery of a store that had stopped responding.
 BOOST_AUTO_TEST_CASE(PollsWithoutWaitingDuringAStoreOutage)
 {
