Give whole tables more time on slow links, and keep the number of instances over a change of holder

A new holder counts instances from one on, and the retry budget of each is divided by their number; with readers a low count would reach hundreds of instances at once. Change: an answer that has begun may take 1.4 s more as long as it progresses. In the first 1.5 s of a term the holder names at least as many instances as its predecessor did.

--- a/src/include/bulrushstack/front/placement_messages.h
+++ b/src/include/bulrushstack/front/placement_messages.h
@@ -53,7 +53,7 @@
     bool isHolder = false;
     /// Version of the row of the lease after its last renewal.
     std::uint64_t leaseVersion = 0;
-    /// Number of instances whose demand the holder knows.
+    /// Number of instances whose demand the holder knows, or knew of the previous holder while it has not heard of all.
     unsigned instances = 1;
     std::vector<RetiringReplica> retiring;
     std::vector<CrashCount> crashes;
--- a/src/libfront/placement_agent.cpp
+++ b/src/libfront/placement_agent.cpp
@@ -29,8 +29,9 @@
 constexpr std::chrono::milliseconds demandReportCheckInterval { 60 };
 /// An instance that sent no demand report for this time no longer counts toward the number of instances.
 constexpr std::chrono::seconds instanceExpiry { 6 };
-/// Time after which a new holder has heard of all instances and chooses the readers.
-constexpr std::chrono::milliseconds readerChoiceDelay { 1500 };
+/// Time after which a new holder has heard of all instances. Until then it names no readers, and at least as many
+/// instances as the previous holder did, since the retry budget is divided by their number.
+constexpr std::chrono::milliseconds firstReportsPeriod { 1500 };
 /// Maximum time between two reports of an instance that does not know the readers yet.
 constexpr std::chrono::milliseconds maxIntervalWithoutReaders { 1500 };
 constexpr std::size_t maxCrashCountsInReply = 32;
@@ -205,13 +206,23 @@
     return out;
 }
 
-std::optional<std::vector<StoreReader>> PlacementAgent::chooseReaders(const std::string& zone)
+/// Returns whether this instance has been the holder for long enough to have heard of all instances.
+bool PlacementAgent::knowsAllInstances()
 {
     const auto now = m_state.clock().now();
     if (!m_holderSince)
         m_holderSince = now;
-    if (now - *m_holderSince < readerChoiceDelay)
-        return std::nullopt;
+    return now - *m_holderSince >= firstReportsPeriod;
+}
+
+unsigned PlacementAgent::countInstances()
+{
+    const auto known = static_cast<unsigned>(m_reporters.size());
+    return knowsAllInstances() ? known : std::max(known, m_state.instanceCount());
+}
+
+std::vector<StoreReader> PlacementAgent::chooseReaders(const std::string& zone) const
+{
     std::vector<RelayMember> members;
     members.reserve(m_reporters.size());
     for (const auto& [instance, reporter] : m_reporters)
@@ -247,7 +258,7 @@
     std::erase_if(m_directReports, [&](const auto& it) { return now - it.second > instanceExpiry; });
     DemandReply out { .isHolder = true,
         .leaseVersion = m_leaseManager.lease().expectedVersion(),
-        .instances = static_cast<unsigned>(m_reporters.size()),
+        .instances = countInstances(),
         .holder = m_relay.self().instance,
         .holderAddress = m_relay.self().address,
         .reporters = static_cast<unsigned>(m_directReports.size()),
@@ -259,7 +270,8 @@
         }
     }
     out.crashes = m_state.suspectRequests().counts(maxCrashCountsInReply);
-    out.readers = chooseReaders(m_reporters[message.instance].member.zone);
+    if (knowsAllInstances())
+        out.readers = chooseReaders(m_reporters[message.instance].member.zone);
     return out;
 }
 
--- a/src/libfront/placement_agent.h
+++ b/src/libfront/placement_agent.h
@@ -64,7 +64,9 @@
     void handleReply(const DemandReply& reply, const std::optional<StoreReader>& reader);
     DemandMessage collectDemand();
     DemandReply relayDemand(const DemandMessage& message);
-    std::optional<std::vector<StoreReader>> chooseReaders(const std::string& zone);
+    bool knowsAllInstances();
+    unsigned countInstances();
+    std::vector<StoreReader> chooseReaders(const std::string& zone) const;
     boost::asio::awaitable<void> runPlanning();
 
     void recordHolderLost(const std::string& holder, const std::string& reason);
--- a/src/librelay/reader_selector_test.cpp
+++ b/src/librelay/reader_selector_test.cpp
@@ -11,6 +11,7 @@
 std::vector<StoreReader> readers(int n)
 {
     std::vector<StoreReader> out;
+    out.reserve(static_cast<std::size_t>(n));
     for (int i = 0; i < n; ++i)
         out.push_back({ .instance = "r" + std::to_string(i), .address = { .host = "10.0.0.1", .port = 1 } });
     return out;
--- a/src/librelay/relayed_table_feed.cpp
+++ b/src/librelay/relayed_table_feed.cpp
@@ -11,8 +11,11 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds maxRelayWait { 500 };
-/// Time for a reader's answer, in addition to the time for which it may wait for changes.
+/// Time until a reader's answer begins, in addition to the time for which it may wait for changes.
 constexpr milliseconds relayTimeout { 400 };
+/// A whole table over a slow link takes longer than an answer with a few rows.
+constexpr milliseconds relayProgressTimeout { 400 };
+constexpr milliseconds relayBodyTimeout { 1400 };
 constexpr milliseconds relayConnectTimeout { 250 };
 /// While all readers fail, the store is asked with a short wait, so that a usable reader is noticed.
 constexpr milliseconds maxStoreWaitWithReaders { 1000 };
@@ -101,7 +104,9 @@
     const auto sentAt = m_clock.bootNow();
     HttpRequest httpRequest { .method = "POST", .target = std::string(relayPath), .body = encode(request) };
     HttpCallOptions options;
-    options.deadline = m_clock.now() + request.wait + relayTimeout;
+    options.headerDeadline = m_clock.now() + request.wait + relayTimeout;
+    options.deadline = *options.headerDeadline + relayBodyTimeout;
+    options.progressTimeout = relayProgressTimeout;
     options.connectTimeout = relayConnectTimeout;
     options.bodyLimit = maxReplySize;
     auto response = co_await m_client.call(reader.address, std::move(httpRequest), options);
