Answer requests that arrive just before a server stops listening

Callers would see: a reset instead of an answer in a planned stop, on a connection that the kernel has established but the server has not accepted, and on an idle connection whose request has arrived but is not read. Cause: drain() closed the acceptor with its backlog and cancelled the read of every connection without a request. Change: drain() accepts what is pending, then lets the loop read what has arrived for 5 ms, and only then closes idle connections. A request that arrives later still meets a closed connection; answers have carried Connection: close before.

--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -81,6 +81,8 @@
     }
 
     asio::awaitable<void> acceptLoop();
+    void startServing(tcp::socket socket);
+    void acceptPendingAndClose();
     asio::awaitable<void> refuseConnection(tcp::socket socket);
     asio::awaitable<void> serve(std::shared_ptr<Connection> connection);
     asio::awaitable<bool> serveRequest(Connection& connection);
@@ -258,17 +260,37 @@
             co_await pause.async_wait(asTuple);
             continue;
         }
-        if (connections.size() >= options.connectionLimit) {
-            asio::co_spawn(acceptor.get_executor(), refuseConnection(std::move(socket)), asio::detached);
-            continue;
-        }
-        socket.set_option(tcp::no_delay(true), ec);
-        auto connection = std::make_shared<Connection>(std::move(socket));
-        connections.insert(connection);
-        asio::co_spawn(acceptor.get_executor(), serve(std::move(connection)), asio::detached);
+        startServing(std::move(socket));
     }
 }
 
+void HttpServer::State::startServing(tcp::socket socket)
+{
+    if (connections.size() >= options.connectionLimit) {
+        asio::co_spawn(acceptor.get_executor(), refuseConnection(std::move(socket)), asio::detached);
+        return;
+    }
+    beast::error_code ec;
+    socket.set_option(tcp::no_delay(true), ec);
+    auto connection = std::make_shared<Connection>(std::move(socket));
+    connections.insert(connection);
+    asio::co_spawn(acceptor.get_executor(), serve(std::move(connection)), asio::detached);
+}
+
+/// Accepts the connections that the kernel has already established, and closes the acceptor. Without this, their
+/// clients would see a reset.
+void HttpServer::State::acceptPendingAndClose()
+{
+    beast::error_code ec;
+    acceptor.non_blocking(true, ec);
+    while (!ec) {
+        auto socket = acceptor.accept(ec);
+        if (!ec)
+            startServing(std::move(socket));
+    }
+    acceptor.close(ec);
+}
+
 asio::awaitable<void> HttpServer::State::refuseConnection(tcp::socket socket)
 {
     auto self = shared_from_this();
@@ -442,11 +464,14 @@
 
 asio::awaitable<void> HttpServer::drain()
 {
+    // Time in which requests that have already arrived are read, from new and from open connections.
+    static constexpr std::chrono::milliseconds settleTime { 5 };
     auto state = m_state;
     state->isKeepAliveDisabled = true;
+    asio::steady_timer settled(state->acceptor.get_executor(), settleTime);
+    state->acceptPendingAndClose();
+    co_await settled.async_wait(asTuple);
     state->isDraining = true;
-    beast::error_code ec;
-    state->acceptor.close(ec);
     for (const auto& it : state->connections) {
         if (!it->isBusy)
             it->stream.cancel();
--- a/src/libnet/http_server_test.cpp
+++ b/src/libnet/http_server_test.cpp
@@ -153,6 +153,31 @@
     BOOST_TEST(call("GET", "/echo").has_error());
 }
 
+// Guards against a shutdown that cuts off requests which have just arrived: on a connection that is not accepted yet,
+// and on one that was idle.
+BOOST_AUTO_TEST_CASE(AnswersRequestsThatHaveJustArrived)
+{
+    namespace asio = boost::asio;
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address("127.0.0.1"), address.port);
+    asio::ip::tcp::socket idle(context);
+    idle.connect(endpoint);
+    context.restart();
+    context.run_for(20ms);
+    asio::ip::tcp::socket fresh(context);
+    fresh.connect(endpoint);
+    for (auto* it : { &idle, &fresh })
+        asio::write(*it, asio::buffer(std::string_view("GET /echo HTTP/1.1\r\nHost: a\r\n\r\n")));
+    runAwaitable(context, server.drain());
+    context.restart();
+    context.run_for(20ms);
+    for (auto* it : { &idle, &fresh }) {
+        std::string response;
+        boost::system::error_code ec;
+        asio::read(*it, asio::dynamic_buffer(response), ec);
+        BOOST_TEST(response.starts_with("HTTP/1.1 200"));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
