--- a/testsuite/lib/deployment.py
+++ b/testsuite/lib/deployment.py
@@ -6,7 +6,7 @@
 import time
 
 import http_client as http
-from processes import HOST, Process, binary, free_port, wait_until
+from processes import HOST, Process, WallClock, binary, free_port, wait_until
 
 OPERATOR_TOKEN = "operator-secret"
 PEER_KEY = "peer-secret"
@@ -49,6 +49,7 @@
         self.platform = None
         self.members = {}
         self.records = {}
+        self.wall_clocks = {}  # process name -> its shifted clock; the others have the true time
 
     def __enter__(self):
         return self
@@ -60,7 +61,12 @@
 
     def _start(self, name, program, listen_port, **flags):
         flags = {"listen_address": f"{HOST}:{listen_port}", **flags}
-        return Process(name, program, flags, self.folder)
+        return Process(name, program, flags, self.folder, self.wall_clocks.get(name))
+
+    def add_wall_clock(self, name):
+        """Returns a clock for the process of this name, which applies from its next start on."""
+        self.wall_clocks[name] = WallClock(self.folder / f"{name}.clock")
+        return self.wall_clocks[name]
 
     def _start_standin(self, name, program, **flags):
         listen, fault = free_port(), free_port()
--- a/testsuite/lib/processes.py
+++ b/testsuite/lib/processes.py
@@ -44,14 +44,33 @@
     return str(pathlib.Path(os.environ["SESSION_BIN"]) / name)
 
 
+class WallClock:
+    """The wall clock of a process under test, which can be shifted while the process runs; see wall_clock_shift.cpp."""
+
+    def __init__(self, path):
+        self.path = pathlib.Path(path)
+        self.set_shift(0.0)
+
+    def set_shift(self, seconds):
+        """Shifts the clock by the given number of seconds from the true time."""
+        self.path.touch()
+        with open(self.path, "r+b") as file:
+            file.write(f"{seconds:+020.6f}".encode())  # of fixed length, since the process may read it at any moment
+
+    def environment(self):
+        return {"LD_PRELOAD": binary("libwall_clock_shift.so"), "WALL_CLOCK_SHIFT_FILE": str(self.path),
+                "ASAN_OPTIONS": "verify_asan_link_order=0"}
+
+
 class Process:
     """A child process whose output goes to a log file."""
 
-    def __init__(self, name, program, flags, folder):
+    def __init__(self, name, program, flags, folder, wall_clock=None):
         self.name = name
         self.log_path = pathlib.Path(folder) / f"{name}.log"
         command = [binary(program)] + [f"--{key.replace('_', '-')}={value}" for key, value in flags.items()]
         environment = {k: v for k, v in os.environ.items() if not k.startswith("BULRUSH_")}
+        environment.update(wall_clock.environment() if wall_clock else {})
         with open(self.log_path, "ab") as log:
             self.child = subprocess.Popen(command, stdout=log, stderr=log, stdin=subprocess.DEVNULL, env=environment)
 
--- a/testsuite/lib/soak_faults.py
+++ b/testsuite/lib/soak_faults.py
@@ -26,7 +26,7 @@
 class FaultInjector:
     """Injects randomly drawn faults and undoes them when their duration is over; several may overlap."""
 
-    def __init__(self, site, random, with_notices=False):
+    def __init__(self, site, random, with_notices=False, with_clock_steps=False):
         self.site, self.random = site, random
         self.start = time.monotonic()
         self.active, self.history = [], []
@@ -36,6 +36,8 @@
                       self.delay_orders, self.drain_worker, self.change_configuration, self.reset_store_connections]
         if with_notices:  # optional, so that existing seeds without it still draw the same schedule
             self.kinds += [self.announce_worker_leaving, self.request_worker_pauses] * 3
+        if with_clock_steps:
+            self.kinds += [self.step_wall_clock] * 4
 
     def now(self):
         return time.monotonic() - self.start
@@ -121,6 +123,16 @@
             instance.process.send_signal(signal.SIGHUP)
         return self._fault("settings of", f"{instance.name} changed", lambda: None, 0.1, 0.2)
 
+    def step_wall_clock(self):
+        """Sets the wall clock of an instance forward or back by seconds; it stays there, or jumps back later."""
+        instance = self._pick_instance()
+        if not instance:
+            return None
+        shift = self.random.choice([-1, 1]) * self.random.uniform(0.5, 9.0)
+        instance.wall_clock.set_shift(shift)
+        undo = self.random.choice([lambda: None, lambda: instance.wall_clock.set_shift(0.0)])
+        return self._fault(f"wall clock {shift:+.1f} s of", instance.name, undo)
+
     # Faults of the store.
 
     def _store_fault(self, name, target, ports, **changes):
