Link the shifted wall clock into a test build of the daemon

Change: bulrushd_shifted_clock is bulrushd with functions of its own for the wall clock, linked in by the tests.

--- a/testsuite/lib/deployment.py
+++ b/testsuite/lib/deployment.py
@@ -49,7 +49,7 @@
         self.platform = None
         self.members = {}
         self.records = {}
-        self.wall_clocks = {}  # process name -> its shifted clock; the others have the true time
+        self.wall_clocks = {}  # instance name -> its shifted clock; the others have the true time
 
     def __enter__(self):
         return self
@@ -64,7 +64,7 @@
         return Process(name, program, flags, self.folder, self.wall_clocks.get(name))
 
     def add_wall_clock(self, name):
-        """Returns a clock for the process of this name, which applies from its next start on."""
+        """Returns a clock for the instance of this name, which applies from its next start on."""
         self.wall_clocks[name] = WallClock(self.folder / f"{name}.clock")
         return self.wall_clocks[name]
 
@@ -122,7 +122,8 @@
             "configuration_poll_interval": "50ms", "drain_delay": "100ms",
         }
         settings.update(flags)
-        process = self._start(name, "bulrushd", listen, **settings)
+        program = WallClock.PROGRAM if name in self.wall_clocks else "bulrushd"
+        process = self._start(name, program, listen, **settings)
         member = Member(process, listen, operator_port=operator, peer_port=peer)
         self.members[name] = member
         self.register(name, role="entry", host=HOST, port=listen, peer_port=peer, zone=zone)
--- a/testsuite/lib/processes.py
+++ b/testsuite/lib/processes.py
@@ -45,7 +45,9 @@
 
 
 class WallClock:
-    """The wall clock of a process under test, which can be shifted while the process runs; see wall_clock_shift.cpp."""
+    """The wall clock of an instance, which can be shifted while the instance runs; see wall_clock_shift.cpp."""
+
+    PROGRAM = "bulrushd_shifted_clock"
 
     def __init__(self, path):
         self.path = pathlib.Path(path)
@@ -58,8 +60,7 @@
             file.write(f"{seconds:+020.6f}".encode())  # of fixed length, since the process may read it at any moment
 
     def environment(self):
-        return {"LD_PRELOAD": binary("libwall_clock_shift.so"), "WALL_CLOCK_SHIFT_FILE": str(self.path),
-                "ASAN_OPTIONS": "verify_asan_link_order=0"}
+        return {"WALL_CLOCK_SHIFT_FILE": str(self.path)}
 
 
 class Process:
--- a/testsuite/standins/wall_clock/wall_clock_shift.cpp
+++ b/testsuite/standins/wall_clock/wall_clock_shift.cpp
@@ -5,8 +5,8 @@
 #include <sys/time.h>
 #include <unistd.h>
 
-// Library for tests that shifts the wall clock of a process by the number of seconds in the file that the environment
-// variable WALL_CLOCK_SHIFT_FILE names. The file may change while the process runs. Monotonic clocks are not affected.
+// Linked into a program, shifts its wall clock by the number of seconds in the file that the environment variable
+// WALL_CLOCK_SHIFT_FILE names. The file may change while the program runs. Monotonic clocks are not affected.
 
 namespace {
 
