--- a/src/libfront/front_service.cpp
+++ b/src/libfront/front_service.cpp
@@ -321,7 +321,7 @@
               "common work" },
         { .name = "relay-min-instances",
             .kind = SettingKind::Number,
-            .defaultValue = "24",
+            .defaultValue = "128",
             .help = "number of instances from which on a few of them read the store for the others" },
         { .name = "retry-ratio",
             .kind = SettingKind::Number,
