--- a/src/librelay/relayed_table_feed.cpp
+++ b/src/librelay/relayed_table_feed.cpp
@@ -26,7 +26,7 @@
     return { .code = Errc::Unavailable, .verdict = Verdict::NotRun, .detail = "no reader is usable" };
 }
 
-SteadyTime after(SteadyTime time, std::chrono::nanoseconds duration)
+SteadyTime timeAfter(SteadyTime time, std::chrono::nanoseconds duration)
 {
     return time + std::chrono::duration_cast<SteadyTime::duration>(duration);
 }
@@ -75,7 +75,7 @@
     const bool hasAnswered = out || out.error().code == Errc::NotFound;
     // An answer without rows says that nothing had changed when the wait was over.
     const bool hasWaited = out && out->rows.empty() && m_clock.bootNow() - sentAt >= storeWait;
-    recordStoreRead(hasAnswered, hasWaited ? bulrushstack::after(sentAt, storeWait) : sentAt);
+    recordStoreRead(hasAnswered, hasWaited ? timeAfter(sentAt, storeWait) : sentAt);
     co_return out;
 }
 
