Log how an upstream framed its response and what was left of an incomplete event

The line at the end of a request said neither whether the response had a length, chunks or only the end of its connection, nor whether its stream ended inside an event; the four hypotheses could not be told apart. It now has framing= and partial_event_bytes=. No decision changes; net_test and front_test pass.

--- a/src/include/bulrushstack/net/http_client.h
+++ b/src/include/bulrushstack/net/http_client.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string_view>
 
 namespace bulrushstack {
 
@@ -69,6 +70,15 @@
     std::uint64_t bodyLimit = 64 * 1024 * 1024;
 };
 
+/// How the end of a response body is recognised (RFC 9112, section 6.3).
+enum class BodyFraming {
+    ContentLength, ///< the length is known in advance, including responses without a body
+    Chunked, ///< the last chunk marks the end
+    CloseDelimited, ///< the body ends with its connection, so that a truncated body may look complete
+};
+
+std::string_view toString(BodyFraming framing);
+
 /// A response whose body is read incrementally. Destroying it before the end of the body closes the connection.
 class HttpStream {
 public:
@@ -76,6 +86,7 @@
 
     virtual unsigned status() const = 0;
     virtual const HttpHeaders& headers() const = 0;
+    virtual BodyFraming framing() const = 0;
 
     /// Returns the next part of the body, or an empty optional once the body is complete. A connection that closes
     /// before the end given by Content-Length or by the last chunk is a failure. Every failure has the verdict
--- a/src/libfront/request_attempt.cpp
+++ b/src/libfront/request_attempt.cpp
@@ -69,6 +69,7 @@
     if (!failure)
         failure = co_await validateResponseHead(attempt);
     if (!failure && !m_isDone) {
+        m_responseFraming = attempt.stream->framing();
         const bool isStream = m_dependencies.format.isEventStream(attempt.stream->headers());
         if (isStream && attempt.stream->status() / 100 == 2)
             failure = co_await relayEventStream(attempt);
@@ -214,6 +215,7 @@
 {
     for (;;) {
         auto part = co_await attempt.stream->read();
+        m_partialEventBytes = part && *part ? 0 : m_eventSplitter.pendingBytes();
         if (!part) {
             m_eventSplitter.dropPartialEvent();
             co_return part.error();
--- a/src/libfront/request_forwarder.cpp
+++ b/src/libfront/request_forwarder.cpp
@@ -288,6 +288,8 @@
               << " model=" << m_request.model << " adapter=" << m_request.adapter << " upstream=" << m_lastUpstream
               << " outcome=" << outcome << " status=" << status << " verdict=" << toString(m_verdict)
               << " attempts=" << m_attemptsSent << " events=" << m_eventSplitter.eventCount()
+              << " framing=" << (m_responseFraming ? toString(*m_responseFraming) : "none")
+              << " partial_event_bytes=" << m_partialEventBytes
               << " config=" << (m_configuration ? m_configuration->version() : 0)
               << " directory=" << m_state.directory().version()
               << " first_ms=" << (m_firstResponseAfter ? std::to_string(m_firstResponseAfter->count()) : "none")
--- a/src/libfront/request_forwarder.h
+++ b/src/libfront/request_forwarder.h
@@ -101,6 +101,10 @@
     /// Whether the header of the response was sent to the client.
     bool m_isStreaming = false;
     EventSplitter m_eventSplitter;
+    /// Framing of the last response whose body was read.
+    std::optional<BodyFraming> m_responseFraming;
+    /// Size of the incomplete event at which the last response stream ended, in bytes.
+    std::size_t m_partialEventBytes = 0;
     std::set<std::string, std::less<>> m_triedUpstreams;
     unsigned m_attemptsSent = 0;
     unsigned m_attemptsMaybeExecuted = 0;
--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -219,6 +219,13 @@
     unsigned status() const override { return m_parser->get().result_int(); }
     const HttpHeaders& headers() const override { return m_headers; }
 
+    BodyFraming framing() const override
+    {
+        if (m_parser->chunked())
+            return BodyFraming::Chunked;
+        return m_parser->need_eof() ? BodyFraming::CloseDelimited : BodyFraming::ContentLength;
+    }
+
     /// Reads the header of the final response and skips interim responses (1xx).
     asio::awaitable<Result<void>> readHeader(bool isHead)
     {
@@ -403,6 +410,19 @@
 
 } // namespace
 
+std::string_view toString(BodyFraming framing)
+{
+    switch (framing) {
+    case BodyFraming::ContentLength:
+        return "length";
+    case BodyFraming::Chunked:
+        return "chunked";
+    case BodyFraming::CloseDelimited:
+        return "close-delimited";
+    }
+    return "unknown";
+}
+
 void HttpCancellation::cancel()
 {
     m_isCancelled = true;
