--- /dev/null
+++ b/src/libfront/front_test_support.h
@@ -0,0 +1,197 @@
+#pragma once
+
+#include "bulrushstack/kernel/run_awaitable.h"
+#include "bulrushstack/serving/retry_after.h"
+#include "raw_server.h"
+#include "request_forwarder.h"
+
+#include <boost/test/unit_test.hpp>
+#include <prometheus/registry.h>
+#include <sstream>
+
+namespace bulrushstack {
+
+/// Minimal request format of the tests, with the headers X-Id, X-Seal, X-Not-Run, X-Model, X-Leaving, X-Pause and
+/// X-Retry-Ms.
+class TestFormat final : public RequestFormat {
+public:
+    Result<ServingRequest> decode(const HttpRequest& request) const override
+    {
+        ServingRequest out;
+        out.id = request.headers.find("X-Id").value_or("");
+        out.host = "host";
+        out.path = std::string(request.path());
+        out.model = request.headers.find("X-Model").value_or("");
+        if (out.id.empty())
+            return Failure { .code = Errc::Malformed, .detail = "no id" };
+        return out;
+    }
+
+    HttpRequest encode(const HttpRequest& request, const ForwardingFields& forwardingFields) const override
+    {
+        HttpRequest out { .method = request.method, .target = request.target, .body = request.body };
+        out.headers.set("X-Id", request.headers.find("X-Id").value());
+        if (forwardingFields.resumeAfterEventId)
+            out.headers.set("X-After", *forwardingFields.resumeAfterEventId);
+        return out;
+    }
+
+    UpstreamResponseHead decodeResponseHead(unsigned status, const HttpHeaders& headers) const override
+    {
+        return { .requestId = headers.find("X-Id").value_or(""),
+            .hasResponseSeal = headers.find("X-Seal").has_value(),
+            .isNotExecuted = headers.find("X-Not-Run").has_value(),
+            .isMisdirected = status == 421,
+            .isContentEncoded = headers.find("Content-Encoding").has_value(),
+            .isLeaving = headers.find("X-Leaving").has_value(),
+            .retryAfter
+            = headers.find("X-Pause") ? std::optional(parseRetryAfter(*headers.find("X-Pause"))) : std::nullopt };
+    }
+
+    HttpHeaders forwardedResponseHeaders(const HttpHeaders& headers) const override
+    {
+        HttpHeaders out;
+        for (const auto* name : { "X-Id", "X-Seal" }) {
+            if (auto value = headers.find(name))
+                out.set(name, *value);
+        }
+        return out;
+    }
+
+    void completeErrorResponse(
+        HttpResponse& response, const std::string&, std::optional<std::chrono::milliseconds> retryAfter) const override
+    {
+        if (!retryAfter)
+            response.headers.remove("Retry-After");
+        else
+            response.headers.set("X-Retry-Ms", std::to_string(retryAfter->count()));
+    }
+
+    bool isEventStream(const HttpHeaders& headers) const override
+    {
+        return headers.find("Content-Type").value_or("") == "text/event-stream";
+    }
+};
+
+class NoAdapters final : public AdapterPlacement {
+public:
+    boost::asio::awaitable<Result<std::string>> placeAdapter(AdapterDemand, SteadyTime) override
+    {
+        co_return Failure { .code = Errc::Unavailable };
+    }
+};
+
+class Ingress final : public HttpHandler {
+public:
+    explicit Ingress(RequestDependencies dependencies)
+        : m_dependencies(dependencies)
+    {
+    }
+
+    boost::asio::awaitable<void> handle(HttpExchange& exchange) override
+    {
+        RequestForwarder forwarder(m_dependencies, exchange);
+        co_await forwarder.run();
+    }
+
+private:
+    RequestDependencies m_dependencies;
+};
+
+inline RouteSpec route(const std::string& prefix, CallKind kind, unsigned attemptLimit, bool isResumable = false)
+{
+    return { .name = prefix,
+        .host = "host",
+        .prefix = prefix,
+        .kind = kind,
+        .timeout = std::chrono::milliseconds(3000),
+        .latencyObjective = std::chrono::milliseconds(1000),
+        .attemptLimit = attemptLimit,
+        .isResumable = isResumable,
+        .services = { { .service = "s" } } };
+}
+
+inline std::string rawResponse(std::string_view status, std::string_view headers, std::string_view body)
+{
+    return "HTTP/1.1 " + std::string(status) + "\r\n" + std::string(headers)
+        + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + std::string(body);
+}
+
+inline const std::string okResponse = rawResponse("200 OK", "X-Id: 7\r\nX-Seal: s\r\n", "whole");
+inline const std::string notExecutedResponse = rawResponse("503 Busy", "X-Id: 7\r\nX-Not-Run: 1\r\n", "");
+inline const std::string okResponseWhileLeaving
+    = rawResponse("200 OK", "X-Id: 7\r\nX-Seal: s\r\nX-Leaving: 1\r\n", "whole");
+inline const std::string notExecutedWithRetryAfter
+    = rawResponse("503 Busy", "X-Id: 7\r\nX-Not-Run: 1\r\nX-Pause: 30\r\n", "");
+inline const std::string serverErrorResponse = rawResponse("500 Error", "X-Id: 7\r\nX-Seal: s\r\n", "error");
+
+inline std::string chunk(std::string_view text)
+{
+    std::ostringstream out;
+    out << std::hex << text.size() << "\r\n" << text << "\r\n";
+    return out.str();
+}
+
+/// Head of a stream whose body ends when the upstream closes the connection.
+inline const std::string closeDelimitedStreamHead
+    = "HTTP/1.1 200 OK\r\nX-Id: 7\r\nX-Seal: s\r\nContent-Type: text/event-stream\r\n\r\n";
+inline const std::string streamResponseHead
+    = closeDelimitedStreamHead.substr(0, closeDelimitedStreamHead.size() - 2) + "Transfer-Encoding: chunked\r\n\r\n";
+
+/// A front with scripted upstreams on the loopback address.
+struct FrontFixture {
+    boost::asio::io_context context;
+    SystemClock clock;
+    FrontState state { context, clock, "front-1", "z", { .retryRatio = 1, .retrySlack = 100 } };
+    HttpClient client { context, clock };
+    TestFormat format;
+    NoAdapters adapters;
+    prometheus::Registry registry;
+    FrontMetrics metrics { registry };
+    Ingress ingress {
+        { .state = state, .client = client, .format = format, .adapters = adapters, .metrics = metrics }
+    };
+    HttpServer server { context, { .address = { .host = "127.0.0.1", .port = 0 } }, ingress };
+    std::vector<std::unique_ptr<RawServer>> upstreams;
+
+    FrontFixture()
+    {
+        state.setInstanceCount(1);
+        configure();
+        BOOST_REQUIRE(!server.start());
+    }
+
+    void configure()
+    {
+        std::vector<RouteSpec> routes { route("/once/", CallKind::NonIdempotent, 1),
+            route("/read/", CallKind::Idempotent, 2), route("/events/", CallKind::Stream, 1),
+            route("/resumable/", CallKind::Stream, 2, true) };
+        state.updateConfiguration(std::make_shared<ServingConfiguration>(
+            1, std::move(routes), std::vector<ServiceSpec> { { .name = "s" } }, RequestLimits()));
+    }
+
+    RawServer& addUpstream(std::vector<std::string> responses, bool isClosing = false)
+    {
+        upstreams.push_back(std::make_unique<RawServer>(context, std::move(responses), isClosing));
+        // The first upstream is in the zone of the front, so that it is the preferred choice.
+        const auto n = upstreams.size();
+        state.directory().apply({ .id = "u" + std::to_string(n),
+            .service = "s",
+            .address = upstreams.back()->address(),
+            .zone = n == 1 ? "z" : "y",
+            .slots = 4,
+            .startedAt = 1 });
+        return *upstreams.back();
+    }
+
+    Result<HttpResponse> call(std::string target)
+    {
+        HttpRequest request { .method = "POST", .target = std::move(target) };
+        request.headers.set("X-Id", "7");
+        const Address address { .host = "127.0.0.1", .port = server.port() };
+        return runAwaitable(
+            context, client.call(address, std::move(request), { .deadline = clock.now() + std::chrono::seconds(10) }));
+    }
+};
+
+} // namespace bulrushstack
