End a stream as complete only after a whole event

Callers saw a stream that its upstream had broken off as a complete response: 200, the seal of the upstream, the last chunk, and a short body.

Cause: the relay took every end of the upstream's body for the end of the stream. A body without length and chunks ends with its connection, so that a crash inside an event looks like its end; the relay forwarded the bytes of the incomplete event and sent its own last chunk. EventSplitter::extractRemainder() existed for streams whose last event lacks its empty line.

Change: an incomplete event is never forwarded. A stream that ends inside an event is a failed attempt, however its body was framed: it is resumed elsewhere where the route permits it, otherwise the caller's connection is closed without the last chunk. A body that ends with its connection before any event is a failed attempt as well. The same path as for a reset connection probes for a crash and counts it.

--- a/src/libfront/event_splitter.cpp
+++ b/src/libfront/event_splitter.cpp
@@ -1,7 +1,5 @@
 #include "event_splitter.h"
 
-#include <utility>
-
 namespace bulrushstack {
 
 namespace {
@@ -37,13 +35,6 @@
     return out;
 }
 
-std::string EventSplitter::extractRemainder()
-{
-    if (!m_buffer.empty())
-        recordEvent(m_buffer);
-    return std::exchange(m_buffer, std::string());
-}
-
 void EventSplitter::recordEvent(std::string_view event)
 {
     ++m_eventCount;
--- a/src/libfront/event_splitter.h
+++ b/src/libfront/event_splitter.h
@@ -13,10 +13,8 @@
     /// Appends received bytes and returns all complete events that have not been returned yet, byte for byte.
     std::string extractEvents(std::string_view data);
 
-    /// Returns the remaining bytes at the end of the stream, which need not end with an empty line.
-    std::string extractRemainder();
-
-    /// Returns the size of the buffered incomplete event, in bytes.
+    /// Returns the size of the buffered incomplete event, in bytes. If it is not 0 at the end of the stream, the stream
+    /// was broken off.
     std::size_t pendingBytes() const { return m_buffer.size(); }
 
     /// Discards the incomplete event of a stream that was cut off.
--- a/src/libfront/request_attempt.cpp
+++ b/src/libfront/request_attempt.cpp
@@ -215,26 +215,23 @@
 {
     for (;;) {
         auto part = co_await attempt.stream->read();
-        m_partialEventBytes = part && *part ? 0 : m_eventSplitter.pendingBytes();
-        if (!part) {
+        if (!part || !*part) {
+            auto failure = part ? truncationFailure(attempt) : part.error();
+            m_partialEventBytes = m_eventSplitter.pendingBytes();
             m_eventSplitter.dropPartialEvent();
-            co_return part.error();
+            if (!failure)
+                co_await completeStream(attempt);
+            co_return failure;
         }
-        std::string events = *part ? m_eventSplitter.extractEvents(**part) : m_eventSplitter.extractRemainder();
+        const std::string events = m_eventSplitter.extractEvents(**part);
         if (m_eventSplitter.pendingBytes() > maxEventSize) {
             m_eventSplitter.dropPartialEvent();
             co_return invalidResponse("an event exceeds " + std::to_string(maxEventSize) + " bytes");
         }
-        if (!events.empty() || !*part) {
-            recordFirstResponse(attempt);
-            if (!m_isStreaming) {
-                m_isStreaming = true;
-                const auto headers = m_dependencies.format.forwardedResponseHeaders(attempt.stream->headers());
-                const auto ec = co_await m_exchange.beginStream(attempt.stream->status(), headers);
-                m_isClientGone = m_isClientGone || ec;
-            }
-        }
-        if (!events.empty() && !m_isClientGone) {
+        if (events.empty())
+            continue;
+        co_await beginClientStream(attempt);
+        if (!m_isClientGone) {
             const auto ec = co_await m_exchange.write(events);
             m_isClientGone = m_isClientGone || ec;
         }
@@ -242,17 +239,47 @@
             co_return Failure {
                 .code = Errc::Cancelled, .verdict = Verdict::Ran, .detail = "the client closed the stream"
             };
-        if (*part)
-            continue;
-        m_isDone = true;
-        m_verdict = Verdict::Ran;
-        m_state.suspectRequests().recordServed(m_requestDigest);
-        const auto ec = co_await m_exchange.endStream();
-        logCompletion(ec ? "undelivered" : "served", attempt.stream->status(), ec ? ec.message() : "");
-        co_return std::nullopt;
     }
 }
 
+/// Returns a failure if the upstream broke the stream off although the end of its body looks complete. A body that ends
+/// with its connection needs at least one event as evidence that the upstream did not crash before it.
+std::optional<Failure> RequestForwarder::truncationFailure(const Attempt& attempt) const
+{
+    Failure failure { .code = Errc::ConnectionClosed, .verdict = Verdict::MayHaveRun };
+    if (m_eventSplitter.pendingBytes() > 0) {
+        failure.detail = "the stream ended inside an event";
+        return failure;
+    }
+    if (attempt.stream->framing() == BodyFraming::CloseDelimited && !attempt.hasFirstResponse) {
+        failure.detail = "the stream ended with its connection before any event";
+        return failure;
+    }
+    return std::nullopt;
+}
+
+/// Sends the header of the response to the client unless it was sent by this or an earlier attempt.
+asio::awaitable<void> RequestForwarder::beginClientStream(Attempt& attempt)
+{
+    recordFirstResponse(attempt);
+    if (m_isStreaming)
+        co_return;
+    m_isStreaming = true;
+    const auto headers = m_dependencies.format.forwardedResponseHeaders(attempt.stream->headers());
+    const auto ec = co_await m_exchange.beginStream(attempt.stream->status(), headers);
+    m_isClientGone = m_isClientGone || ec;
+}
+
+asio::awaitable<void> RequestForwarder::completeStream(Attempt& attempt)
+{
+    co_await beginClientStream(attempt);
+    m_isDone = true;
+    m_verdict = Verdict::Ran;
+    m_state.suspectRequests().recordServed(m_requestDigest);
+    const auto ec = co_await m_exchange.endStream();
+    logCompletion(ec ? "undelivered" : "served", attempt.stream->status(), ec ? ec.message() : "");
+}
+
 void RequestForwarder::finishAttempt(Attempt& attempt, const std::optional<Failure>& failure)
 {
     auto outcome = AttemptOutcome::Served;
--- a/src/libfront/request_forwarder.h
+++ b/src/libfront/request_forwarder.h
@@ -65,6 +65,8 @@
     boost::asio::awaitable<std::optional<Failure>> validateResponseHead(Attempt& attempt);
     boost::asio::awaitable<std::optional<Failure>> relayBufferedResponse(Attempt& attempt);
     boost::asio::awaitable<std::optional<Failure>> relayEventStream(Attempt& attempt);
+    boost::asio::awaitable<void> beginClientStream(Attempt& attempt);
+    boost::asio::awaitable<void> completeStream(Attempt& attempt);
     boost::asio::awaitable<std::optional<Failure>> sendResponse(HttpResponse response);
     void probeForCrash(const Attempt& attempt);
     boost::asio::awaitable<void> sendError(Problem problem, std::optional<Milliseconds> retryAfter);
@@ -72,6 +74,7 @@
 
     void applyResponseState(const Attempt& attempt);
     void recordFirstResponse(Attempt& attempt);
+    std::optional<Failure> truncationFailure(const Attempt& attempt) const;
     void finishAttempt(Attempt& attempt, const std::optional<Failure>& failure);
     bool isRejectedForOverload(const RankedUpstream& chosen);
     bool mayRetry(const Failure& failure);
