Reset the connection of an HTTP/1.0 client whose stream is truncated

A stream to an HTTP/1.0 client has neither length nor chunks and ends with its connection. Where a handler gave up, threw, closed the exchange or timed out while writing, the server closed the connection in order, so that the client took the truncated stream for a complete one.

From the header of such a stream until endStream() the socket is set to be reset when it is closed, also by the end of the process. TruncatedStreamToAnHttp10ClientIsReset failed for both ways of giving up before, and passes now; complete streams still end in order.

--- a/src/include/bulrushstack/net/http_server.h
+++ b/src/include/bulrushstack/net/http_server.h
@@ -33,6 +33,7 @@
     virtual boost::asio::awaitable<std::error_code> respond(HttpResponse response) = 0;
 
     /// Sends the header of a streamed response: chunked for HTTP/1.1, ended by closing the connection for HTTP/1.0.
+    /// Until endStream() has been called, a connection of the latter kind ends with a reset.
     virtual boost::asio::awaitable<std::error_code> beginStream(unsigned status, HttpHeaders headers) = 0;
 
     /// Sends the data as one chunk. Empty data sends nothing, since an empty chunk would end the body.
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -27,6 +27,7 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     bool isBusy = false; ///< whether a request is being handled
+    bool isResetOnClose = false; ///< whether it must end with a TCP reset, because its response is not complete
     std::uint64_t requestNumber = 0; ///< lets watchForDisconnect() detect that its request has ended
 };
 
@@ -147,10 +148,12 @@
         http::response<http::empty_body> message;
         prepare(message, status, headers);
         m_isChunked = m_version >= 11;
-        if (m_isChunked)
+        if (m_isChunked) {
             message.chunked(true);
-        else
+        } else {
             m_isKeptAlive = false;
+            setResetOnClose(true);
+        }
         http::response_serializer<http::empty_body> serializer(message);
         m_connection.stream.expires_after(m_options.writeTimeout);
         auto [ec, n] = co_await http::async_write_header(m_connection.stream, serializer, asTuple);
@@ -180,6 +183,8 @@
             m_connection.stream.expires_after(m_options.writeTimeout);
             const auto last = http::make_chunk_last();
             std::tie(ec, std::ignore) = co_await asio::async_write(m_connection.stream, last, asTuple);
+        } else {
+            setResetOnClose(false);
         }
         m_isComplete = !ec;
         co_return ec;
@@ -207,6 +212,15 @@
         message.keep_alive(m_isKeptAlive);
     }
 
+    /// Sets whether closing the connection resets it. An HTTP/1.0 client takes an orderly close for the end of a
+    /// stream, so that a stream must end with a reset until it is complete, also if this process crashes.
+    void setResetOnClose(bool isEnabled)
+    {
+        m_connection.isResetOnClose = isEnabled;
+        beast::error_code ec;
+        m_connection.stream.socket().set_option(asio::socket_base::linger(isEnabled, 0), ec);
+    }
+
     Connection& m_connection;
     const HttpServerOptions& m_options;
     const bool& m_isKeepAliveDisabled;
@@ -304,7 +318,8 @@
     for (bool isKeptAlive = true; isKeptAlive && !isDraining;)
         isKeptAlive = co_await serveRequest(*connection);
     beast::error_code ec;
-    connection->stream.socket().shutdown(tcp::socket::shutdown_both, ec);
+    if (!connection->isResetOnClose)
+        connection->stream.socket().shutdown(tcp::socket::shutdown_both, ec);
     connection->stream.close();
     connections.erase(connection);
 }
--- a/src/libnet/http_server_test.cpp
+++ b/src/libnet/http_server_test.cpp
@@ -49,6 +49,18 @@
     BOOST_TEST(call("GET", "/echo")->status == 200u);
 }
 
+// Guards against a truncated stream that an HTTP/1.0 client takes for complete, since its body ends with the
+// connection.
+BOOST_AUTO_TEST_CASE(TruncatedStreamToAnHttp10ClientIsReset)
+{
+    for (const std::string path : { "/cut", "/abort" }) {
+        sendRaw("GET " + path + " HTTP/1.0\r\n\r\n");
+        BOOST_TEST(wasReset, path);
+    }
+    BOOST_TEST(sendRaw("GET /stream HTTP/1.0\r\n\r\n").ends_with("one two three"));
+    BOOST_TEST(!wasReset);
+}
+
 // Guards against request smuggling: a message body that is read as the next request of the connection.
 BOOST_AUTO_TEST_CASE(AmbiguousFramingIsRefused)
 {
--- a/src/libnet/test_server.h
+++ b/src/libnet/test_server.h
@@ -13,7 +13,8 @@
 
 namespace bulrushstack {
 
-/// Responds with the request body. "/stream" sends three chunks, "/cut" closes the connection after the first of them,
+/// Responds with the request body. "/stream" sends three chunks, "/cut" returns and "/abort" closes the exchange after
+/// the first of them,
 /// "/slow" responds after 200 ms, "/throw" throws an exception, and "/nothing" returns without a response.
 class EchoHandler final : public HttpHandler {
 public:
@@ -25,10 +26,12 @@
             throw std::runtime_error("handler error");
         if (path == "/nothing")
             co_return;
-        if (path == "/stream" || path == "/cut") {
+        if (path == "/stream" || path == "/cut" || path == "/abort") {
             co_await exchange.beginStream(200, HttpHeaders());
             co_await exchange.write("one ");
-            if (path == "/cut")
+            if (path == "/abort")
+                exchange.close();
+            if (path != "/stream")
                 co_return;
             co_await exchange.write("two ");
             co_await exchange.write("three");
@@ -88,6 +91,7 @@
         std::string out;
         boost::system::error_code ec;
         co_await asio::async_read(socket, asio::dynamic_buffer(out), asio::redirect_error(asio::use_awaitable, ec));
+        wasReset = ec == asio::error::connection_reset;
         co_return out;
     }
 
@@ -97,6 +101,7 @@
     HttpServer server;
     HttpClient client { context, clock };
     Address address;
+    bool wasReset = false; ///< whether the connection of the last exchangeRaw() ended with a reset
 };
 
 } // namespace bulrushstack
