--- a/src/libfront/request_attempt.cpp
+++ b/src/libfront/request_attempt.cpp
@@ -42,6 +42,15 @@
 /// Returns whether the status implies that the request was not executed.
 bool impliesNotExecuted(unsigned status) { return status == 408 || status == 421 || status == 429 || status == 503; }
 
+/// Returns the ids of the prompt parts that the request may share with others, for the log.
+std::string sharedPartIds(const ServingRequest& request)
+{
+    std::string out;
+    for (std::size_t i = 0; i + 1 < request.prompt.size(); ++i)
+        out += (out.empty() ? "" : ",") + request.prompt[i].id;
+    return out;
+}
+
 } // namespace
 
 SteadyTime RequestForwarder::attemptDeadline() const
@@ -316,15 +325,19 @@
 /// another reason says nothing about the request.
 void RequestForwarder::probeForCrash(const Attempt& attempt)
 {
-    auto probe = [](RequestDependencies dependencies, Address address, std::string upstream, std::string digest,
-                     std::string request) -> asio::awaitable<void> {
+    auto probe = [](RequestDependencies dependencies, Address address, std::string upstream, ServingRequest request,
+                     std::string digest, bool hasEvents) -> asio::awaitable<void> {
         if (co_await dependencies.client.isListening(address, crashProbeTimeout))
             co_return;
         dependencies.state.suspectRequests().recordCrash(digest);
-        LOG(WARNING) << "event=crash-suspected request=" << request << " upstream=" << upstream << " digest=" << digest;
+        LOG(WARNING) << "event=crash-suspected request=" << request.id << " upstream=" << upstream
+                     << " model=" << request.model << " parts=" << sharedPartIds(request) << " has_events=" << hasEvents
+                     << " digest=" << digest;
     };
     spawnLogged(m_state.context(),
-        probe(m_dependencies, attempt.address, attempt.upstreamId, m_requestDigest, m_request.id), "crash-probe");
+        probe(
+            m_dependencies, attempt.address, attempt.upstreamId, m_request, m_requestDigest, attempt.hasFirstResponse),
+        "crash-probe");
 }
 
 } // namespace bulrushstack
