--- /dev/null
+++ b/testsuite/deadly-prompt-part/run.py
@@ -0,0 +1,57 @@
+"""Three instances receive requests of which some share a prompt part that crashes every engine that runs them.
+
+Guards against: requests that differ in everything but one prompt part and crash one engine after the other; requests that
+are refused because they share their other prompt parts with the crashing ones.
+"""
+
+import time
+
+import serving_site
+from serving_site import brief_request
+from transcript import Transcript
+
+MODELS = {"m-0": 0, "m-1": 0}
+PLACED = (("m-0",), ("m-0",), ("m-0", "m-1"))
+ROUNDS = 45
+ROUND_S = 0.3  # seconds
+STABLE_S = 3.0  # seconds after the fifth crash from which deadly requests are limited
+LATE_RUN_LIMIT = 3  # deadly requests that may still reach engines after that
+SETTLED_ROUNDS = 12  # last rounds, in which all other requests must be served
+
+
+def prompt(number, *shared):
+    return (("house", 100), ("opera", 50), *shared, (f"own-{number}", 20))
+
+
+def send_round(site, instances, number):
+    """Sends one deadly request and one other request to each instance; returns the outcomes of the others."""
+    deadly = brief_request(parts=prompt(number, ("deadly", 30)))
+    others = [(it, brief_request(parts=prompt(f"{number}-{it.name}"))) for it in instances]
+    return site.call_concurrently([(instances[number % len(instances)], deadly), *others])[1:]
+
+
+def deadly_runs(site):
+    """Returns the times at which engines began to run deadly requests, in order."""
+    return sorted(run.started_at for run in site.runs if ("deadly", 30) in site.sent_requests[run.request].parts)
+
+
+def run(folder):
+    script = Transcript()
+    with serving_site.open_site(folder, placed=PLACED, models=MODELS) as site:
+        instances = serving_site.start_instances(site, 3)
+        for number in range(3):
+            site.workers[f"engine-{number}"].crashing_prompt_parts = {"deadly"}
+        served = []
+        for number in range(ROUNDS):
+            started = time.monotonic()
+            served.append(sum(it.is_served for it in send_round(site, instances, number)))
+            time.sleep(max(0.0, started + ROUND_S - time.monotonic()))
+        crashes = deadly_runs(site)
+        late = [it for it in crashes[5:] if it > crashes[4] + STABLE_S]
+        script.section("one prompt part crashes every engine that runs it; no two requests with it are alike")
+        script.say(f"engines crashed: {len(crashes) > 0}")
+        script.say(f"at most {LATE_RUN_LIMIT} such requests ran later than {STABLE_S:g} s after the fifth crash: {len(late) <= LATE_RUN_LIMIT}")
+        settled = served[-SETTLED_ROUNDS:]
+        script.say(f"requests that share the other parts are served: {settled == [len(instances)] * SETTLED_ROUNDS}")
+        serving_site.report_violations(script, site)
+    return script.text()
