Quarantine the prompt part that crashes upstreams, from what several crashes have in common

Cause: only whole requests were suspected, by a digest. Besides, each count was sent once and was gone if its message was lost.

Change: a crash makes everything suspect that was in progress on the upstream: the request and, if no event had come, the prompt parts that it may share. A request that is served clears what it contains. What remains in three separate crashes (a request: two; a part served shortly before: five) is quarantined, the suspect that explains the most crashes first; a crash that is explained counts against nothing else, so that parts which sound requests share stay in use. What is known of crashes is a set of facts that are only added; instances merge it through the demand messages while their fingerprints differ, in any order and any number of times. Requests are checked at admission and again before each attempt, and are refused with 503 without Retry-After. CrashSuspects replaces SuspectRequests for both kinds.

--- a/src/include/bulrushstack/front/placement_messages.h
+++ b/src/include/bulrushstack/front/placement_messages.h
@@ -2,8 +2,8 @@
 
 #include "bulrushstack/kernel/result.h"
 #include "bulrushstack/relay/store_reader.h"
+#include "bulrushstack/serving/crash_suspects.h"
 #include "bulrushstack/serving/model_demand.h"
-#include "bulrushstack/serving/suspect_requests.h"
 
 #include <chrono>
 #include <optional>
@@ -30,7 +30,10 @@
     std::string instance;
     std::vector<ModelDemand> models;
     std::vector<AdapterDemand> adapters;
-    std::vector<CrashCount> crashes;
+    /// What the sender knows of crashes; empty if the receiver's last fingerprint was the same.
+    std::vector<UpstreamCrash> crashes;
+    /// Fingerprint of all crashes that the sender knows.
+    std::uint64_t crashFingerprint = 0;
     /// Ids of upstreams to which a connection failed recently.
     std::vector<std::string> unreachable;
     /// The instances whose demand the message contains, the sender first.
@@ -56,7 +59,9 @@
     /// Number of instances whose demand the holder knows, or knew of the previous holder while it has not heard of all.
     unsigned instances = 1;
     std::vector<RetiringReplica> retiring;
-    std::vector<CrashCount> crashes;
+    /// What the one that replies knows of crashes; empty if its fingerprint is that of the message.
+    std::vector<UpstreamCrash> crashes;
+    std::uint64_t crashFingerprint = 0;
     /// Id and address of the holder.
     std::string holder;
     Address holderAddress;
--- a/src/libfront/demand_collector.cpp
+++ b/src/libfront/demand_collector.cpp
@@ -15,8 +15,6 @@
     }
     for (const auto& it : message.adapters)
         m_adapters[{ it.service, it.model, it.adapter }] = it;
-    for (const auto& it : message.crashes)
-        m_crashes[it.digest] += it.crashes;
     m_unreachable.insert(message.unreachable.begin(), message.unreachable.end());
     for (const auto& it : message.reporters)
         m_reporters[it.instance] = it;
@@ -31,8 +29,6 @@
         out.models.push_back(std::move(demand));
     for (auto& [key, demand] : m_adapters)
         out.adapters.push_back(std::move(demand));
-    for (const auto& [digest, crashes] : m_crashes)
-        out.crashes.push_back({ .digest = digest, .crashes = crashes });
     out.unreachable.assign(m_unreachable.begin(), m_unreachable.end());
     for (auto& [instance, member] : m_reporters) {
         if (instance != message.instance)
--- a/src/libfront/demand_collector.h
+++ b/src/libfront/demand_collector.h
@@ -9,7 +9,8 @@
 namespace bulrushstack {
 
 /// Adds up the demand that other instances report to this one, until it is passed on to the lease holder. The lease
-/// holder thus hears of the demand of all instances from a few of them.
+/// holder thus hears of the demand of all instances from a few of them. Crashes are not collected, since each instance
+/// keeps all that it hears of them.
 ///
 /// Each report is counted once, in the message that is taken next; a report that is lost on the way is not sent again.
 class DemandCollector {
@@ -25,7 +26,6 @@
 private:
     std::map<ModelKey, ModelDemand> m_models;
     std::map<std::tuple<std::string, std::string, std::string>, AdapterDemand> m_adapters;
-    std::map<std::string, std::uint32_t> m_crashes; ///< by digest of the request
     std::set<std::string> m_unreachable;
     std::map<std::string, RelayMember> m_reporters;
     bool m_isUrgent = false;
--- a/src/libfront/front_state.cpp
+++ b/src/libfront/front_state.cpp
@@ -39,7 +39,7 @@
     , m_directory(clock)
     , m_upstreamLoads(clock)
     , m_residencyHints(clock)
-    , m_suspectRequests(clock)
+    , m_crashSuspects(clock)
 {
 }
 
@@ -178,7 +178,6 @@
         out.models.push_back(std::move(demand));
     for (const auto& [service, model, adapter] : m_adapterDemand)
         out.adapters.push_back({ .service = service, .model = model, .adapter = adapter });
-    out.crashes = m_suspectRequests.takeUnreportedCounts();
     out.unreachable = m_upstreamLoads.unreachable(maxUnreachableReportAge);
     m_demand.clear();
     m_adapterDemand.clear();
@@ -186,6 +185,43 @@
     return out;
 }
 
+void FrontState::recordCrash(
+    const std::string& upstream, std::uint64_t startedAt, const std::vector<CrashSuspect>& suspects)
+{
+    const auto previous = m_crashSuspects.quarantined();
+    m_crashSuspects.recordCrash(upstream, startedAt, suspects);
+    m_hasUrgentDemand = true;
+    logQuarantineChanges(previous);
+}
+
+void FrontState::recordServed(const std::vector<CrashSuspect>& contents)
+{
+    const auto previous = m_crashSuspects.quarantined();
+    m_crashSuspects.recordServed(contents);
+    logQuarantineChanges(previous);
+}
+
+void FrontState::mergeCrashes(const std::vector<UpstreamCrash>& crashes)
+{
+    const auto previous = m_crashSuspects.quarantined();
+    m_crashSuspects.merge(crashes);
+    logQuarantineChanges(previous);
+}
+
+void FrontState::logQuarantineChanges(const std::map<SuspectId, unsigned>& previous) const
+{
+    const auto& current = m_crashSuspects.quarantined();
+    for (const auto& [suspect, crashes] : current) {
+        if (previous.count(suspect) == 0)
+            LOG(WARNING) << "event=quarantine kind=" << toString(suspect.kind) << " id=" << suspect.id
+                         << " crashes=" << crashes;
+    }
+    for (const auto& [suspect, crashes] : previous) {
+        if (current.count(suspect) == 0)
+            LOG(WARNING) << "event=quarantine-ended kind=" << toString(suspect.kind) << " id=" << suspect.id;
+    }
+}
+
 void FrontState::wakeWaitingRequests()
 {
     for (auto* it : m_waitTimers)
--- a/src/libfront/front_state.h
+++ b/src/libfront/front_state.h
@@ -3,9 +3,9 @@
 #include "bulrushstack/front/front_binding.h"
 #include "bulrushstack/front/placement_messages.h"
 #include "bulrushstack/kernel/clock.h"
+#include "bulrushstack/serving/crash_suspects.h"
 #include "bulrushstack/serving/residency_hints.h"
 #include "bulrushstack/serving/retry_budget.h"
-#include "bulrushstack/serving/suspect_requests.h"
 #include "table_follower.h"
 
 #include <boost/asio/io_context.hpp>
@@ -58,8 +58,17 @@
     UpstreamDirectory& directory() { return m_directory; }
     UpstreamLoads& upstreamLoads() { return m_upstreamLoads; }
     ResidencyHints& residencyHints() { return m_residencyHints; }
-    SuspectRequests& suspectRequests() { return m_suspectRequests; }
     RetryBudget& retryBudget(const std::string& service);
+    const CrashSuspects& crashSuspects() const { return m_crashSuspects; }
+
+    /// Records what was in progress on a process of an upstream when it crashed. The lease holder hears of it soon.
+    void recordCrash(const std::string& upstream, std::uint64_t startedAt, const std::vector<CrashSuspect>& suspects);
+
+    /// Clears the contents of a served request of the suspicion that they crash upstreams.
+    void recordServed(const std::vector<CrashSuspect>& contents);
+
+    /// Merges the crashes that another instance knows.
+    void mergeCrashes(const std::vector<UpstreamCrash>& crashes);
 
     /// Sets the number of instances that share the retry budgets; 0 is ignored.
     void setInstanceCount(unsigned instanceCount);
@@ -98,7 +107,8 @@
     /// Returns the demand since the last call, as a message to the lease holder.
     DemandMessage collectAndResetDemand();
 
-    /// Returns whether requests since the last collectAndResetDemand() found no upstream with their model loaded.
+    /// Returns whether requests since the last collectAndResetDemand() found no upstream with their model loaded, or a
+    /// crash was recorded.
     bool hasUrgentDemand() const { return m_hasUrgentDemand; }
 
     /// Wakes the requests that wait for a change of the directory or of the residency hints.
@@ -114,6 +124,7 @@
 
 private:
     double retryBudgetBurst() const;
+    void logQuarantineChanges(const std::map<SuspectId, unsigned>& previous) const;
     bool canServe(const UpstreamEntry& upstream, const ServingRequest& request) const;
 
     boost::asio::io_context& m_context;
@@ -125,7 +136,7 @@
     UpstreamDirectory m_directory;
     UpstreamLoads m_upstreamLoads;
     ResidencyHints m_residencyHints;
-    SuspectRequests m_suspectRequests;
+    CrashSuspects m_crashSuspects;
     std::map<std::string, RetryBudget> m_retryBudgets;
     /// Number of instances that share the retry budgets; 0 while it is unknown.
     unsigned m_instanceCount = 0;
--- a/src/libfront/placement_agent.cpp
+++ b/src/libfront/placement_agent.cpp
@@ -34,7 +34,6 @@
 constexpr std::chrono::milliseconds firstReportsPeriod { 1500 };
 /// Maximum time between two reports of an instance that does not know the readers yet.
 constexpr std::chrono::milliseconds maxIntervalWithoutReaders { 1500 };
-constexpr std::size_t maxCrashCountsInReply = 32;
 
 /// Time between an accepted order and the moment when the upstream accepts requests for the adapter.
 constexpr std::chrono::milliseconds adapterActivationDelay { 16 };
@@ -95,6 +94,10 @@
     auto out = m_state.collectAndResetDemand();
     out.reporters.push_back(m_relay.self());
     m_collector.takeInto(out);
+    const auto& suspects = m_state.crashSuspects();
+    out.crashFingerprint = suspects.fingerprint();
+    if (out.crashFingerprint != m_peerCrashFingerprint)
+        out.crashes = suspects.crashes();
     return out;
 }
 
@@ -169,7 +172,8 @@
     m_isHolderReachable = true;
     const unsigned reporters = reply.reporters > 0 ? reply.reporters : reply.instances;
     m_leaseManager.recordRenewalByHolder(std::move(renewed), reply.age, reader.has_value(), reporters);
-    m_state.suspectRequests().merge(reply.crashes);
+    m_peerCrashFingerprint = reply.crashFingerprint;
+    m_state.mergeCrashes(reply.crashes);
     applyReply(reply);
     m_holderReply = reply;
 }
@@ -203,9 +207,21 @@
     }
     out.reporters = static_cast<unsigned>(m_directReports.size());
     out.isReader = m_relay.isUsableReader();
+    exchangeCrashes(message, out);
     return out;
 }
 
+/// Merges the crashes that the sender of the message knows, and adds those that it lacks to the reply.
+void PlacementAgent::exchangeCrashes(const DemandMessage& message, DemandReply& reply)
+{
+    m_state.mergeCrashes(message.crashes);
+    const auto& suspects = m_state.crashSuspects();
+    reply.crashFingerprint = suspects.fingerprint();
+    reply.crashes.clear();
+    if (message.crashFingerprint != reply.crashFingerprint)
+        reply.crashes = suspects.crashes();
+}
+
 /// Returns whether this instance has been the holder for long enough to have heard of all instances.
 bool PlacementAgent::knowsAllInstances()
 {
@@ -238,12 +254,6 @@
         if (auto* placement = findPlacement(it.service))
             placement->lastRequested[{ it.model, it.adapter }] = now;
     }
-    for (const auto& it : message.crashes) {
-        if (message.instance == m_state.instanceId())
-            continue;
-        for (std::uint32_t i = 0; i < it.crashes; ++i)
-            m_state.suspectRequests().recordCrash(it.digest);
-    }
     for (const auto& it : message.unreachable) {
         if (m_state.directory().find(it) && m_monitoredUpstreams.insert(it).second)
             spawnLogged(m_state.context(), monitorReachability(it), "reachability");
@@ -269,7 +279,7 @@
                 out.retiring.push_back({ .upstream = id, .model = model });
         }
     }
-    out.crashes = m_state.suspectRequests().counts(maxCrashCountsInReply);
+    exchangeCrashes(message, out);
     if (knowsAllInstances())
         out.readers = chooseReaders(m_reporters[message.instance].member.zone);
     return out;
--- a/src/libfront/placement_agent.h
+++ b/src/libfront/placement_agent.h
@@ -64,6 +64,7 @@
     void handleReply(const DemandReply& reply, const std::optional<StoreReader>& reader);
     DemandMessage collectDemand();
     DemandReply relayDemand(const DemandMessage& message);
+    void exchangeCrashes(const DemandMessage& message, DemandReply& reply);
     bool knowsAllInstances();
     unsigned countInstances();
     std::vector<StoreReader> chooseReaders(const std::string& zone) const;
@@ -95,6 +96,8 @@
     DemandCollector m_collector;
     /// Last reply of the holder, which is passed on to the instances that report to this one.
     DemandReply m_holderReply;
+    /// Fingerprint of the crashes known to the instance that last replied to a demand message.
+    std::uint64_t m_peerCrashFingerprint = 0;
     /// State of the connection to the lease holder as last logged.
     bool m_isHolderReachable = false;
     /// Fencing token of the lease term at whose beginning the trackers were last reset.
--- a/src/libfront/placement_messages.cpp
+++ b/src/libfront/placement_messages.cpp
@@ -5,7 +5,6 @@
 namespace bulrushstack {
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ModelDemand, service, model, requests, workMs, unplaced)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CrashCount, digest, crashes)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AdapterDemand, service, model, adapter, refusedBy)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RetiringReplica, upstream, model)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AdapterReply, upstream)
@@ -46,10 +45,43 @@
     out.address = readAddress(document, "address");
 }
 
+void to_json(json& out, const CrashSuspect& suspect)
+{
+    out = { { "kind", toString(suspect.suspect.kind) }, { "id", suspect.suspect.id }, { "depth", suspect.depth },
+        { "wasServedBefore", suspect.wasServedBefore }, { "isCleared", suspect.isCleared } };
+}
+
+void from_json(const json& document, CrashSuspect& out)
+{
+    const bool isPart = document.at("kind").get<std::string>() == toString(SuspectKind::PromptPart);
+    out.suspect.kind = isPart ? SuspectKind::PromptPart : SuspectKind::Request;
+    document.at("id").get_to(out.suspect.id);
+    document.at("depth").get_to(out.depth);
+    document.at("wasServedBefore").get_to(out.wasServedBefore);
+    document.at("isCleared").get_to(out.isCleared);
+}
+
+void to_json(json& out, const UpstreamCrash& crash)
+{
+    out = { { "upstream", crash.upstream }, { "startedAt", crash.startedAt }, { "ageMs", crash.age.count() },
+        { "suspects", crash.suspects } };
+}
+
+void from_json(const json& document, UpstreamCrash& out)
+{
+    document.at("upstream").get_to(out.upstream);
+    document.at("startedAt").get_to(out.startedAt);
+    out.age = std::chrono::milliseconds(document.at("ageMs").get<std::uint32_t>());
+    document.at("suspects").get_to(out.suspects);
+}
+
+// Instances of the previous version require the field "crashes", which held another type.
 void to_json(json& out, const DemandMessage& message)
 {
     out = { { "instance", message.instance }, { "models", message.models }, { "adapters", message.adapters },
-        { "crashes", message.crashes }, { "unreachable", message.unreachable }, { "reporters", message.reporters } };
+        { "crashes", json::array() }, { "upstreamCrashes", message.crashes },
+        { "crashFingerprint", message.crashFingerprint }, { "unreachable", message.unreachable },
+        { "reporters", message.reporters } };
 }
 
 // Fields that instances of the previous version do not send are optional.
@@ -58,7 +90,8 @@
     document.at("instance").get_to(out.instance);
     document.at("models").get_to(out.models);
     document.at("adapters").get_to(out.adapters);
-    document.at("crashes").get_to(out.crashes);
+    out.crashes = document.value("upstreamCrashes", std::vector<UpstreamCrash>());
+    out.crashFingerprint = document.value("crashFingerprint", std::uint64_t { 0 });
     document.at("unreachable").get_to(out.unreachable);
     out.reporters = document.value("reporters", std::vector<RelayMember>());
 }
@@ -66,7 +99,8 @@
 void to_json(json& out, const DemandReply& reply)
 {
     out = { { "isHolder", reply.isHolder }, { "leaseVersion", reply.leaseVersion }, { "instances", reply.instances },
-        { "retiring", reply.retiring }, { "crashes", reply.crashes }, { "holder", reply.holder },
+        { "retiring", reply.retiring }, { "crashes", json::array() }, { "upstreamCrashes", reply.crashes },
+        { "crashFingerprint", reply.crashFingerprint }, { "holder", reply.holder },
         { "holderAddress", reply.holderAddress.toString() }, { "ageMs", reply.age.count() },
         { "reporters", reply.reporters }, { "isReader", reply.isReader } };
     if (reply.readers)
@@ -79,7 +113,8 @@
     document.at("leaseVersion").get_to(out.leaseVersion);
     document.at("instances").get_to(out.instances);
     document.at("retiring").get_to(out.retiring);
-    document.at("crashes").get_to(out.crashes);
+    out.crashes = document.value("upstreamCrashes", std::vector<UpstreamCrash>());
+    out.crashFingerprint = document.value("crashFingerprint", std::uint64_t { 0 });
     out.holder = document.value("holder", "");
     out.holderAddress = readAddress(document, "holderAddress");
     out.age = std::chrono::milliseconds(document.value("ageMs", std::uint32_t { 0 }));
--- a/src/libfront/request_attempt.cpp
+++ b/src/libfront/request_attempt.cpp
@@ -42,12 +42,12 @@
 /// Returns whether the status implies that the request was not executed.
 bool impliesNotExecuted(unsigned status) { return status == 408 || status == 421 || status == 429 || status == 503; }
 
-/// Returns the ids of the prompt parts that the request may share with others, for the log.
-std::string sharedPartIds(const ServingRequest& request)
+/// Returns the suspects as fields of a log line.
+std::string suspectsForLog(const std::vector<CrashSuspect>& suspects)
 {
     std::string out;
-    for (std::size_t i = 0; i + 1 < request.prompt.size(); ++i)
-        out += (out.empty() ? "" : ",") + request.prompt[i].id;
+    for (const auto& it : suspects)
+        out += " " + std::string(toString(it.suspect.kind)) + "=" + it.suspect.id;
     return out;
 }
 
@@ -211,7 +211,7 @@
 {
     const unsigned status = response.status;
     if (status / 100 == 2)
-        m_state.suspectRequests().recordServed(m_requestDigest);
+        m_state.recordServed(m_crashSuspects);
     m_isDone = true;
     m_verdict = Verdict::Ran;
     const auto ec = co_await m_exchange.respond(std::move(response));
@@ -284,7 +284,7 @@
     co_await beginClientStream(attempt);
     m_isDone = true;
     m_verdict = Verdict::Ran;
-    m_state.suspectRequests().recordServed(m_requestDigest);
+    m_state.recordServed(m_crashSuspects);
     const auto ec = co_await m_exchange.endStream();
     logCompletion(ec ? "undelivered" : "served", attempt.stream->status(), ec ? ec.message() : "");
 }
@@ -321,22 +321,24 @@
         probeForCrash(attempt);
 }
 
-/// Counts a crash against the request if the upstream no longer accepts connections. A connection that broke for
-/// another reason says nothing about the request.
+/// Suspects the contents of the request of a crash if the upstream no longer accepts connections. A connection that
+/// broke for another reason says nothing about the request. Prompt parts crash an upstream before its first event.
 void RequestForwarder::probeForCrash(const Attempt& attempt)
 {
-    auto probe = [](RequestDependencies dependencies, Address address, std::string upstream, ServingRequest request,
-                     std::string digest, bool hasEvents) -> asio::awaitable<void> {
+    auto suspects = m_crashSuspects;
+    if (attempt.hasFirstResponse)
+        std::erase_if(suspects, [](const auto& it) { return it.suspect.kind == SuspectKind::PromptPart; });
+    auto probe = [](RequestDependencies dependencies, Address address, std::string upstream, std::uint64_t startedAt,
+                     std::vector<CrashSuspect> suspects, std::string request) -> asio::awaitable<void> {
         if (co_await dependencies.client.isListening(address, crashProbeTimeout))
             co_return;
-        dependencies.state.suspectRequests().recordCrash(digest);
-        LOG(WARNING) << "event=crash-suspected request=" << request.id << " upstream=" << upstream
-                     << " model=" << request.model << " parts=" << sharedPartIds(request) << " has_events=" << hasEvents
-                     << " digest=" << digest;
+        LOG(WARNING) << "event=crash-suspected request=" << request << " upstream=" << upstream
+                     << " started_at=" << startedAt << suspectsForLog(suspects);
+        dependencies.state.recordCrash(upstream, startedAt, suspects);
     };
     spawnLogged(m_state.context(),
         probe(
-            m_dependencies, attempt.address, attempt.upstreamId, m_request, m_requestDigest, attempt.hasFirstResponse),
+            m_dependencies, attempt.address, attempt.upstreamId, attempt.startedAt, std::move(suspects), m_request.id),
         "crash-probe");
 }
 
--- a/src/libfront/request_forwarder.cpp
+++ b/src/libfront/request_forwarder.cpp
@@ -71,11 +71,20 @@
     const auto timeout
         = m_request.callerTimeout ? std::min(*m_request.callerTimeout, m_route->timeout) : m_route->timeout;
     m_deadline = m_receivedAt + timeout;
-    m_requestDigest = requestDigest(m_request, m_exchange.request().target, m_exchange.request().body);
-    if (m_state.suspectRequests().isQuarantined(m_requestDigest))
-        return Problem { .code = ProblemCode::NoUpstream,
-            .detail = "upstreams crashed while they executed this request" };
-    return std::nullopt;
+    m_crashSuspects
+        = suspectsOf(m_request, requestDigest(m_request, m_exchange.request().target, m_exchange.request().body));
+    return quarantineProblem();
+}
+
+/// Returns the error for a request that would probably crash the upstream that runs it; empty if it may run.
+std::optional<Problem> RequestForwarder::quarantineProblem() const
+{
+    const auto suspect = m_state.crashSuspects().findQuarantined(m_crashSuspects);
+    if (!suspect)
+        return std::nullopt;
+    return Problem { .code = ProblemCode::NoUpstream,
+        .detail = "upstreams crashed while they executed requests with the same " + std::string(toString(suspect->kind))
+            + " " + suspect->id };
 }
 
 asio::awaitable<void> RequestForwarder::runAdmitted()
@@ -106,6 +115,10 @@
             co_await respondWithFailure(std::move(failure));
             co_return;
         }
+        if (auto problem = quarantineProblem()) {
+            co_await endQuarantined(std::move(*problem));
+            co_return;
+        }
         auto failure = co_await attempt(*chosen);
         if (!failure || m_isDone)
             co_return;
@@ -262,6 +275,18 @@
     co_await sendError(problem, std::nullopt);
 }
 
+/// Ends a request that was quarantined while it waited, or after an attempt. It is not to be sent again, so that the
+/// response has no Retry-After.
+asio::awaitable<void> RequestForwarder::endQuarantined(Problem problem)
+{
+    if (m_verdict == Verdict::NotRun && !m_isStreaming) {
+        co_await sendError(std::move(problem), std::nullopt);
+        co_return;
+    }
+    co_await respondWithFailure(
+        { .code = Errc::Unavailable, .verdict = Verdict::NotRun, .detail = std::move(problem.detail) });
+}
+
 asio::awaitable<void> RequestForwarder::sendError(Problem problem, std::optional<Milliseconds> retryAfter)
 {
     auto response = problemResponse(problem, m_request.id);
--- a/src/libfront/request_forwarder.h
+++ b/src/libfront/request_forwarder.h
@@ -71,6 +71,7 @@
     void probeForCrash(const Attempt& attempt);
     boost::asio::awaitable<void> sendError(Problem problem, std::optional<Milliseconds> retryAfter);
     boost::asio::awaitable<void> respondWithFailure(Failure failure);
+    boost::asio::awaitable<void> endQuarantined(Problem problem);
 
     void applyResponseState(const Attempt& attempt);
     void recordFirstResponse(Attempt& attempt);
@@ -83,6 +84,7 @@
     Milliseconds timeLeft() const;
     SteadyTime residencyDeadline() const;
     std::optional<Problem> admissionProblem();
+    std::optional<Problem> quarantineProblem() const;
     unsigned urgency() const;
     void endAfterClientDisconnect(const std::string& detail);
     void logCompletion(std::string_view outcome, unsigned status, const std::string& detail);
@@ -96,7 +98,8 @@
     ServingConfigurationPtr m_configuration;
     const RouteSpec* m_route = nullptr;
     const ServiceSpec* m_service = nullptr;
-    std::string m_requestDigest;
+    /// What the request contains that may crash upstreams.
+    std::vector<CrashSuspect> m_crashSuspects;
     std::shared_ptr<HttpCancellation> m_cancellation = std::make_shared<HttpCancellation>();
     bool m_isClientGone = false;
     /// Whether the client has its response, or is no longer there to receive it.
--- /dev/null
+++ b/src/libserving/crash_suspects.cpp
@@ -0,0 +1,269 @@
+#include "bulrushstack/serving/crash_suspects.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace bulrushstack {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+/// Number of crashes after which a request is quarantined.
+constexpr unsigned requestThreshold = 2;
+/// Number of separate crashes after which a prompt part is quarantined.
+constexpr unsigned partThreshold = 3;
+/// The same for a part of requests that were served shortly before, which is more likely to be innocent.
+constexpr unsigned servedPartThreshold = 5;
+/// Crashes within this time count once against a prompt part, since they may have a common cause such as the loss of a
+/// rack.
+constexpr milliseconds separateCrashInterval { 500 };
+/// Time before a crash in which a part that was served counts as served before.
+constexpr std::chrono::seconds servedBeforePeriod { 60 };
+constexpr std::chrono::minutes crashLifetime { 10 };
+constexpr std::size_t crashLimit = 32;
+constexpr std::size_t suspectLimit = 256; ///< per crash
+constexpr std::size_t servedPartLimit = 4096;
+
+} // namespace
+
+std::string_view toString(SuspectKind kind) { return kind == SuspectKind::PromptPart ? "prompt-part" : "request"; }
+
+std::vector<CrashSuspect> suspectsOf(const ServingRequest& request, std::string digest)
+{
+    std::vector<CrashSuspect> out;
+    for (unsigned i = 0; i + 1 < request.prompt.size(); ++i)
+        out.push_back({ .suspect = { SuspectKind::PromptPart, request.prompt[i].id }, .depth = i });
+    const auto depth = static_cast<unsigned>(request.prompt.size());
+    out.push_back({ .suspect = { SuspectKind::Request, std::move(digest) }, .depth = depth });
+    return out;
+}
+
+/// Returns the number of crashes without those that follow another one too soon to count.
+unsigned CrashSuspects::Explanation::separateCrashes() const
+{
+    std::vector<SteadyTime> times;
+    times.reserve(crashes.size());
+    for (const auto* it : crashes)
+        times.push_back(it->firstSeen);
+    std::sort(times.begin(), times.end());
+    unsigned n = 0;
+    SteadyTime last {};
+    for (const auto it : times) {
+        if (n > 0 && it - last < separateCrashInterval)
+            continue;
+        last = it;
+        ++n;
+    }
+    return n;
+}
+
+bool CrashSuspects::Explanation::isSufficient(SuspectKind kind) const
+{
+    if (kind == SuspectKind::Request)
+        return crashes.size() >= requestThreshold;
+    return separateCrashes() >= (wasServedBefore ? servedPartThreshold : partThreshold);
+}
+
+bool CrashSuspects::Explanation::isBetterThan(const Explanation& other) const
+{
+    if (wasServedBefore != other.wasServedBefore)
+        return !wasServedBefore;
+    if (crashes.size() != other.crashes.size())
+        return crashes.size() > other.crashes.size();
+    return depth > other.depth;
+}
+
+CrashSuspects::CrashSuspects(const Clock& clock)
+    : m_clock(clock)
+{
+}
+
+void CrashSuspects::recordCrash(
+    const std::string& upstream, std::uint64_t startedAt, const std::vector<CrashSuspect>& suspects)
+{
+    removeExpired();
+    auto& crash = findOrAddCrash({ upstream, startedAt }, m_clock.now());
+    for (const auto& it : suspects)
+        addSuspect(crash, it);
+    update();
+}
+
+void CrashSuspects::recordServed(const std::vector<CrashSuspect>& contents)
+{
+    bool isChanged = false;
+    for (const auto& content : contents) {
+        if (content.suspect.kind == SuspectKind::PromptPart)
+            rememberServed(content.suspect);
+        for (auto& [key, crash] : m_crashes) {
+            auto it = crash.suspects.find(content.suspect);
+            if (it == crash.suspects.end() || it->second.isCleared)
+                continue;
+            it->second.isCleared = true;
+            isChanged = true;
+        }
+    }
+    if (isChanged)
+        update();
+}
+
+void CrashSuspects::merge(const std::vector<UpstreamCrash>& crashes)
+{
+    if (crashes.empty())
+        return;
+    removeExpired();
+    for (const auto& it : crashes) {
+        if (it.age < milliseconds(0) || it.age >= crashLifetime)
+            continue;
+        auto& crash = findOrAddCrash({ it.upstream, it.startedAt }, m_clock.now() - it.age);
+        for (const auto& suspect : it.suspects)
+            addSuspect(crash, suspect);
+    }
+    update();
+}
+
+std::optional<SuspectId> CrashSuspects::findQuarantined(const std::vector<CrashSuspect>& contents) const
+{
+    if (m_quarantined.empty() || m_clock.now() >= m_quarantineEnd)
+        return std::nullopt;
+    for (const auto& it : contents) {
+        if (m_quarantined.count(it.suspect) > 0)
+            return it.suspect;
+    }
+    return std::nullopt;
+}
+
+std::vector<UpstreamCrash> CrashSuspects::crashes() const
+{
+    std::vector<UpstreamCrash> out;
+    out.reserve(m_crashes.size());
+    for (const auto& [key, crash] : m_crashes) {
+        UpstreamCrash item { .upstream = key.first,
+            .startedAt = key.second,
+            .age = duration_cast<milliseconds>(m_clock.now() - crash.firstSeen) };
+        for (const auto& [id, state] : crash.suspects)
+            item.suspects.push_back({ .suspect = id,
+                .depth = state.depth,
+                .wasServedBefore = state.wasServedBefore,
+                .isCleared = state.isCleared });
+        out.push_back(std::move(item));
+    }
+    return out;
+}
+
+/// Returns the record of the crash. The earliest time at which any instance noticed it is kept.
+CrashSuspects::Crash& CrashSuspects::findOrAddCrash(const CrashKey& key, SteadyTime firstSeen)
+{
+    auto it = m_crashes.find(key);
+    if (it == m_crashes.end()) {
+        if (m_crashes.size() >= crashLimit)
+            removeLeastUsefulCrash();
+        it = m_crashes.emplace(key, Crash { .firstSeen = firstSeen, .suspects = {} }).first;
+    }
+    it->second.firstSeen = std::min(it->second.firstSeen, firstSeen);
+    return it->second;
+}
+
+void CrashSuspects::addSuspect(Crash& crash, const CrashSuspect& suspect)
+{
+    if (crash.suspects.size() >= suspectLimit && crash.suspects.count(suspect.suspect) == 0)
+        return;
+    auto& state = crash.suspects[suspect.suspect];
+    state.depth = std::max(state.depth, suspect.depth);
+    state.wasServedBefore = state.wasServedBefore || suspect.wasServedBefore;
+    state.isCleared = state.isCleared || suspect.isCleared;
+    const auto served = m_lastServed.find(suspect.suspect);
+    if (served == m_lastServed.end())
+        return;
+    if (served->second >= crash.firstSeen)
+        state.isCleared = true;
+    else if (crash.firstSeen - served->second < servedBeforePeriod)
+        state.wasServedBefore = true;
+}
+
+void CrashSuspects::removeExpired()
+{
+    std::erase_if(m_crashes, [&](const auto& it) { return m_clock.now() - it.second.firstSeen >= crashLifetime; });
+}
+
+/// Removes the oldest crash without any suspect that is not cleared, or else the oldest one.
+void CrashSuspects::removeLeastUsefulCrash()
+{
+    const auto isOpen = [](const Crash& crash) {
+        return std::any_of(
+            crash.suspects.begin(), crash.suspects.end(), [](const auto& it) { return !it.second.isCleared; });
+    };
+    m_crashes.erase(std::min_element(m_crashes.begin(), m_crashes.end(), [&](const auto& a, const auto& b) {
+        return std::pair(isOpen(a.second), a.second.firstSeen) < std::pair(isOpen(b.second), b.second.firstSeen);
+    }));
+}
+
+void CrashSuspects::rememberServed(const SuspectId& part)
+{
+    const auto now = m_clock.now();
+    if (m_lastServed.size() >= servedPartLimit)
+        std::erase_if(m_lastServed, [&](const auto& it) { return now - it.second >= servedBeforePeriod; });
+    if (m_lastServed.size() < servedPartLimit || m_lastServed.count(part) > 0)
+        m_lastServed[part] = now;
+}
+
+void CrashSuspects::update()
+{
+    updateQuarantine();
+    updateFingerprint();
+}
+
+void CrashSuspects::updateQuarantine()
+{
+    m_quarantined.clear();
+    std::vector<const Crash*> unexplained;
+    unexplained.reserve(m_crashes.size());
+    for (const auto& [key, crash] : m_crashes) {
+        unexplained.push_back(&crash);
+        m_quarantineEnd = std::max(m_quarantineEnd, crash.firstSeen + crashLifetime);
+    }
+    for (;;) {
+        std::map<SuspectId, Explanation> explanations;
+        for (const auto* crash : unexplained) {
+            for (const auto& [id, state] : crash->suspects) {
+                if (state.isCleared)
+                    continue;
+                auto& explanation = explanations[id];
+                explanation.depth = std::max(explanation.depth, state.depth);
+                explanation.wasServedBefore = explanation.wasServedBefore || state.wasServedBefore;
+                explanation.crashes.push_back(crash);
+            }
+        }
+        std::erase_if(explanations, [](const auto& it) { return !it.second.isSufficient(it.first.kind); });
+        if (explanations.empty())
+            return;
+        const auto best = std::max_element(explanations.begin(), explanations.end(),
+            [](const auto& a, const auto& b) { return b.second.isBetterThan(a.second); });
+        const auto& explained = best->second.crashes;
+        m_quarantined[best->first] = static_cast<unsigned>(explained.size());
+        std::erase_if(unexplained,
+            [&](const Crash* it) { return std::find(explained.begin(), explained.end(), it) != explained.end(); });
+    }
+}
+
+void CrashSuspects::updateFingerprint()
+{
+    XXH3_state_t state;
+    XXH3_64bits_reset(&state);
+    const auto add = [&](const void* data, std::size_t size) { XXH3_64bits_update(&state, data, size); };
+    const auto addText = [&](const std::string& text) { add(text.c_str(), text.size() + 1); };
+    for (const auto& [key, crash] : m_crashes) {
+        addText(key.first);
+        add(&key.second, sizeof(key.second));
+        for (const auto& [id, suspect] : crash.suspects) {
+            addText(id.id);
+            const std::uint32_t fields[] = { static_cast<std::uint32_t>(id.kind), suspect.depth,
+                static_cast<std::uint32_t>(suspect.wasServedBefore), static_cast<std::uint32_t>(suspect.isCleared) };
+            add(fields, sizeof(fields));
+        }
+    }
+    m_fingerprint = m_crashes.empty() ? 0 : XXH3_64bits_digest(&state);
+}
+
+} // namespace bulrushstack
