Count crashes 50 ms apart against a prompt part that was not served before

A part that is in constant use needs the longer interval, since it is in progress on many upstreams; one that no request was served with does not. IsQuarantinedSoonIfItsRequestsAreMany fails with the interval of before.

--- a/src/libserving/crash_suspects.cpp
+++ b/src/libserving/crash_suspects.cpp
@@ -17,8 +17,9 @@
 /// The same for a part of requests that were served shortly before, which is more likely to be innocent.
 constexpr unsigned servedPartThreshold = 5;
 /// Crashes within this time count once against a prompt part, since they may have a common cause such as the loss of a
-/// rack.
-constexpr milliseconds separateCrashInterval { 500 };
+/// rack. A part that is in constant use is in progress on many upstreams, and several of them may fail within a second.
+constexpr milliseconds separateCrashInterval { 50 };
+constexpr milliseconds servedPartSeparateCrashInterval { 500 };
 /// Time before a crash in which a part that was served counts as served before.
 constexpr std::chrono::seconds servedBeforePeriod { 60 };
 constexpr std::chrono::minutes crashLifetime { 10 };
@@ -48,10 +49,11 @@
     for (const auto* it : crashes)
         times.push_back(it->firstSeen);
     std::sort(times.begin(), times.end());
+    const auto interval = wasServedBefore ? servedPartSeparateCrashInterval : separateCrashInterval;
     unsigned n = 0;
     SteadyTime last {};
     for (const auto it : times) {
-        if (n > 0 && it - last < separateCrashInterval)
+        if (n > 0 && it - last < interval)
             continue;
         last = it;
         ++n;
--- a/src/libserving/crash_suspects_test.cpp
+++ b/src/libserving/crash_suspects_test.cpp
@@ -82,6 +82,18 @@
     BOOST_TEST(instance.isRefused({ "other", "deadly" }));
 }
 
+// Guards against the loss of all upstreams within a second before the part is found.
+BOOST_AUTO_TEST_CASE(IsQuarantinedSoonIfItsRequestsAreMany)
+{
+    instance.serve({ "house", "opera" });
+    for (int i = 0; i < 8; ++i) {
+        clock.advance(80ms);
+        instance.crash("u" + std::to_string(i), { "house", "opera", "deadly" });
+    }
+    BOOST_TEST(instance.isRefused({ "house", "opera", "deadly" }));
+    BOOST_TEST(!instance.isRefused({ "house", "opera" }));
+}
+
 // Guards against refusing requests that share their other parts with the crashing ones.
 BOOST_AUTO_TEST_CASE(LeavesItsNeighboursAlone)
 {
@@ -156,6 +168,17 @@
     BOOST_TEST(!instance.isRefused({ "house", "opera" }));
 }
 
+// The same for a part in constant use whose upstreams fail within a second, but not at the same moment.
+BOOST_AUTO_TEST_CASE(CrashesWithinASecondDoNotCondemnAPartInUse)
+{
+    instance.serve({ "house", "opera" });
+    for (int i = 0; i < 10; ++i) {
+        clock.advance(100ms);
+        instance.crash("u" + std::to_string(i), { "house", "opera" });
+    }
+    BOOST_TEST(!instance.isRefused({ "house", "opera" }));
+}
+
 BOOST_AUTO_TEST_CASE(AServedRequestClearsItsParts)
 {
     for (int i = 0; i < 10; ++i) {
