Choose no readers of the store where they would be too slow

An instance that reads through a reader applies a change after 2.4 s at the latest while a reader fails: 1.8 s until the reader is too old, 0.5 s of a wait, and a request to the next one.

--- a/src/include/bulrushstack/relay/store_reader.h
+++ b/src/include/bulrushstack/relay/store_reader.h
@@ -2,6 +2,7 @@
 
 #include "bulrushstack/kernel/settings.h"
 
+#include <chrono>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,10 @@
     friend bool operator==(const RelayMember&, const RelayMember&) = default;
 };
 
+/// Longest time until an instance that reads from a reader applies a change: the age up to which it uses the reader's
+/// answers, its wait for the next answer, and the request to another reader.
+constexpr std::chrono::milliseconds relayedChangeDelay { 2400 };
+
 struct ReaderChoiceOptions {
     /// With fewer instances, each reads the store itself.
     unsigned minInstances = 24;
@@ -32,13 +37,15 @@
     unsigned instancesPerReader = 24;
     /// Readers of an availability zone, so that the loss of one leaves another.
     unsigned minReadersPerZone = 2;
+    /// Time within which each instance must apply a change of a table.
+    std::chrono::nanoseconds changePeriod = std::chrono::seconds(4);
 
     friend bool operator==(const ReaderChoiceOptions&, const ReaderChoiceOptions&) = default;
 };
 
 /// Chooses the readers of an availability zone among all members, those with the largest share of a processor first.
 /// The choice changes as little as possible when members come and go. Returns an empty list if each instance should
-/// read the store itself.
+/// read the store itself, because there are few or because readers would be too slow.
 std::vector<StoreReader> chooseStoreReaders(
     const std::vector<RelayMember>& members, const std::string& zone, const ReaderChoiceOptions& options);
 
--- a/src/libfront/placement_agent.cpp
+++ b/src/libfront/placement_agent.cpp
@@ -243,7 +243,9 @@
     members.reserve(m_reporters.size());
     for (const auto& [instance, reporter] : m_reporters)
         members.push_back(reporter.member);
-    return chooseStoreReaders(members, zone, m_relay.readerChoice());
+    auto options = m_relay.readerChoice();
+    options.changePeriod = m_state.platformLimits().configurationPeriod;
+    return chooseStoreReaders(members, zone, options);
 }
 
 DemandReply PlacementAgent::processDemand(const DemandMessage& message)
--- a/src/librelay/store_reader.cpp
+++ b/src/librelay/store_reader.cpp
@@ -23,7 +23,7 @@
 std::vector<StoreReader> chooseStoreReaders(
     const std::vector<RelayMember>& members, const std::string& zone, const ReaderChoiceOptions& options)
 {
-    if (members.size() < options.minInstances)
+    if (members.size() < options.minInstances || options.changePeriod < relayedChangeDelay)
         return {};
     std::vector<RelayMember> candidates;
     std::copy_if(members.begin(), members.end(), std::back_inserter(candidates),
--- a/src/librelay/store_reader_test.cpp
+++ b/src/librelay/store_reader_test.cpp
@@ -29,6 +29,13 @@
 
 BOOST_AUTO_TEST_CASE(AreNotChosenInASmallDeployment) { BOOST_TEST(chooseStoreReaders(members(11), "a", {}).empty()); }
 
+// Guards against a change that is applied later than the deployment permits because a reader is cut off from the store.
+BOOST_AUTO_TEST_CASE(AreNotChosenWhereTheyWouldBeTooSlow)
+{
+    BOOST_TEST(chooseStoreReaders(members(59), "a", { .changePeriod = std::chrono::seconds(2) }).empty());
+    BOOST_TEST(!chooseStoreReaders(members(59), "a", { .changePeriod = std::chrono::seconds(3) }).empty());
+}
+
 BOOST_AUTO_TEST_SUITE(OfALargeDeployment)
 
 // Guards against readers that are too small for the instances which depend on them.
--- a/testsuite/platform-relay/run.py
+++ b/testsuite/platform-relay/run.py
@@ -16,6 +16,7 @@
 INSTANCES = 6
 SETTLED_S = 1.5  # seconds without calls after which the instances have settled
 MEASURED_S = 4.0  # seconds in which calls to the store are counted
+LARGE_DEPLOYMENT = {"configMs": 4000}  # bound of the deployments that have readers
 IN_FORCE_S = 3.0  # time from a change of the configuration to its effect on every running instance
 
 
@@ -79,7 +80,7 @@
 
 def run(folder):
     script = Transcript()
-    with serving_site.open_site(folder, instance_settings=["BULRUSH_RELAY_MIN_INSTANCES=3"]) as site:
+    with serving_site.open_site(folder, instance_settings=["BULRUSH_RELAY_MIN_INSTANCES=3"], bounds=LARGE_DEPLOYMENT) as site:
         instances = start(site)
         site.wait_ready(*instances)
         wait_until(lambda: is_relaying(instances), "the tables are read through two readers", 30)
