Keep the quarantine in the store over the loss of all instances

The holder of the placement lease writes the crashes that the quarantine explains into one row, under the condition that the lease's row is unchanged, so that a suspended holder cannot replace what its successor wrote; every instance reads it when it starts. A row is written only when the quarantine changes.

--- a/src/include/bulrushstack/front/placement_messages.h
+++ b/src/include/bulrushstack/front/placement_messages.h
@@ -6,6 +6,7 @@
 #include "bulrushstack/serving/model_demand.h"
 
 #include <chrono>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -90,6 +91,12 @@
 std::string encode(const AdapterDemand& demand);
 std::string encode(const AdapterReply& reply);
 
+/// Encodes crashes for the platform's store.
+nlohmann::json encodeCrashes(const std::vector<UpstreamCrash>& crashes);
+
+/// Fails with Errc::Malformed.
+Result<std::vector<UpstreamCrash>> decodeCrashes(const nlohmann::json& document);
+
 /// Each of these functions decodes one message. They fail with Errc::Malformed and ignore unknown fields.
 Result<DemandMessage> decodeDemandMessage(std::string_view text);
 Result<DemandReply> decodeDemandReply(std::string_view text);
--- a/src/include/bulrushstack/serving/crash_suspects.h
+++ b/src/include/bulrushstack/serving/crash_suspects.h
@@ -84,6 +84,10 @@
     /// Returns all that this instance knows, to be merged by the others.
     std::vector<UpstreamCrash> crashes() const;
 
+    /// Returns the crashes that the quarantined suspects explain, without other suspects. Merged elsewhere, they lead
+    /// to the same quarantine.
+    std::vector<UpstreamCrash> quarantineEvidence() const;
+
     /// Returns a hash of what crashes() returns except the ages. Instances with equal fingerprints need not exchange
     /// their crashes.
     std::uint64_t fingerprint() const { return m_fingerprint; }
--- a/src/libfront/lease_manager.cpp
+++ b/src/libfront/lease_manager.cpp
@@ -11,8 +11,6 @@
 
 namespace asio = boost::asio;
 
-const RowId leaseRowId { .table = "placement", .key = "lease" };
-
 constexpr std::chrono::milliseconds leaseLoopInterval { 100 };
 /// Maximum random delay at the start. Instances start together, and the delay lets one of them write the lease first.
 constexpr std::chrono::milliseconds leaseStartJitter { 250 };
--- a/src/libfront/lease_manager.h
+++ b/src/libfront/lease_manager.h
@@ -9,6 +9,9 @@
 
 namespace bulrushstack {
 
+/// Row of the placement lease. Its version changes with every renewal.
+inline const RowId leaseRowId { .table = "placement", .key = "lease" };
+
 /// Manages the placement lease: reads its row, claims it when no instance holds it, renews it while this instance holds
 /// it, and releases it. What the holder does with the lease is up to the caller.
 class LeaseManager {
--- a/src/libfront/placement_agent.cpp
+++ b/src/libfront/placement_agent.cpp
@@ -25,6 +25,8 @@
 constexpr std::chrono::milliseconds reachabilityTimeout { 250 };
 constexpr std::chrono::milliseconds reachabilityInterval { 700 };
 
+/// Interval of the checks whether the quarantine has to be written to the store.
+constexpr std::chrono::milliseconds quarantineSaveInterval { 300 };
 /// Interval of the checks whether a demand report is due.
 constexpr std::chrono::milliseconds demandReportCheckInterval { 60 };
 /// An instance that sent no demand report for this time no longer counts toward the number of instances.
@@ -59,6 +61,7 @@
     , m_metrics(metrics)
     , m_relay(relay)
     , m_leaseManager(state, binding, metrics, relay.self())
+    , m_quarantineStore(state, binding, m_leaseManager)
     , m_demandEstimator(state.clock())
 {
 }
@@ -66,6 +69,7 @@
 void PlacementAgent::start()
 {
     spawnLogged(m_state.context(), m_leaseManager.run(), "placement-lease");
+    spawnLogged(m_state.context(), keepQuarantine(), "quarantine-store");
     spawnLogged(m_state.context(), reportDemand(), "placement-demand");
     spawnLogged(m_state.context(), runPlanning(), "placement-plan");
 }
@@ -89,6 +93,15 @@
     }
 }
 
+asio::awaitable<void> PlacementAgent::keepQuarantine()
+{
+    co_await m_quarantineStore.load();
+    while (!m_leaseManager.isReleased()) {
+        co_await m_quarantineStore.saveIfChanged();
+        co_await sleepFor(m_state.context(), quarantineSaveInterval);
+    }
+}
+
 DemandMessage PlacementAgent::collectDemand()
 {
     auto out = m_state.collectAndResetDemand();
--- a/src/libfront/placement_agent.h
+++ b/src/libfront/placement_agent.h
@@ -9,6 +9,7 @@
 #include "front_metrics.h"
 #include "front_state.h"
 #include "lease_manager.h"
+#include "quarantine_store.h"
 #include "request_forwarder.h"
 
 #include <map>
@@ -59,6 +60,7 @@
     };
 
     boost::asio::awaitable<void> reportDemand();
+    boost::asio::awaitable<void> keepQuarantine();
     boost::asio::awaitable<void> sendDemand();
     boost::asio::awaitable<void> sendDemandTo(Address address, std::optional<StoreReader> reader);
     void handleReply(const DemandReply& reply, const std::optional<StoreReader>& reader);
@@ -93,6 +95,7 @@
     FrontMetrics& m_metrics;
     StoreRelay& m_relay;
     LeaseManager m_leaseManager;
+    QuarantineStore m_quarantineStore;
     DemandCollector m_collector;
     /// Last reply of the holder, which is passed on to the instances that report to this one.
     DemandReply m_holderReply;
--- a/src/libfront/placement_messages.cpp
+++ b/src/libfront/placement_messages.cpp
@@ -143,6 +143,17 @@
 
 } // namespace
 
+json encodeCrashes(const std::vector<UpstreamCrash>& crashes) { return { { "crashes", crashes } }; }
+
+Result<std::vector<UpstreamCrash>> decodeCrashes(const json& document)
+{
+    try {
+        return document.at("crashes").get<std::vector<UpstreamCrash>>();
+    } catch (const json::exception& error) {
+        return Failure { .code = Errc::Malformed, .verdict = Verdict::NotRun, .detail = error.what() };
+    }
+}
+
 std::string encode(const DemandMessage& message) { return encodeAs(message); }
 std::string encode(const DemandReply& reply) { return encodeAs(reply); }
 std::string encode(const AdapterDemand& demand) { return encodeAs(demand); }
--- /dev/null
+++ b/src/libfront/quarantine_store.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "bulrushstack/front/front_binding.h"
+#include "front_state.h"
+#include "lease_manager.h"
+
+#include <map>
+
+namespace bulrushstack {
+
+/// Keeps what is quarantined in the platform's store, so that it survives the loss of all instances at once.
+///
+/// Every instance reads the row when it starts; only the holder of the placement lease writes it. A write is
+/// conditional on the lease's row, so that an instance which was suspended cannot replace the row of its successor.
+class QuarantineStore {
+public:
+    QuarantineStore(FrontState& state, FrontBinding& binding, const LeaseManager& leaseManager);
+
+    /// Reads the row and merges it into the crashes that this instance knows. Gives up after a few attempts; the
+    /// instance then learns from the holder.
+    boost::asio::awaitable<void> load();
+
+    /// Writes the row if this instance is the holder and the quarantine has changed since the last write. A failed
+    /// write is repeated by the next call.
+    boost::asio::awaitable<void> saveIfChanged();
+
+private:
+    FrontState& m_state;
+    FrontBinding& m_binding;
+    const LeaseManager& m_leaseManager;
+    std::map<SuspectId, unsigned> m_saved;
+};
+
+} // namespace bulrushstack
--- a/src/libserving/crash_suspects.cpp
+++ b/src/libserving/crash_suspects.cpp
@@ -154,6 +154,17 @@
     return out;
 }
 
+std::vector<UpstreamCrash> CrashSuspects::quarantineEvidence() const
+{
+    auto out = crashes();
+    for (auto& crash : out) {
+        std::erase_if(crash.suspects,
+            [this](const CrashSuspect& it) { return it.isCleared || m_quarantined.count(it.suspect) == 0; });
+    }
+    std::erase_if(out, [](const UpstreamCrash& it) { return it.suspects.empty(); });
+    return out;
+}
+
 /// Returns the record of the crash. The earliest time at which any instance noticed it is kept.
 CrashSuspects::Crash& CrashSuspects::findOrAddCrash(const CrashKey& key, SteadyTime firstSeen)
 {
--- a/src/libserving/crash_suspects_test.cpp
+++ b/src/libserving/crash_suspects_test.cpp
@@ -274,6 +274,22 @@
     BOOST_TEST(!instance.isRefused({ "opera" }));
 }
 
+// Guards against a new instance that refuses what the quarantine does not name, or lets through what it names.
+BOOST_AUTO_TEST_CASE(TheEvidenceOfTheQuarantineIsEnough)
+{
+    Instance second { clock, "second" };
+    for (int i = 0; i < 4; ++i) {
+        instance.crash("u" + std::to_string(i), { "house", "deadly" });
+        instance.crash("u" + std::to_string(i), { "house", "opera" });
+        clock.advance(2s);
+    }
+    instance.serve({ "house" });
+    second.suspects.merge(instance.suspects.quarantineEvidence());
+    BOOST_TEST(second.isRefused({ "house", "deadly" }));
+    BOOST_TEST(!second.isRefused({ "house", "opera" }));
+    BOOST_TEST((second.suspects.quarantined() == instance.suspects.quarantined()));
+}
+
 // Guards against memory that grows with the number of crashes, and against evidence that innocent crashes displace.
 BOOST_AUTO_TEST_CASE(KeepsABoundedNumberOfCrashes)
 {
--- a/testsuite/deadly-prompt-part/run.py
+++ b/testsuite/deadly-prompt-part/run.py
@@ -1,7 +1,8 @@
 """Three instances receive requests of which some share a prompt part that crashes every engine that runs them.
 
 Guards against: requests that differ in everything but one prompt part and crash one engine after the other; requests that
-are refused because they share their other prompt parts with the crashing ones.
+are refused because they share their other prompt parts with the crashing ones; a quarantine that is forgotten when all
+instances are killed.
 """
 
 import time
@@ -16,6 +17,7 @@
 ROUND_S = 0.3  # seconds
 STABLE_S = 3.0  # seconds after the fifth crash from which deadly requests are limited
 LATE_RUN_LIMIT = 3  # deadly requests that may still reach engines after that
+KNOWN_AGAIN_S = 1.0  # seconds after which restarted instances know what is quarantined
 SETTLED_ROUNDS = 12  # last rounds, in which all other requests must be served
 
 
@@ -35,6 +37,25 @@
     return sorted(run.started_at for run in site.runs if ("deadly", 30) in site.sent_requests[run.request].parts)
 
 
+def restart_all(script, site, instances):
+    """Kills all instances at once, and sends deadly requests again when they are back."""
+    script.section("all instances are killed and started again")
+    for instance in instances:
+        site.begin_disruption(instance.name)
+        instance.process.kill()
+    before = len(deadly_runs(site))
+    for instance in instances:
+        site.start_instance(instance.name, instance.zone)
+    site.wait_ready(*instances)
+    for instance in instances:
+        site.wait_served(instance, brief_request(parts=prompt("again")), "another request is served")
+        site.end_disruption(instance.name)
+    time.sleep(KNOWN_AGAIN_S)
+    for number in range(ROUNDS, ROUNDS + 6):
+        send_round(site, instances, number)
+    script.say(f"deadly requests that reach engines again: {len(deadly_runs(site)) - before}")
+
+
 def run(folder):
     script = Transcript()
     with serving_site.open_site(folder, placed=PLACED, models=MODELS) as site:
@@ -53,5 +74,6 @@
         script.say(f"at most {LATE_RUN_LIMIT} such requests ran later than {STABLE_S:g} s after the fifth crash: {len(late) <= LATE_RUN_LIMIT}")
         settled = served[-SETTLED_ROUNDS:]
         script.say(f"requests that share the other parts are served: {settled == [len(instances)] * SETTLED_ROUNDS}")
+        restart_all(script, site, instances)
         serving_site.report_violations(script, site)
     return script.text()
