--- a/src/libfront/front_test_support.h
+++ b/src/libfront/front_test_support.h
@@ -170,9 +170,9 @@
             1, std::move(routes), std::vector<ServiceSpec> { { .name = "s" } }, RequestLimits()));
     }
 
-    RawServer& addUpstream(std::vector<std::string> responses, bool isClosing = false)
+    RawServer& addUpstream(std::vector<std::string> responses, bool isClosing = false, RawServerPace pace = {})
     {
-        upstreams.push_back(std::make_unique<RawServer>(context, std::move(responses), isClosing));
+        upstreams.push_back(std::make_unique<RawServer>(context, std::move(responses), isClosing, SIZE_MAX, pace));
         // The first upstream is in the zone of the front, so that it is the preferred choice.
         const auto n = upstreams.size();
         state.directory().apply({ .id = "u" + std::to_string(n),
--- a/src/libnet/testing/raw_server.h
+++ b/src/libnet/testing/raw_server.h
@@ -8,13 +8,21 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <chrono>
 #include <string>
 #include <vector>
 
 namespace bulrushstack {
 
+/// How RawServer sends its responses.
+struct RawServerPace {
+    std::size_t pieceSize = SIZE_MAX; ///< bytes that are sent at once
+    std::chrono::milliseconds pause {}; ///< time between two pieces
+};
+
 /// Test server that responds to each request with the next of the given byte strings, unmodified, and closes the
 /// connection after the last one if `closesAfterLastResponse` is set. It takes the result of one read as one request,
 /// which suffices for small requests on loopback. `responsesPerConnection` limits the responses that are sent on one
@@ -22,11 +30,12 @@
 class RawServer {
 public:
     RawServer(boost::asio::io_context& context, std::vector<std::string> responses,
-        bool closesAfterLastResponse = false, std::size_t responsesPerConnection = SIZE_MAX)
+        bool closesAfterLastResponse = false, std::size_t responsesPerConnection = SIZE_MAX, RawServerPace pace = {})
         : m_acceptor(context, { boost::asio::ip::make_address("127.0.0.1"), 0 })
         , m_responses(std::move(responses))
         , m_closesAfterLastResponse(closesAfterLastResponse)
         , m_responsesPerConnection(responsesPerConnection)
+        , m_pace(pace)
     {
         boost::asio::co_spawn(context, accept(), boost::asio::detached);
     }
@@ -61,7 +70,14 @@
                 co_return;
             m_received.push_back(buf.substr(0, n));
             const std::string response = m_responses[m_next++];
-            co_await boost::asio::async_write(socket, boost::asio::buffer(response), token);
+            for (std::size_t sent = 0; sent < response.size() && !ec; sent += m_pace.pieceSize) {
+                const auto piece = response.substr(sent, m_pace.pieceSize);
+                co_await boost::asio::async_write(socket, boost::asio::buffer(piece), token);
+                if (sent + piece.size() == response.size())
+                    break;
+                boost::asio::steady_timer timer(m_acceptor.get_executor(), m_pace.pause);
+                co_await timer.async_wait(boost::asio::use_awaitable);
+            }
         }
         if (m_closesAfterLastResponse)
             co_return;
@@ -72,6 +88,7 @@
     std::vector<std::string> m_responses;
     bool m_closesAfterLastResponse;
     std::size_t m_responsesPerConnection;
+    RawServerPace m_pace;
     std::size_t m_next = 0;
     std::vector<std::string> m_received;
     std::vector<Socket> m_openSockets;
