--- a/testsuite/platform-faults/run.py
+++ b/testsuite/platform-faults/run.py
@@ -36,11 +36,17 @@
     site.workers["plain-0"].garble_share = site.workers["plain-1"].garble_share = 0.0
     site.workers["engine-2"].cut_share = 1.0
     script.say(f"stream, cut: complete={site.call(instance, brief_request('m-3')).is_complete}")
+    site.workers["engine-2"].unframed_share = 1.0
+    script.say(f"stream without length, cut: complete={site.call(instance, brief_request('m-3')).is_complete}")
     site.workers["engine-2"].cut_share = 0.0
+    script.say(f"stream without length: {describe(site.call(instance, brief_request('m-3')))}")
+    site.workers["engine-2"].unframed_share = 0.0
     site.workers["engine-0"].cut_share = 1.0
-    served = [site.call(instance, note_request("m-0")).is_served for _ in range(6)]
-    script.say(f"resumable streams, one of two upstreams cuts: served {sum(served)} of {len(served)}")
-    site.workers["engine-0"].cut_share = 0.0
+    for share in (0.0, 1.0):
+        site.workers["engine-0"].unframed_share = share
+        served = [site.call(instance, note_request("m-0")).is_served for _ in range(6)]
+        script.say(f"resumable streams, one of two upstreams cuts, without length {share:g}: served {sum(served)} of {len(served)}")
+    site.workers["engine-0"].cut_share = site.workers["engine-0"].unframed_share = 0.0
 
 
 def lose_store(script, site, instances):
