--- a/src/libfront/placement_agent.h
+++ b/src/libfront/placement_agent.h
@@ -19,6 +19,10 @@
 
 namespace bulrushstack {
 
+/// Paths of the requests that one instance sends to another one.
+inline constexpr std::string_view demandPath = "/v1/placement/demand";
+inline constexpr std::string_view adapterPath = "/v1/placement/adapter";
+
 /// Sends orders to the upstreams while this instance holds the placement lease, and reports the demand of this instance
 /// to the holder otherwise, directly or through a reader. The holder also chooses the readers. Other instances reach
 /// the agent over HTTP, through HttpHandler.
