Name the errors of responses by their kind, and count attempts when they are sent

Log lines called a missing seal, a content encoding, an oversized event and a status 500 'response belongs to another request'; they are malformed, too large and upstream errors now. The line at the end of a served request had one attempt too few, since it was written before the attempt was counted. The HMAC test compared only a length; it now has the value of RFC 4231, test case 2.

--- a/src/include/bulrushstack/kernel/result.h
+++ b/src/include/bulrushstack/kernel/result.h
@@ -22,6 +22,7 @@
     Cancelled,
     InvalidArgument,
     Unauthenticated,
+    UpstreamError, ///< the upstream executed the request and reported an error
 };
 
 /// Returns the error category of Errc, whose name is "bulrushstack".
--- a/src/libfront/request_attempt.cpp
+++ b/src/libfront/request_attempt.cpp
@@ -34,9 +34,9 @@
 /// Maximum size of one event of a stream, in bytes.
 constexpr std::size_t maxEventSize = 1024 * 1024;
 
-Failure invalidResponse(std::string detail)
+Failure invalidResponse(Errc code, std::string detail)
 {
-    return { .code = Errc::MismatchedResponse, .verdict = Verdict::MayHaveRun, .detail = std::move(detail) };
+    return { .code = code, .verdict = Verdict::MayHaveRun, .detail = std::move(detail) };
 }
 
 /// Returns whether the status implies that the request was not executed.
@@ -108,9 +108,11 @@
         attempt.address, m_dependencies.format.encode(m_exchange.request(), forwardingFields), options);
     if (!stream) {
         attempt.wasSent = stream.error().verdict != Verdict::NotRun;
+        m_attemptsSent += attempt.wasSent ? 1 : 0;
         co_return stream.error();
     }
     attempt.wasSent = true;
+    ++m_attemptsSent;
     attempt.stream = std::move(*stream);
     co_return std::nullopt;
 }
@@ -124,7 +126,7 @@
         LOG(WARNING) << "event=stray-answer request=" << m_request.id << " upstream=" << attempt.upstreamId
                      << " answer_for=" << attempt.head.requestId << " status=" << stream.status();
         if (i >= mismatchedResponseLimit)
-            co_return invalidResponse("the response belongs to another request");
+            co_return invalidResponse(Errc::MismatchedResponse, "the response belongs to another request");
         auto next = co_await stream.nextResponse();
         if (!next)
             co_return next.error();
@@ -144,12 +146,14 @@
                 + (body ? "" : ", body unreadable") };
     }
     if (head.isContentEncoded)
-        co_return invalidResponse("the response has a content encoding");
+        co_return invalidResponse(Errc::Malformed, "the response has a content encoding");
     if (!head.hasResponseSeal && (status / 100 == 2 || head.requestId.empty()))
-        co_return invalidResponse("the response has no seal of the upstream, status " + std::to_string(status));
+        co_return invalidResponse(
+            Errc::Malformed, "the response has no seal of the upstream, status " + std::to_string(status));
     if (impliesNotExecuted(status))
-        co_return invalidResponse("the upstream responded with status " + std::to_string(status)
-            + " without stating whether it executed the request");
+        co_return invalidResponse(Errc::Malformed,
+            "the upstream responded with status " + std::to_string(status)
+                + " without stating whether it executed the request");
     co_return std::nullopt;
 }
 
@@ -196,11 +200,12 @@
     response.body = std::move(*body);
     recordFirstResponse(attempt);
     if (m_isStreaming)
-        co_return invalidResponse("the stream could not be resumed, status " + std::to_string(response.status));
+        co_return invalidResponse(
+            Errc::Malformed, "the stream could not be resumed, status " + std::to_string(response.status));
     if (response.status / 100 == 5 && m_route->isRepeatable()) {
         const unsigned status = response.status;
         m_upstreamErrorResponse = std::move(response);
-        co_return Failure { .code = Errc::MismatchedResponse,
+        co_return Failure { .code = Errc::UpstreamError,
             .verdict = Verdict::Ran,
             .detail = "the upstream responded with status " + std::to_string(status) };
     }
@@ -235,7 +240,7 @@
         const std::string events = m_eventSplitter.extractEvents(**part);
         if (m_eventSplitter.pendingBytes() > maxEventSize) {
             m_eventSplitter.dropPartialEvent();
-            co_return invalidResponse("an event exceeds " + std::to_string(maxEventSize) + " bytes");
+            co_return invalidResponse(Errc::TooLarge, "an event exceeds " + std::to_string(maxEventSize) + " bytes");
         }
         if (events.empty())
             continue;
@@ -307,9 +312,7 @@
     }
     m_state.upstreamLoads().recordEnd(attempt.upstreamId, attempt.sentRequest, attempt.hasFirstResponse, outcome);
     m_wasLastAttemptSent = attempt.wasSent;
-    if (attempt.wasSent)
-        ++m_attemptsSent;
-    else
+    if (!attempt.wasSent)
         ++m_connectFailures;
     if (attempt.wasSent && (!failure || failure->verdict != Verdict::NotRun))
         ++m_attemptsMaybeExecuted;
--- a/src/libkernel/kernel_test.cpp
+++ b/src/libkernel/kernel_test.cpp
@@ -37,7 +37,8 @@
 BOOST_AUTO_TEST_CASE(MatchPublishedVectors)
 {
     BOOST_TEST(sha256Hex("abc") == "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
-    BOOST_TEST(hmacSha256("Jefe", "what do ya want for nothing?").size() == 32u);
+    BOOST_TEST(toHex(hmacSha256("Jefe", "what do ya want for nothing?"))
+        == "5bdcc146bf60754e6a042426089575c75a003f089d2739839dec58b964ec3843");
     BOOST_TEST(equalInConstantTime("secret", "secret"));
     BOOST_TEST(!equalInConstantTime("secret", "secreT"));
     BOOST_TEST(randomId() != randomId());
--- a/src/libkernel/result.cpp
+++ b/src/libkernel/result.cpp
@@ -35,6 +35,8 @@
             return "invalid argument";
         case Errc::Unauthenticated:
             return "not authenticated";
+        case Errc::UpstreamError:
+            return "upstream error";
         }
         return "unknown error";
     }
