--- a/src/libfront/table_follower.cpp
+++ b/src/libfront/table_follower.cpp
@@ -47,9 +47,11 @@
         const auto callStart = m_clock.now();
         auto result = co_await poll();
         if (result) {
-            if (m_failures > 0)
+            if (m_failures > 0) {
                 LOG(INFO) << "event=dependency-regained dependency=store table=" << m_options.table
                           << " failed_calls=" << m_failures << " version=" << m_version;
+                m_observer.onStoreRegained();
+            }
             m_failures = 0;
             continue;
         }
