Bound what crashes cost on a large fleet

Served parts are kept in two maps of which the older one is dropped. Up to 128 crashes are kept, those that no quarantined suspect explains for 3 minutes. A suspect is an array of three values. The round trip of the messages and messages of the previous version have tests.

--- a/src/include/bulrushstack/serving/crash_suspects.h
+++ b/src/include/bulrushstack/serving/crash_suspects.h
@@ -125,13 +125,19 @@
     void removeExpired();
     void removeLeastUsefulCrash();
     void rememberServed(const SuspectId& part);
+    std::optional<SteadyTime> lastServed(const SuspectId& part) const;
+    bool isExplained(const Crash& crash) const;
     void update();
     void updateQuarantine();
     void updateFingerprint();
 
     const Clock& m_clock;
     std::map<CrashKey, Crash> m_crashes;
-    std::map<SuspectId, SteadyTime> m_lastServed; ///< prompt parts that this instance served recently
+    /// Prompt parts that this instance served recently, with the time. When the first map is full or old, it replaces
+    /// the second one, so that remembering a part takes the same time however many there are.
+    std::map<SuspectId, SteadyTime> m_servedParts;
+    std::map<SuspectId, SteadyTime> m_olderServedParts;
+    SteadyTime m_servedPartsSince {};
     std::map<SuspectId, unsigned> m_quarantined;
     SteadyTime m_quarantineEnd {}; ///< when the last of the crashes expires
     std::uint64_t m_fingerprint = 0;
--- a/src/libfront/placement_messages.cpp
+++ b/src/libfront/placement_messages.cpp
@@ -45,20 +45,33 @@
     out.address = readAddress(document, "address");
 }
 
+/// A suspect is an array [id, depth, flags], since a disruption of many upstreams makes many requests suspect at once.
+enum SuspectFlag : unsigned {
+    IsPromptPart = 1,
+    WasServedBefore = 2,
+    IsCleared = 4,
+};
+
 void to_json(json& out, const CrashSuspect& suspect)
 {
-    out = { { "kind", toString(suspect.suspect.kind) }, { "id", suspect.suspect.id }, { "depth", suspect.depth },
-        { "wasServedBefore", suspect.wasServedBefore }, { "isCleared", suspect.isCleared } };
+    unsigned flags = 0;
+    if (suspect.suspect.kind == SuspectKind::PromptPart)
+        flags |= IsPromptPart;
+    if (suspect.wasServedBefore)
+        flags |= WasServedBefore;
+    if (suspect.isCleared)
+        flags |= IsCleared;
+    out = json::array({ suspect.suspect.id, suspect.depth, flags });
 }
 
 void from_json(const json& document, CrashSuspect& out)
 {
-    const bool isPart = document.at("kind").get<std::string>() == toString(SuspectKind::PromptPart);
-    out.suspect.kind = isPart ? SuspectKind::PromptPart : SuspectKind::Request;
-    document.at("id").get_to(out.suspect.id);
-    document.at("depth").get_to(out.depth);
-    document.at("wasServedBefore").get_to(out.wasServedBefore);
-    document.at("isCleared").get_to(out.isCleared);
+    document.at(0).get_to(out.suspect.id);
+    document.at(1).get_to(out.depth);
+    const auto flags = document.at(2).get<unsigned>();
+    out.suspect.kind = (flags & IsPromptPart) ? SuspectKind::PromptPart : SuspectKind::Request;
+    out.wasServedBefore = (flags & WasServedBefore) != 0;
+    out.isCleared = (flags & IsCleared) != 0;
 }
 
 void to_json(json& out, const UpstreamCrash& crash)
--- /dev/null
+++ b/src/libfront/placement_messages_test.cpp
@@ -0,0 +1,51 @@
+#include "bulrushstack/front/placement_messages.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace bulrushstack;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::vector<UpstreamCrash> crashes()
+{
+    const SuspectId part { .kind = SuspectKind::PromptPart, .id = "p1" };
+    const SuspectId request { .kind = SuspectKind::Request, .id = "d1" };
+    return { { .upstream = "u1",
+        .startedAt = 7,
+        .age = 1500ms,
+        .suspects = { { .suspect = part, .depth = 2, .wasServedBefore = true },
+            { .suspect = request, .depth = 3, .isCleared = true } } } };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(PlacementMessages)
+
+BOOST_AUTO_TEST_CASE(KeepCrashes)
+{
+    const DemandMessage message { .instance = "a", .crashes = crashes(), .crashFingerprint = ~std::uint64_t(0) };
+    BOOST_TEST((decodeDemandMessage(encode(message)).value() == message));
+    const DemandReply reply { .isHolder = true, .crashes = crashes(), .crashFingerprint = 5 };
+    BOOST_TEST((decodeDemandReply(encode(reply)).value().crashes == crashes()));
+    BOOST_TEST((decodeCrashes(encodeCrashes(crashes())).value() == crashes()));
+}
+
+BOOST_AUTO_TEST_CASE(RejectUnreadableCrashes)
+{
+    BOOST_TEST(decodeCrashes(nlohmann::json::parse(R"({"crashes":[{"upstream":1}]})")).has_error());
+    BOOST_TEST(decodeCrashes(nlohmann::json("text")).has_error());
+}
+
+// Guards against instances of two versions in one fleet that cannot read each other's messages.
+BOOST_AUTO_TEST_CASE(AreReadableByThePreviousVersionAndReadIt)
+{
+    const auto document = nlohmann::json::parse(encode(DemandMessage { .instance = "a", .crashes = crashes() }));
+    BOOST_TEST(document.at("crashes").empty());
+    const auto old = decodeDemandMessage(
+        R"({"instance":"a","models":[],"adapters":[],"crashes":[{"digest":"d","crashes":2}],"unreachable":[]})");
+    BOOST_REQUIRE(old);
+    BOOST_TEST(old->crashes.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/libserving/crash_suspects.cpp
+++ b/src/libserving/crash_suspects.cpp
@@ -22,10 +22,16 @@
 constexpr milliseconds servedPartSeparateCrashInterval { 500 };
 /// Time before a crash in which a part that was served counts as served before.
 constexpr std::chrono::seconds servedBeforePeriod { 60 };
-constexpr std::chrono::minutes crashLifetime { 10 };
-constexpr std::size_t crashLimit = 32;
+/// Time after which a crash that a quarantined suspect explains is forgotten.
+constexpr std::chrono::minutes quarantineLifetime { 10 };
+/// The same for other crashes, most of which have another cause.
+constexpr std::chrono::minutes crashLifetime { 3 };
+/// Larger than the number of upstreams that a disruption takes at once, since instances that keep different crashes
+/// would exchange them again and again.
+constexpr std::size_t crashLimit = 128;
 constexpr std::size_t suspectLimit = 256; ///< per crash
-constexpr std::size_t servedPartLimit = 4096;
+/// Served parts that are remembered before the oldest half is dropped.
+constexpr std::size_t servedPartLimit = 2048;
 
 } // namespace
 
@@ -116,7 +122,7 @@
         return;
     removeExpired();
     for (const auto& it : crashes) {
-        if (it.age < milliseconds(0) || it.age >= crashLifetime)
+        if (it.age < milliseconds(0) || it.age >= quarantineLifetime)
             continue;
         auto& crash = findOrAddCrash({ it.upstream, it.startedAt }, m_clock.now() - it.age);
         for (const auto& suspect : it.suspects)
@@ -186,39 +192,57 @@
     state.depth = std::max(state.depth, suspect.depth);
     state.wasServedBefore = state.wasServedBefore || suspect.wasServedBefore;
     state.isCleared = state.isCleared || suspect.isCleared;
-    const auto served = m_lastServed.find(suspect.suspect);
-    if (served == m_lastServed.end())
+    const auto served = lastServed(suspect.suspect);
+    if (!served)
         return;
-    if (served->second >= crash.firstSeen)
+    if (*served >= crash.firstSeen)
         state.isCleared = true;
-    else if (crash.firstSeen - served->second < servedBeforePeriod)
+    else if (crash.firstSeen - *served < servedBeforePeriod)
         state.wasServedBefore = true;
 }
 
+bool CrashSuspects::isExplained(const Crash& crash) const
+{
+    return std::any_of(m_quarantined.begin(), m_quarantined.end(), [&](const auto& it) {
+        const auto suspect = crash.suspects.find(it.first);
+        return suspect != crash.suspects.end() && !suspect->second.isCleared;
+    });
+}
+
 void CrashSuspects::removeExpired()
 {
-    std::erase_if(m_crashes, [&](const auto& it) { return m_clock.now() - it.second.firstSeen >= crashLifetime; });
+    std::erase_if(m_crashes, [&](const auto& it) {
+        const auto age = m_clock.now() - it.second.firstSeen;
+        return age >= quarantineLifetime || (age >= crashLifetime && !isExplained(it.second));
+    });
 }
 
-/// Removes the oldest crash without any suspect that is not cleared, or else the oldest one.
+/// Removes the oldest crash that no quarantined suspect explains, or else the oldest one.
 void CrashSuspects::removeLeastUsefulCrash()
 {
-    const auto isOpen = [](const Crash& crash) {
-        return std::any_of(
-            crash.suspects.begin(), crash.suspects.end(), [](const auto& it) { return !it.second.isCleared; });
-    };
     m_crashes.erase(std::min_element(m_crashes.begin(), m_crashes.end(), [&](const auto& a, const auto& b) {
-        return std::pair(isOpen(a.second), a.second.firstSeen) < std::pair(isOpen(b.second), b.second.firstSeen);
+        return std::pair(isExplained(a.second), a.second.firstSeen)
+            < std::pair(isExplained(b.second), b.second.firstSeen);
     }));
 }
 
 void CrashSuspects::rememberServed(const SuspectId& part)
 {
     const auto now = m_clock.now();
-    if (m_lastServed.size() >= servedPartLimit)
-        std::erase_if(m_lastServed, [&](const auto& it) { return now - it.second >= servedBeforePeriod; });
-    if (m_lastServed.size() < servedPartLimit || m_lastServed.count(part) > 0)
-        m_lastServed[part] = now;
+    if (m_servedParts.size() >= servedPartLimit || now - m_servedPartsSince >= servedBeforePeriod) {
+        m_olderServedParts = std::exchange(m_servedParts, {});
+        m_servedPartsSince = now;
+    }
+    m_servedParts[part] = now;
+}
+
+std::optional<SteadyTime> CrashSuspects::lastServed(const SuspectId& part) const
+{
+    for (const auto* parts : { &m_servedParts, &m_olderServedParts }) {
+        if (auto it = parts->find(part); it != parts->end())
+            return it->second;
+    }
+    return std::nullopt;
 }
 
 void CrashSuspects::update()
@@ -234,7 +258,7 @@
     unexplained.reserve(m_crashes.size());
     for (const auto& [key, crash] : m_crashes) {
         unexplained.push_back(&crash);
-        m_quarantineEnd = std::max(m_quarantineEnd, crash.firstSeen + crashLifetime);
+        m_quarantineEnd = std::max(m_quarantineEnd, crash.firstSeen + quarantineLifetime);
     }
     for (;;) {
         std::map<SuspectId, Explanation> explanations;
