Probe a second time whether an upstream that closed a connection has crashed

Traced in its logs: the request ran three times, but only one run was followed by crash-suspected. The engine closed the connection first and its listening socket an instant later, so that the probe in between found it listening and the crash was not counted.

The probe is repeated after 50 ms if the first one was accepted.

--- a/src/libfront/front_test_support.h
+++ b/src/libfront/front_test_support.h
@@ -184,6 +184,12 @@
         return *upstreams.back();
     }
 
+    void runFor(std::chrono::milliseconds duration)
+    {
+        context.restart();
+        context.run_for(duration);
+    }
+
     Result<HttpResponse> call(std::string target)
     {
         HttpRequest request { .method = "POST", .target = std::move(target) };
--- a/src/libfront/request_attempt.cpp
+++ b/src/libfront/request_attempt.cpp
@@ -30,6 +30,9 @@
 constexpr std::chrono::seconds maxIdleTimeForNonRepeatable { 2 };
 
 constexpr Milliseconds crashProbeTimeout { 200 };
+/// Time between two probes of an upstream that closed a connection. The connections of a process that crashes may end
+/// before its listening socket.
+constexpr Milliseconds crashProbeInterval { 50 };
 constexpr unsigned mismatchedResponseLimit = 3;
 /// Maximum size of one event of a stream, in bytes.
 constexpr std::size_t maxEventSize = 1024 * 1024;
@@ -51,6 +54,14 @@
     return out;
 }
 
+asio::awaitable<bool> isStillListening(RequestDependencies dependencies, Address address)
+{
+    if (!co_await dependencies.client.isListening(address, crashProbeTimeout))
+        co_return false;
+    co_await sleepFor(dependencies.state.context(), crashProbeInterval);
+    co_return co_await dependencies.client.isListening(address, crashProbeTimeout);
+}
+
 } // namespace
 
 SteadyTime RequestForwarder::attemptDeadline() const
@@ -333,7 +344,7 @@
         std::erase_if(suspects, [](const auto& it) { return it.suspect.kind == SuspectKind::PromptPart; });
     auto probe = [](RequestDependencies dependencies, Address address, std::string upstream, std::uint64_t startedAt,
                      std::vector<CrashSuspect> suspects, std::string request) -> asio::awaitable<void> {
-        if (co_await dependencies.client.isListening(address, crashProbeTimeout))
+        if (co_await isStillListening(dependencies, address))
             co_return;
         LOG(WARNING) << "event=crash-suspected request=" << request << " upstream=" << upstream
                      << " started_at=" << startedAt << suspectsForLog(suspects);
--- a/src/libfront/request_forwarder_test.cpp
+++ b/src/libfront/request_forwarder_test.cpp
@@ -203,6 +203,30 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(UpstreamClosesTheConnection)
+
+// Guards against a crash that is missed because the connections of the process end before its listening socket.
+BOOST_AUTO_TEST_CASE(CountsAsACrashIfItSoonStopsListening)
+{
+    auto& upstream = addUpstream({ "" }, true);
+    boost::asio::steady_timer timer(context, 20ms);
+    BOOST_TEST(call("/once/x")->status == 502u);
+    timer.async_wait([&](boost::system::error_code) { upstream.stopListening(); });
+    runFor(300ms);
+    BOOST_TEST(state.crashSuspects().crashes().size() == 1u);
+}
+
+// Guards against requests that are quarantined because an upstream closes connections.
+BOOST_AUTO_TEST_CASE(CountsAsNoCrashWhileItListens)
+{
+    addUpstream({ "" }, true);
+    BOOST_TEST(call("/once/x")->status == 502u);
+    runFor(300ms);
+    BOOST_TEST(state.crashSuspects().crashes().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 // Guards against a request that crashes one upstream after the other.
 BOOST_AUTO_TEST_CASE(RejectsARequestThatCrashedUpstreams)
 {
--- a/src/libnet/testing/raw_server.h
+++ b/src/libnet/testing/raw_server.h
@@ -47,13 +47,20 @@
 
     unsigned connections() const { return m_connections; }
 
+    /// Closes the listening socket; open connections stay open.
+    void stopListening() { m_acceptor.close(); }
+
 private:
     using Socket = boost::asio::ip::tcp::socket;
 
     boost::asio::awaitable<void> accept()
     {
         for (;;) {
-            Socket socket = co_await m_acceptor.async_accept(boost::asio::use_awaitable);
+            boost::system::error_code ec;
+            Socket socket
+                = co_await m_acceptor.async_accept(boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+            if (ec)
+                co_return;
             ++m_connections;
             boost::asio::co_spawn(m_acceptor.get_executor(), serve(std::move(socket)), boost::asio::detached);
         }
