--- a/src/libfront/request_attempt.cpp
+++ b/src/libfront/request_attempt.cpp
@@ -56,10 +56,12 @@
 
 asio::awaitable<bool> isStillListening(RequestDependencies dependencies, Address address)
 {
-    if (!co_await dependencies.client.isListening(address, crashProbeTimeout))
-        co_return false;
-    co_await sleepFor(dependencies.state.context(), crashProbeInterval);
-    co_return co_await dependencies.client.isListening(address, crashProbeTimeout);
+    bool isListening = co_await dependencies.client.isListening(address, crashProbeTimeout);
+    if (isListening) {
+        co_await sleepFor(dependencies.state.context(), crashProbeInterval);
+        isListening = co_await dependencies.client.isListening(address, crashProbeTimeout);
+    }
+    co_return isListening;
 }
 
 } // namespace
