--- a/src/libfront/event_splitter.h
+++ b/src/libfront/event_splitter.h
@@ -14,7 +14,7 @@
     std::string extractEvents(std::string_view data);
 
     /// Returns the size of the buffered incomplete event, in bytes. If it is not 0 at the end of the stream, the stream
-    /// was broken off.
+    /// is truncated.
     std::size_t pendingBytes() const { return m_buffer.size(); }
 
     /// Discards the incomplete event of a stream that was cut off.
--- a/src/libfront/request_attempt.cpp
+++ b/src/libfront/request_attempt.cpp
@@ -269,7 +269,7 @@
     }
 }
 
-/// Returns a failure if the upstream broke the stream off although the end of its body looks complete. A body that ends
+/// Returns a failure if the stream is truncated although the end of its body looks complete. A body that ends
 /// with its connection needs at least one event as evidence that the upstream did not crash before it.
 std::optional<Failure> RequestForwarder::truncationFailure(const Attempt& attempt) const
 {
--- a/src/libfront/truncated_stream_test.cpp
+++ b/src/libfront/truncated_stream_test.cpp
@@ -22,7 +22,7 @@
     BOOST_TEST(call("/events/x")->body == firstEvent + secondEvent);
 }
 
-// Guards against a stream that its upstream broke off inside an event and that its caller receives as complete.
+// Guards against a stream that is truncated inside an event and that its caller receives as complete.
 BOOST_AUTO_TEST_CASE(IsCutInsideAnEvent)
 {
     addUpstream({ closeDelimitedStreamHead + firstEvent + partOfSecondEvent }, true);
--- a/src/libserving/crash_suspects_test.cpp
+++ b/src/libserving/crash_suspects_test.cpp
@@ -75,11 +75,11 @@
 {
     instance.serve({ "house", "opera" });
     clock.advance(1s);
-    crashUpstreams(2, { "house", "opera", "deadly" });
-    BOOST_TEST(!instance.isRefused({ "house", "opera", "deadly" }));
-    crashUpstreams(1, { "house", "opera", "deadly" });
-    BOOST_TEST(instance.isRefused({ "house", "opera", "deadly" }));
-    BOOST_TEST(instance.isRefused({ "other", "deadly" }));
+    crashUpstreams(2, { "house", "opera", "crashing" });
+    BOOST_TEST(!instance.isRefused({ "house", "opera", "crashing" }));
+    crashUpstreams(1, { "house", "opera", "crashing" });
+    BOOST_TEST(instance.isRefused({ "house", "opera", "crashing" }));
+    BOOST_TEST(instance.isRefused({ "other", "crashing" }));
 }
 
 // Guards against the loss of all upstreams within a second before the part is found.
@@ -88,9 +88,9 @@
     instance.serve({ "house", "opera" });
     for (int i = 0; i < 8; ++i) {
         clock.advance(80ms);
-        instance.crash("u" + std::to_string(i), { "house", "opera", "deadly" });
+        instance.crash("u" + std::to_string(i), { "house", "opera", "crashing" });
     }
-    BOOST_TEST(instance.isRefused({ "house", "opera", "deadly" }));
+    BOOST_TEST(instance.isRefused({ "house", "opera", "crashing" }));
     BOOST_TEST(!instance.isRefused({ "house", "opera" }));
 }
 
@@ -99,7 +99,7 @@
 {
     instance.serve({ "house", "opera" });
     clock.advance(1s);
-    crashUpstreams(8, { "house", "opera", "deadly" });
+    crashUpstreams(8, { "house", "opera", "crashing" });
     BOOST_TEST(!instance.isRefused({ "house", "opera" }));
     BOOST_TEST(!instance.isRefused({ "house", "ballet" }));
 }
@@ -107,17 +107,17 @@
 // The same where no request was served since the start, so that every part is equally suspect.
 BOOST_AUTO_TEST_CASE(LeavesPartsAloneThatMoreRequestsShare)
 {
-    crashUpstreams(3, { "house", "opera", "deadly" });
-    BOOST_TEST(instance.isRefused({ "house", "opera", "deadly" }));
+    crashUpstreams(3, { "house", "opera", "crashing" });
+    BOOST_TEST(instance.isRefused({ "house", "opera", "crashing" }));
     BOOST_TEST(!instance.isRefused({ "house", "opera" }));
 }
 
 // The part in front of others that change: the evidence against it replaces a wrong first guess.
 BOOST_AUTO_TEST_CASE(IsFoundBeforeOtherParts)
 {
-    crashUpstreams(3, { "deadly", "opera" });
-    crashUpstreams(3, { "deadly", "ballet" });
-    BOOST_TEST(instance.isRefused({ "deadly" }));
+    crashUpstreams(3, { "crashing", "opera" });
+    crashUpstreams(3, { "crashing", "ballet" });
+    BOOST_TEST(instance.isRefused({ "crashing" }));
     BOOST_TEST(!instance.isRefused({ "house", "opera" }));
     BOOST_TEST(!instance.isRefused({ "house", "ballet" }));
 }
@@ -126,14 +126,14 @@
 BOOST_AUTO_TEST_CASE(IsNotBlamedForOtherCrashes)
 {
     for (int i = 0; i < 3; ++i) {
-        instance.crash("u" + std::to_string(i), { "house", "deadly" });
+        instance.crash("u" + std::to_string(i), { "house", "crashing" });
         instance.crash("u" + std::to_string(i), { "house", "opera" });
         instance.crash("u" + std::to_string(i), { "shop" + std::to_string(i) });
         clock.advance(2s);
     }
     instance.crash("u9", { "house", "opera" });
     instance.serve({ "house", "opera" });
-    BOOST_TEST(instance.isRefused({ "house", "deadly" }));
+    BOOST_TEST(instance.isRefused({ "house", "crashing" }));
     BOOST_TEST(!instance.isRefused({ "house", "opera" }));
 }
 
@@ -160,14 +160,14 @@
 
 BOOST_AUTO_TEST_CASE(IsForgottenAfterTenMinutes)
 {
-    crashUpstreams(3, { "house", "deadly" });
-    BOOST_TEST(instance.isRefused({ "house", "deadly" }));
+    crashUpstreams(3, { "house", "crashing" });
+    BOOST_TEST(instance.isRefused({ "house", "crashing" }));
     clock.advance(9min);
     crashUpstreams(1, { "shop" });
-    BOOST_TEST(instance.isRefused({ "house", "deadly" }));
+    BOOST_TEST(instance.isRefused({ "house", "crashing" }));
     clock.advance(1min);
     crashUpstreams(1, { "shop" });
-    BOOST_TEST(!instance.isRefused({ "house", "deadly" }));
+    BOOST_TEST(!instance.isRefused({ "house", "crashing" }));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
@@ -239,21 +239,21 @@
 
 BOOST_AUTO_TEST_SUITE(InstancesExchangeWhatTheyKnow)
 
-// Guards against a deadly part that needs as many crashes as there are instances times the threshold.
+// Guards against a part that needs as many crashes as there are instances times the threshold.
 BOOST_AUTO_TEST_CASE(CrashesOfSeveralInstancesAddUp)
 {
     Instance second { clock, "second" };
     Instance third { clock, "third" };
-    instance.crash("u1", { "house", "deadly" });
+    instance.crash("u1", { "house", "crashing" });
     clock.advance(2s);
-    second.crash("u2", { "house", "deadly" });
+    second.crash("u2", { "house", "crashing" });
     clock.advance(2s);
-    third.crash("u3", { "house", "deadly" });
+    third.crash("u3", { "house", "crashing" });
     for (const auto* it : { &instance, &second })
         third.suspects.merge(it->suspects.crashes());
-    BOOST_TEST(third.isRefused({ "house", "deadly" }));
+    BOOST_TEST(third.isRefused({ "house", "crashing" }));
     instance.suspects.merge(third.suspects.crashes());
-    BOOST_TEST(instance.isRefused({ "house", "deadly" }));
+    BOOST_TEST(instance.isRefused({ "house", "crashing" }));
     BOOST_TEST(instance.suspects.fingerprint() == third.suspects.fingerprint());
     BOOST_TEST(instance.suspects.fingerprint() != second.suspects.fingerprint());
 }
@@ -293,13 +293,13 @@
 {
     Instance second { clock, "second" };
     for (int i = 0; i < 4; ++i) {
-        instance.crash("u" + std::to_string(i), { "house", "deadly" });
+        instance.crash("u" + std::to_string(i), { "house", "crashing" });
         instance.crash("u" + std::to_string(i), { "house", "opera" });
         clock.advance(2s);
     }
     instance.serve({ "house" });
     second.suspects.merge(instance.suspects.quarantineEvidence());
-    BOOST_TEST(second.isRefused({ "house", "deadly" }));
+    BOOST_TEST(second.isRefused({ "house", "crashing" }));
     BOOST_TEST(!second.isRefused({ "house", "opera" }));
     BOOST_TEST((second.suspects.quarantined() == instance.suspects.quarantined()));
 }
@@ -307,14 +307,14 @@
 // Guards against memory that grows with the number of crashes, and against evidence that innocent crashes displace.
 BOOST_AUTO_TEST_CASE(KeepsABoundedNumberOfCrashes)
 {
-    crashUpstreams(3, { "house", "deadly" });
+    crashUpstreams(3, { "house", "crashing" });
     for (int i = 0; i < 300; ++i) {
         const auto contents = instance.contents({ "shop" });
         instance.suspects.recordCrash("v" + std::to_string(i), 1, contents);
         instance.suspects.recordServed(contents);
     }
     BOOST_TEST(instance.suspects.crashes().size() <= 128u);
-    BOOST_TEST(instance.isRefused({ "house", "deadly" }));
+    BOOST_TEST(instance.isRefused({ "house", "crashing" }));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/testsuite/deadly-prompt-part/run.py
+++ b/testsuite/crashing-prompt-part/run.py
@@ -15,8 +15,8 @@
 PLACED = (("m-0",), ("m-0",), ("m-0", "m-1"))
 ROUNDS = 45
 ROUND_S = 0.3  # seconds
-STABLE_S = 3.0  # seconds after the fifth crash from which deadly requests are limited
-LATE_RUN_LIMIT = 3  # deadly requests that may still reach engines after that
+STABLE_S = 3.0  # seconds after the fifth crash from which crashing requests are limited
+LATE_RUN_LIMIT = 3  # crashing requests that may still reach engines after that
 KNOWN_AGAIN_S = 1.0  # seconds after which restarted instances know what is quarantined
 SETTLED_ROUNDS = 12  # last rounds, in which all other requests must be served
 
@@ -26,24 +26,24 @@
 
 
 def send_round(site, instances, number):
-    """Sends one deadly request and one other request to each instance; returns the outcomes of the others."""
-    deadly = brief_request(parts=prompt(number, ("deadly", 30)))
+    """Sends one crashing request and one other request to each instance; returns the outcomes of the others."""
+    crashing = brief_request(parts=prompt(number, ("crashing", 30)))
     others = [(it, brief_request(parts=prompt(f"{number}-{it.name}"))) for it in instances]
-    return site.call_concurrently([(instances[number % len(instances)], deadly), *others])[1:]
+    return site.call_concurrently([(instances[number % len(instances)], crashing), *others])[1:]
 
 
-def deadly_runs(site):
-    """Returns the times at which engines began to run deadly requests, in order."""
-    return sorted(run.started_at for run in site.runs if ("deadly", 30) in site.sent_requests[run.request].parts)
+def crashing_runs(site):
+    """Returns the times at which engines began to run crashing requests, in order."""
+    return sorted(run.started_at for run in site.runs if ("crashing", 30) in site.sent_requests[run.request].parts)
 
 
 def restart_all(script, site, instances):
-    """Kills all instances at once, and sends deadly requests again when they are back."""
+    """Kills all instances at once, and sends crashing requests again when they are back."""
     script.section("all instances are killed and started again")
     for instance in instances:
         site.begin_disruption(instance.name)
         instance.process.kill()
-    before = len(deadly_runs(site))
+    before = len(crashing_runs(site))
     for instance in instances:
         site.start_instance(instance.name, instance.zone)
     site.wait_ready(*instances)
@@ -53,7 +53,7 @@
     time.sleep(KNOWN_AGAIN_S)
     for number in range(ROUNDS, ROUNDS + 6):
         send_round(site, instances, number)
-    script.say(f"deadly requests that reach engines again: {len(deadly_runs(site)) - before}")
+    script.say(f"crashing requests that reach engines again: {len(crashing_runs(site)) - before}")
 
 
 def run(folder):
@@ -61,13 +61,13 @@
     with serving_site.open_site(folder, placed=PLACED, models=MODELS) as site:
         instances = serving_site.start_instances(site, 3)
         for number in range(3):
-            site.workers[f"engine-{number}"].crashing_prompt_parts = {"deadly"}
+            site.workers[f"engine-{number}"].crashing_prompt_parts = {"crashing"}
         served = []
         for number in range(ROUNDS):
             started = time.monotonic()
             served.append(sum(it.is_served for it in send_round(site, instances, number)))
             time.sleep(max(0.0, started + ROUND_S - time.monotonic()))
-        crashes = deadly_runs(site)
+        crashes = crashing_runs(site)
         late = [it for it in crashes[5:] if it > crashes[4] + STABLE_S]
         script.section("one prompt part crashes every engine that runs it; no two requests with it are alike")
         script.say(f"engines crashed: {len(crashes) > 0}")
