--- a/src/include/bulrushstack/front/front_binding.h
+++ b/src/include/bulrushstack/front/front_binding.h
@@ -48,6 +48,8 @@
     bool isLeaving = false;
     /// Time for which an upstream that refused the request wants no further requests; empty if it states none.
     std::optional<std::chrono::milliseconds> retryAfter;
+    /// Requests per second that the upstream accepts from all instances together; empty if it states no limit.
+    std::optional<double> rateLimit;
     std::optional<ReportedLoad> load;
 
     friend bool operator==(const UpstreamResponseHead&, const UpstreamResponseHead&) = default;
--- a/src/include/bulrushstack/serving/upstream_directory.h
+++ b/src/include/bulrushstack/serving/upstream_directory.h
@@ -83,6 +83,23 @@
     /// `maxPause`. Returns whether the upstream was not pausing before.
     bool recordPause(const std::string& id, std::uint64_t startedAt, std::chrono::nanoseconds duration);
 
+    /// Records the rate limit of a response, in requests per second over all instances; empty if the response states
+    /// none. A response without a limit ends an earlier limit only if its request was sent after the last response that
+    /// stated one, since responses can overtake each other. Returns whether the limit changed.
+    bool recordRateLimit(
+        const std::string& id, std::uint64_t startedAt, std::optional<double> requestsPerSecond, SteadyTime sentAt);
+
+    /// A rate limit that an upstream stated in a response.
+    struct RateLimit {
+        double requestsPerSecond = 0; ///< Over all instances.
+        SteadyTime statedAt {}; ///< Time of the last response that stated it.
+
+        friend bool operator==(const RateLimit&, const RateLimit&) = default;
+    };
+
+    /// Returns the rate limit of an upstream; empty if it states none.
+    std::optional<RateLimit> rateLimit(std::string_view id) const;
+
     /// Longest pause that an upstream can ask for. The cap keeps a wrong value from excluding the upstream for good.
     static constexpr std::chrono::seconds maxPause { 60 };
 
@@ -106,10 +123,11 @@
     /// Returns whether the upstream is shutting down according to its row or an announcement.
     bool isLeaving(const UpstreamEntry& entry) const;
 
-    /// Number of upstreams that announced a shutdown, and of those that are pausing now.
+    /// Number of upstreams that announced a shutdown, of those that are pausing now, and of those with a rate limit.
     struct AnnouncementCounts {
         std::size_t leaving = 0;
         std::size_t pausing = 0;
+        std::size_t limited = 0;
 
         friend bool operator==(const AnnouncementCounts&, const AnnouncementCounts&) = default;
     };
@@ -133,6 +151,7 @@
         std::uint64_t startedAt = 0; ///< Start time of the process that made the announcement.
         bool isLeaving = false;
         std::optional<SteadyTime> pausedUntil;
+        std::optional<RateLimit> rateLimit;
         SteadyTime recordedAt {};
     };
 
--- a/src/libfront/front_metrics.cpp
+++ b/src/libfront/front_metrics.cpp
@@ -64,6 +64,8 @@
           gauge(registry, "bulrush_front_leaving_upstreams", "Upstreams that said in an answer that they leave"))
     , m_pausingUpstreams(
           gauge(registry, "bulrush_front_pausing_upstreams", "Upstreams that want no requests for a time"))
+    , m_limitedUpstreams(
+          gauge(registry, "bulrush_front_limited_upstreams", "Upstreams that state a limit for their request rate"))
     , m_leaseHolder(
           gauge(registry, "bulrush_front_placement_holder", "1 while this instance holds the placement lease"))
     , m_storeReaders(
@@ -122,10 +124,11 @@
 
 void FrontMetrics::setUpstreamCount(std::size_t count) { m_upstreamCount.Set(static_cast<double>(count)); }
 
-void FrontMetrics::setUnavailableUpstreams(std::size_t leaving, std::size_t pausing)
+void FrontMetrics::setUpstreamAnnouncements(const UpstreamDirectory::AnnouncementCounts& counts)
 {
-    m_leavingUpstreams.Set(static_cast<double>(leaving));
-    m_pausingUpstreams.Set(static_cast<double>(pausing));
+    m_leavingUpstreams.Set(static_cast<double>(counts.leaving));
+    m_pausingUpstreams.Set(static_cast<double>(counts.pausing));
+    m_limitedUpstreams.Set(static_cast<double>(counts.limited));
 }
 
 void FrontMetrics::setLeaseHolder(bool isHolder) { m_leaseHolder.Set(isHolder ? 1 : 0); }
--- a/src/libfront/front_metrics.h
+++ b/src/libfront/front_metrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bulrushstack/relay/store_relay.h"
+#include "bulrushstack/serving/upstream_directory.h"
 
 #include <chrono>
 #include <map>
@@ -27,7 +28,7 @@
     void recordStoreFailure(std::string_view table);
     void setConfigurationVersion(std::uint64_t version);
     void setUpstreamCount(std::size_t count);
-    void setUnavailableUpstreams(std::size_t leaving, std::size_t pausing);
+    void setUpstreamAnnouncements(const UpstreamDirectory::AnnouncementCounts& counts);
     void setLeaseHolder(bool isHolder);
     void setRelayStatus(const StoreRelayStatus& status);
     void recordLoopDelay(std::chrono::nanoseconds delay);
@@ -45,6 +46,7 @@
     prometheus::Gauge& m_upstreamCount;
     prometheus::Gauge& m_leavingUpstreams;
     prometheus::Gauge& m_pausingUpstreams;
+    prometheus::Gauge& m_limitedUpstreams;
     prometheus::Gauge& m_leaseHolder;
     prometheus::Gauge& m_storeReaders;
     prometheus::Gauge& m_isStoreReader;
--- a/src/libfront/request_attempt.cpp
+++ b/src/libfront/request_attempt.cpp
@@ -145,6 +145,7 @@
             co_return next.error();
         attempt.head = m_dependencies.format.decodeResponseHead(stream.status(), stream.headers());
     }
+    applyRateLimit(attempt);
     const auto& head = attempt.head;
     const unsigned status = stream.status();
     if (head.isNotExecuted || head.isMisdirected) {
@@ -186,6 +187,20 @@
                   << " directory=" << directory.version();
 }
 
+/// Applies the rate limit of a response that belongs to the request. A misdirected request got the response of another
+/// process.
+void RequestForwarder::applyRateLimit(const Attempt& attempt)
+{
+    if (attempt.head.isMisdirected)
+        return;
+    const auto& limit = attempt.head.rateLimit;
+    auto& directory = m_state.directory();
+    if (!directory.recordRateLimit(attempt.upstreamId, attempt.startedAt, limit, attempt.sentRequest.sent))
+        return;
+    LOG(INFO) << "event=upstream-rate-limit upstream=" << attempt.upstreamId << " request=" << m_request.id
+              << " per_second=" << (limit ? std::to_string(*limit) : "none") << " directory=" << directory.version();
+}
+
 void RequestForwarder::recordFirstResponse(Attempt& attempt)
 {
     if (attempt.hasFirstResponse)
--- a/src/libfront/request_forwarder.h
+++ b/src/libfront/request_forwarder.h
@@ -74,6 +74,7 @@
     boost::asio::awaitable<void> endQuarantined(Problem problem);
 
     void applyResponseState(const Attempt& attempt);
+    void applyRateLimit(const Attempt& attempt);
     void recordFirstResponse(Attempt& attempt);
     std::optional<Failure> truncationFailure(const Attempt& attempt) const;
     void finishAttempt(Attempt& attempt, const std::optional<Failure>& failure);
--- a/src/libfront/store_synchronizer.cpp
+++ b/src/libfront/store_synchronizer.cpp
@@ -257,8 +257,7 @@
             LOG(INFO) << "event=upstream-pause-ended upstream=" << id;
             m_state.wakeWaitingRequests();
         }
-        const auto counts = m_state.directory().countAnnouncements();
-        m_metrics.setUnavailableUpstreams(counts.leaving, counts.pausing);
+        m_metrics.setUpstreamAnnouncements(m_state.directory().countAnnouncements());
         m_metrics.setRelayStatus(m_relay.status());
         if (i % maintenanceRoundsPerCleanup != 0)
             continue;
--- a/src/libserving/upstream_directory.cpp
+++ b/src/libserving/upstream_directory.cpp
@@ -147,6 +147,32 @@
     return isNew;
 }
 
+bool UpstreamDirectory::recordRateLimit(
+    const std::string& id, std::uint64_t startedAt, std::optional<double> requestsPerSecond, SteadyTime sentAt)
+{
+    if (!requestsPerSecond && !rateLimit(id))
+        return false;
+    auto* announcement = announcementOf(id, startedAt);
+    if (!announcement)
+        return false;
+    auto& limit = announcement->rateLimit;
+    if (!requestsPerSecond) {
+        const bool isEnded = limit && sentAt > limit->statedAt;
+        if (isEnded)
+            limit.reset();
+        return isEnded;
+    }
+    const bool isChanged = !limit || limit->requestsPerSecond != *requestsPerSecond;
+    limit = RateLimit { .requestsPerSecond = *requestsPerSecond, .statedAt = m_clock.now() };
+    return isChanged;
+}
+
+std::optional<UpstreamDirectory::RateLimit> UpstreamDirectory::rateLimit(std::string_view id) const
+{
+    auto it = m_announcements.find(id);
+    return it == m_announcements.end() ? std::nullopt : it->second.rateLimit;
+}
+
 std::vector<std::string> UpstreamDirectory::takeEndedPauses()
 {
     std::vector<std::string> out;
@@ -158,7 +184,7 @@
     }
     std::erase_if(m_announcements, [this](const auto& it) {
         const auto& [id, announcement] = it;
-        const bool isEmpty = !announcement.isLeaving && !announcement.pausedUntil;
+        const bool isEmpty = !announcement.isLeaving && !announcement.pausedUntil && !announcement.rateLimit;
         return isEmpty || (!m_records.count(id) && m_clock.now() - announcement.recordedAt > announcementLifetime);
     });
     return out;
@@ -219,6 +245,7 @@
     for (const auto& [id, announcement] : m_announcements) {
         out.leaving += announcement.isLeaving ? 1 : 0;
         out.pausing += pausedUntil(id) ? 1 : 0;
+        out.limited += announcement.rateLimit ? 1 : 0;
     }
     return out;
 }
--- a/src/libserving/upstream_directory_test.cpp
+++ b/src/libserving/upstream_directory_test.cpp
@@ -131,6 +131,52 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhenAnUpstreamStatesARateLimit)
+
+BOOST_AUTO_TEST_CASE(KnowsItUntilALaterResponseStatesNone)
+{
+    BOOST_TEST(directory.recordRateLimit("a", 0, 1.5, clock.now()));
+    BOOST_TEST(!directory.recordRateLimit("a", 0, 1.5, clock.now()));
+    BOOST_TEST(directory.recordRateLimit("a", 0, 2.0, clock.now()));
+    BOOST_TEST(directory.rateLimit("a")->requestsPerSecond == 2.0);
+    BOOST_TEST(directory.countAnnouncements().limited == 1u);
+    clock.advance(1ms);
+    BOOST_TEST(directory.recordRateLimit("a", 0, {}, clock.now()));
+    BOOST_TEST(!directory.rateLimit("a").has_value());
+}
+
+// Guards against a limit that is forgotten because a response to an earlier request arrives late.
+BOOST_AUTO_TEST_CASE(KeepsItAfterAResponseToAnEarlierRequest)
+{
+    const auto sentAt = clock.now();
+    clock.advance(10ms);
+    directory.recordRateLimit("a", 0, 1.5, clock.now());
+    BOOST_TEST(!directory.recordRateLimit("a", 0, {}, sentAt));
+    BOOST_TEST(directory.rateLimit("a").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(KeepsItWhilePausesEndAndRowsChange)
+{
+    directory.recordRateLimit("a", 0, 1.5, clock.now());
+    directory.takeEndedPauses();
+    auto changed = entry("a");
+    changed.slots = 9;
+    directory.apply(changed);
+    BOOST_TEST(directory.rateLimit("a").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ForgetsItWhenTheProcessIsReplaced)
+{
+    directory.recordRateLimit("a", 0, 1.5, clock.now());
+    auto restarted = entry("a");
+    restarted.startedAt = 7;
+    directory.apply(restarted);
+    BOOST_TEST(!directory.rateLimit("a").has_value());
+    BOOST_TEST(!directory.recordRateLimit("a", 0, 1.5, clock.now())); // A late response of the previous process.
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(AfterAStoreOutage)
 
 // Guards against a service without usable upstreams after an outage in which all registrations expired.
