Let the lease holder issue permits for requests to upstreams with a rate limit

What was seen: an upstream in need got its usual share of the requests.

Cause: the limit is one for all instances together, and nothing counted over instances. Class: a bound of the whole fleet that each instance would have to keep alone.

Change: before each request to such an upstream an instance asks the holder of the placement lease for a permit; the holder keeps a token bucket per process of an upstream, which starts empty, so that a new holder does not grant again what the last one granted. Without a permit the upstream is suspended on this instance until the holder expects one: another upstream is chosen, or the request waits if the permit comes within half of its latency objective, or it is rejected at once with that time as Retry-After. A permit older than 400 ms (on the clock that counts suspension) is dropped. While the holder cannot be reached, an instance issues its share itself, unless there are so many instances that their first requests alone would exceed the limit.

Ruled out: a fixed share per instance. With a burst of one request each, more than 2 N + 5 instances exceed a limit of N, and a small limit would be hardly used.

--- a/src/include/bulrushstack/front/placement_messages.h
+++ b/src/include/bulrushstack/front/placement_messages.h
@@ -4,6 +4,7 @@
 #include "bulrushstack/relay/store_reader.h"
 #include "bulrushstack/serving/crash_suspects.h"
 #include "bulrushstack/serving/model_demand.h"
+#include "bulrushstack/serving/permit_issuer.h"
 
 #include <chrono>
 #include <nlohmann/json.hpp>
@@ -90,6 +91,8 @@
 std::string encode(const DemandReply& reply);
 std::string encode(const AdapterDemand& demand);
 std::string encode(const AdapterReply& reply);
+std::string encode(const PermitRequest& request);
+std::string encode(const PermitReply& reply);
 
 /// Encodes crashes for the platform's store.
 nlohmann::json encodeCrashes(const std::vector<UpstreamCrash>& crashes);
@@ -102,5 +105,7 @@
 Result<DemandReply> decodeDemandReply(std::string_view text);
 Result<AdapterDemand> decodeAdapterDemand(std::string_view text);
 Result<AdapterReply> decodeAdapterReply(std::string_view text);
+Result<PermitRequest> decodePermitRequest(std::string_view text);
+Result<PermitReply> decodePermitReply(std::string_view text);
 
 } // namespace bulrushstack
--- a/src/include/bulrushstack/serving/upstream_directory.h
+++ b/src/include/bulrushstack/serving/upstream_directory.h
@@ -89,6 +89,10 @@
     bool recordRateLimit(
         const std::string& id, std::uint64_t startedAt, std::optional<double> requestsPerSecond, SteadyTime sentAt);
 
+    /// Records that this instance got no permit for a request to an upstream with a rate limit and may ask for one
+    /// again after the given time. Until then the upstream gets no requests.
+    void recordNoPermit(const std::string& id, std::uint64_t startedAt, std::chrono::nanoseconds retryAfter);
+
     /// A rate limit that an upstream stated in a response.
     struct RateLimit {
         double requestsPerSecond = 0; ///< Over all instances.
@@ -114,11 +118,11 @@
     /// Returns the entries of a service that can get new requests, sorted by id.
     std::vector<const UpstreamEntry*> usable(std::string_view service) const;
 
-    /// Returns the entries of a service that could get new requests if they were not pausing.
-    std::vector<const UpstreamEntry*> pausing(std::string_view service) const;
+    /// Returns the entries of a service that could get new requests if they were not pausing or without a permit.
+    std::vector<const UpstreamEntry*> suspended(std::string_view service) const;
 
-    /// Returns when the pause of an upstream ends; empty if it is not pausing.
-    std::optional<SteadyTime> pausedUntil(std::string_view id) const;
+    /// Returns when an upstream that is pausing or without a permit can get requests again; empty if it can now.
+    std::optional<SteadyTime> suspendedUntil(std::string_view id) const;
 
     /// Returns whether the upstream is shutting down according to its row or an announcement.
     bool isLeaving(const UpstreamEntry& entry) const;
@@ -152,13 +156,15 @@
         bool isLeaving = false;
         std::optional<SteadyTime> pausedUntil;
         std::optional<RateLimit> rateLimit;
+        std::optional<SteadyTime> noPermitUntil;
         SteadyTime recordedAt {};
     };
 
     /// Returns the announcement to update; null if the directory does not list this process of the upstream.
     Announcement* announcementOf(const std::string& id, std::uint64_t startedAt);
-    /// Returns the entries of a service that are not shutting down and that are pausing or not, as requested.
-    std::vector<const UpstreamEntry*> filterByPause(std::string_view service, bool isPausing) const;
+    /// Returns the entries of a service that are not shutting down and that are suspended or not, as requested.
+    std::vector<const UpstreamEntry*> filterBySuspension(std::string_view service, bool isSuspended) const;
+    bool isPausing(const Announcement& announcement) const;
 
     /// Returns the rest of the grace period after a store outage; zero or less if it has ended.
     std::chrono::nanoseconds remainingOutageGrace() const;
--- a/src/libfront/front_service.cpp
+++ b/src/libfront/front_service.cpp
@@ -194,6 +194,7 @@
               .client = client,
               .format = binding->requestFormat(),
               .adapters = agent,
+              .permits = agent.permits(),
               .metrics = metrics })
         , readiness(runtime, binding->readinessPath())
         , metricsHandler(runtime)
--- a/src/libfront/front_state.cpp
+++ b/src/libfront/front_state.cpp
@@ -87,7 +87,7 @@
 bool FrontState::isModelResident(const std::string& service, const std::string& model) const
 {
     const ServingRequest request { .model = model };
-    return !upstreamsWithModel(service, request).empty() || remainingPause(service, request);
+    return !upstreamsWithModel(service, request).empty() || remainingSuspension(service, request);
 }
 
 std::vector<const UpstreamEntry*> FrontState::upstreamsWithModel(
@@ -109,13 +109,14 @@
     return upstream.hasLoaded(request.model, request.adapter);
 }
 
-std::optional<Milliseconds> FrontState::remainingPause(const std::string& service, const ServingRequest& request) const
+std::optional<Milliseconds> FrontState::remainingSuspension(
+    const std::string& service, const ServingRequest& request) const
 {
     if (!upstreamsWithModel(service, request).empty())
         return std::nullopt;
     std::optional<SteadyTime> soonest;
-    for (const auto* it : m_directory.pausing(service)) {
-        const auto until = m_directory.pausedUntil(it->id);
+    for (const auto* it : m_directory.suspended(service)) {
+        const auto until = m_directory.suspendedUntil(it->id);
         if (canServe(*it, request) && until && (!soonest || *until < *soonest))
             soonest = until;
     }
--- a/src/libfront/front_state.h
+++ b/src/libfront/front_state.h
@@ -79,13 +79,13 @@
     std::vector<const UpstreamEntry*> upstreamsWithModel(
         const std::string& service, const ServingRequest& request) const;
 
-    /// Returns whether any upstream of the service has the model loaded, regardless of its adapters. Pausing upstreams
-    /// count.
+    /// Returns whether any upstream of the service has the model loaded, regardless of its adapters. Upstreams that are
+    /// pausing or without a permit count.
     bool isModelResident(const std::string& service, const std::string& model) const;
 
-    /// Returns the time until the first of the upstreams that could serve the request ends its pause; empty if one of
-    /// them is not pausing, or if there are none.
-    std::optional<Milliseconds> remainingPause(const std::string& service, const ServingRequest& request) const;
+    /// Returns the time until the first of the upstreams that could serve the request ends its pause or can get a
+    /// permit; empty if one of them can get requests now, or if there are none.
+    std::optional<Milliseconds> remainingSuspension(const std::string& service, const ServingRequest& request) const;
 
     /// Records that an upstream announced in a response that it is shutting down. `startedAt` is the start time of the
     /// process that responded, in Unix milliseconds; `source` is the kind of response, for the log.
--- a/src/libfront/front_test_support.h
+++ b/src/libfront/front_test_support.h
@@ -11,8 +11,8 @@
 
 namespace bulrushstack {
 
-/// Minimal request format of the tests, with the headers X-Id, X-Seal, X-Not-Run, X-Model, X-Leaving, X-Pause and
-/// X-Retry-Ms.
+/// Minimal request format of the tests, with the headers X-Id, X-Seal, X-Not-Run, X-Model, X-Leaving, X-Pause, X-Limit
+/// and X-Retry-Ms.
 class TestFormat final : public RequestFormat {
 public:
     Result<ServingRequest> decode(const HttpRequest& request) const override
@@ -45,7 +45,8 @@
             .isContentEncoded = headers.find("Content-Encoding").has_value(),
             .isLeaving = headers.find("X-Leaving").has_value(),
             .retryAfter
-            = headers.find("X-Pause") ? std::optional(parseRetryAfter(*headers.find("X-Pause"))) : std::nullopt };
+            = headers.find("X-Pause") ? std::optional(parseRetryAfter(*headers.find("X-Pause"))) : std::nullopt,
+            .rateLimit = headers.find("X-Limit") ? std::optional(std::stod(*headers.find("X-Limit"))) : std::nullopt };
     }
 
     HttpHeaders forwardedResponseHeaders(const HttpHeaders& headers) const override
@@ -81,6 +82,33 @@
     }
 };
 
+/// Grants a number of permits and then tells each request that the next one comes after a time.
+class CountedPermits final : public PermitSource {
+public:
+    explicit CountedPermits(FrontState& state)
+        : m_state(state)
+    {
+    }
+
+    unsigned left = 0;
+    std::chrono::milliseconds retryAfter { 30'000 };
+    unsigned asked = 0;
+
+    boost::asio::awaitable<bool> obtain(std::string upstream, std::uint64_t startedAt, SteadyTime) override
+    {
+        ++asked;
+        const bool isGranted = left > 0;
+        if (isGranted)
+            --left;
+        else
+            m_state.directory().recordNoPermit(upstream, startedAt, retryAfter);
+        co_return isGranted;
+    }
+
+private:
+    FrontState& m_state;
+};
+
 class Ingress final : public HttpHandler {
 public:
     explicit Ingress(RequestDependencies dependencies)
@@ -123,6 +151,7 @@
     = rawResponse("200 OK", "X-Id: 7\r\nX-Seal: s\r\nX-Leaving: 1\r\n", "whole");
 inline const std::string notExecutedWithRetryAfter
     = rawResponse("503 Busy", "X-Id: 7\r\nX-Not-Run: 1\r\nX-Pause: 30\r\n", "");
+inline const std::string okResponseWithLimit = rawResponse("200 OK", "X-Id: 7\r\nX-Seal: s\r\nX-Limit: 1\r\n", "whole");
 inline const std::string serverErrorResponse = rawResponse("500 Error", "X-Id: 7\r\nX-Seal: s\r\n", "error");
 
 inline std::string chunk(std::string_view text)
@@ -146,11 +175,15 @@
     HttpClient client { context, clock };
     TestFormat format;
     NoAdapters adapters;
+    CountedPermits permits { state };
     prometheus::Registry registry;
     FrontMetrics metrics { registry };
-    Ingress ingress {
-        { .state = state, .client = client, .format = format, .adapters = adapters, .metrics = metrics }
-    };
+    Ingress ingress { { .state = state,
+        .client = client,
+        .format = format,
+        .adapters = adapters,
+        .permits = permits,
+        .metrics = metrics } };
     HttpServer server { context, { .address = { .host = "127.0.0.1", .port = 0 } }, ingress };
     std::vector<std::unique_ptr<RawServer>> upstreams;
 
--- a/src/libfront/lease_manager.cpp
+++ b/src/libfront/lease_manager.cpp
@@ -141,6 +141,12 @@
     return !record || record->holder.empty() || m_lease.isOwn() ? std::nullopt : record;
 }
 
+std::optional<Address> LeaseManager::reachableHolder() const
+{
+    const auto holder = otherHolder();
+    return holder && hasRecentHolderContact() ? std::optional(holder->address) : std::nullopt;
+}
+
 asio::awaitable<void> LeaseManager::readLease()
 {
     m_lastRead = m_state.clock().bootNow();
--- a/src/libfront/lease_manager.h
+++ b/src/libfront/lease_manager.h
@@ -4,6 +4,7 @@
 #include "bulrushstack/serving/placement_lease.h"
 #include "front_metrics.h"
 #include "front_state.h"
+#include "lease_holder.h"
 
 #include <optional>
 
@@ -14,7 +15,7 @@
 
 /// Manages the placement lease: reads its row, claims it when no instance holds it, renews it while this instance holds
 /// it, and releases it. What the holder does with the lease is up to the caller.
-class LeaseManager {
+class LeaseManager final : public LeaseHolder {
 public:
     /// `self` has the address at which other instances reach this one while it holds the lease.
     LeaseManager(FrontState& state, FrontBinding& binding, FrontMetrics& metrics, RelayMember self);
@@ -27,7 +28,7 @@
     boost::asio::awaitable<void> release();
 
     bool isReleased() const { return m_isReleased; }
-    bool isHolder() const;
+    bool isHolder() const override;
 
     /// Returns whether orders may be sent now. They may not during the handover pause after another holder.
     bool maySendOrders() const;
@@ -42,6 +43,8 @@
     /// Returns the lease if another instance holds it; empty if this instance or none does.
     std::optional<LeaseRecord> otherHolder() const;
 
+    std::optional<Address> reachableHolder() const override;
+
     const PlacementLease& lease() const { return m_lease; }
 
     /// Returns the time that a new holder waits before its first order.
--- /dev/null
+++ b/src/libfront/permit_client.cpp
@@ -0,0 +1,85 @@
+#include "permit_client.h"
+
+#include <glog/logging.h>
+
+namespace bulrushstack {
+
+namespace {
+
+namespace asio = boost::asio;
+
+/// Time in which a permit must be used, from the moment at which it was asked for. A process that was suspended in
+/// between drops the permit.
+constexpr std::chrono::milliseconds permitLifetime { 400 };
+constexpr std::chrono::milliseconds permitTimeout { 200 };
+constexpr std::chrono::milliseconds retryAfterHolderLost { 300 };
+/// Instances beyond the limit's requests per second that may issue their share themselves. In the worst case each of
+/// them sends a first request at the same time, which upstreams with a rate limit tolerate only up to a few requests.
+constexpr double ownShareInstances = 4;
+
+Failure unavailableFailure(std::string detail)
+{
+    return { .code = Errc::Unavailable, .verdict = Verdict::NotRun, .detail = std::move(detail) };
+}
+
+} // namespace
+
+PermitClient::PermitClient(FrontState& state, HttpClient& client, const LeaseHolder& leaseHolder)
+    : m_state(state)
+    , m_client(client)
+    , m_leaseHolder(leaseHolder)
+    , m_issuer(state.clock())
+    , m_ownShareIssuer(state.clock())
+{
+}
+
+PermitReply PermitClient::issueAsHolder(const PermitRequest& request) { return m_issuer.issue(request); }
+
+asio::awaitable<bool> PermitClient::obtain(std::string upstream, std::uint64_t startedAt, SteadyTime deadline)
+{
+    const auto limit = m_state.directory().rateLimit(upstream);
+    if (!limit)
+        co_return true;
+    const PermitRequest request { .upstream = upstream,
+        .startedAt = startedAt,
+        .requestsPerSecond = limit->requestsPerSecond,
+        .age = millisecondsOf(m_state.clock().now() - limit->statedAt) };
+    const auto askedAt = m_state.clock().bootNow();
+    auto reply = co_await askHolder(request, std::min(deadline, m_state.clock().now() + permitTimeout));
+    if (!reply) {
+        LOG(INFO) << "event=permit-unavailable upstream=" << upstream << " error=\"" << reply.error().detail << "\"";
+        reply = issueOwnShare(request);
+    }
+    if (reply->isGranted && m_state.clock().bootNow() - askedAt <= permitLifetime)
+        co_return true;
+    const auto retryAfter = reply->isGranted ? retryAfterHolderLost : reply->retryAfter;
+    m_state.directory().recordNoPermit(upstream, startedAt, retryAfter);
+    co_return false;
+}
+
+asio::awaitable<Result<PermitReply>> PermitClient::askHolder(PermitRequest request, SteadyTime deadline)
+{
+    if (m_leaseHolder.isHolder())
+        co_return issueAsHolder(request);
+    const auto holder = m_leaseHolder.reachableHolder();
+    if (!holder)
+        co_return unavailableFailure("the lease holder does not respond");
+    HttpRequest httpRequest { .method = "POST", .target = std::string(permitPath), .body = encode(request) };
+    auto response = co_await m_client.call(*holder, std::move(httpRequest), { .deadline = deadline });
+    if (!response)
+        co_return response.error();
+    if (response->status != 200)
+        co_return unavailableFailure("the lease holder responded with status " + std::to_string(response->status));
+    co_return decodePermitReply(response->body);
+}
+
+PermitReply PermitClient::issueOwnShare(PermitRequest request)
+{
+    const unsigned instances = m_state.instanceCount();
+    if (instances == 0 || instances > request.requestsPerSecond + ownShareInstances)
+        return { .retryAfter = retryAfterHolderLost };
+    request.requestsPerSecond /= instances;
+    return m_ownShareIssuer.issue(request);
+}
+
+} // namespace bulrushstack
--- a/src/libfront/placement_agent.cpp
+++ b/src/libfront/placement_agent.cpp
@@ -50,6 +50,7 @@
     , m_metrics(metrics)
     , m_relay(relay)
     , m_leaseManager(state, binding, metrics, relay.self())
+    , m_permits(state, client, m_leaseManager)
     , m_quarantineStore(state, binding, m_leaseManager)
     , m_demandEstimator(state.clock())
 {
@@ -104,6 +105,14 @@
         co_await exchange.respond(std::move(response));
         co_return;
     }
+    if (request.method == "POST" && request.path() == permitPath) {
+        auto permitRequest = decodePermitRequest(request.body);
+        auto response = !permitRequest ? jsonErrorResponse(400, permitRequest.error().detail)
+            : isHolder                 ? jsonResponse(200, encode(m_permits.issueAsHolder(*permitRequest)))
+                                       : jsonErrorResponse(503, "this instance does not hold the placement lease");
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
     co_await exchange.respond(jsonErrorResponse(404, "unknown path"));
 }
 
--- a/src/libfront/placement_agent.h
+++ b/src/libfront/placement_agent.h
@@ -9,6 +9,7 @@
 #include "front_metrics.h"
 #include "front_state.h"
 #include "lease_manager.h"
+#include "permit_client.h"
 #include "quarantine_store.h"
 #include "request_forwarder.h"
 
@@ -40,6 +41,9 @@
     boost::asio::awaitable<Result<std::string>> placeAdapter(AdapterDemand demand, SteadyTime deadline) override;
     boost::asio::awaitable<void> handle(HttpExchange& exchange) override;
 
+    /// Returns the source of permits for upstreams with a rate limit. The holder of the placement lease issues them.
+    PermitSource& permits() { return m_permits; }
+
 private:
     struct ServicePlacement {
         ServicePlacement(const Clock& clock, const EngineSpec& engine)
@@ -99,6 +103,7 @@
     FrontMetrics& m_metrics;
     StoreRelay& m_relay;
     LeaseManager m_leaseManager;
+    PermitClient m_permits;
     QuarantineStore m_quarantineStore;
     DemandCollector m_collector;
     /// Last reply of the holder, which is passed on to the instances that report to this one.
--- a/src/libfront/placement_messages.cpp
+++ b/src/libfront/placement_messages.cpp
@@ -137,6 +137,31 @@
         out.readers = document.at("readers").get<std::vector<StoreReader>>();
 }
 
+void to_json(json& out, const PermitRequest& request)
+{
+    out = { { "upstream", request.upstream }, { "startedAt", request.startedAt },
+        { "requestsPerSecond", request.requestsPerSecond }, { "ageMs", request.age.count() } };
+}
+
+void from_json(const json& document, PermitRequest& out)
+{
+    document.at("upstream").get_to(out.upstream);
+    document.at("startedAt").get_to(out.startedAt);
+    document.at("requestsPerSecond").get_to(out.requestsPerSecond);
+    out.age = std::chrono::milliseconds(document.at("ageMs").get<std::uint32_t>());
+}
+
+void to_json(json& out, const PermitReply& reply)
+{
+    out = { { "isGranted", reply.isGranted }, { "retryAfterMs", reply.retryAfter.count() } };
+}
+
+void from_json(const json& document, PermitReply& out)
+{
+    document.at("isGranted").get_to(out.isGranted);
+    out.retryAfter = std::chrono::milliseconds(document.at("retryAfterMs").get<std::uint32_t>());
+}
+
 namespace {
 
 template <typename T> std::string encodeAs(const T& value)
@@ -171,10 +196,14 @@
 std::string encode(const DemandReply& reply) { return encodeAs(reply); }
 std::string encode(const AdapterDemand& demand) { return encodeAs(demand); }
 std::string encode(const AdapterReply& reply) { return encodeAs(reply); }
+std::string encode(const PermitRequest& request) { return encodeAs(request); }
+std::string encode(const PermitReply& reply) { return encodeAs(reply); }
 
 Result<DemandMessage> decodeDemandMessage(std::string_view text) { return decodeAs<DemandMessage>(text); }
 Result<DemandReply> decodeDemandReply(std::string_view text) { return decodeAs<DemandReply>(text); }
 Result<AdapterDemand> decodeAdapterDemand(std::string_view text) { return decodeAs<AdapterDemand>(text); }
 Result<AdapterReply> decodeAdapterReply(std::string_view text) { return decodeAs<AdapterReply>(text); }
+Result<PermitRequest> decodePermitRequest(std::string_view text) { return decodeAs<PermitRequest>(text); }
+Result<PermitReply> decodePermitReply(std::string_view text) { return decodeAs<PermitReply>(text); }
 
 } // namespace bulrushstack
--- a/src/libfront/request_forwarder.cpp
+++ b/src/libfront/request_forwarder.cpp
@@ -18,6 +18,9 @@
 /// Maximum fraction of its time that a request waits for its model to be loaded.
 constexpr double residencyWaitShare = 0.5;
 
+/// Maximum fraction of its latency objective that a request waits for an upstream that is pausing or without a permit.
+constexpr double suspensionWaitShare = 0.5;
+
 constexpr Milliseconds overloadRetryAfter { 300 };
 constexpr Milliseconds missingModelRetryAfter { 1000 };
 /// Routes with at least this latency objective come after other routes of the same priority.
@@ -169,11 +172,19 @@
         if (m_isClientGone || m_state.clock().now() >= m_deadline)
             co_return std::nullopt;
         auto ranked = rankCandidates();
-        if (!ranked.empty())
-            co_return ranked.front();
-        m_retryAfter = m_state.remainingPause(m_service->name, m_request);
-        if (m_retryAfter)
+        if (!ranked.empty()) {
+            auto permitted = co_await obtainPermit(ranked.front());
+            if (permitted)
+                co_return permitted;
+            continue;
+        }
+        m_retryAfter = m_state.remainingSuspension(m_service->name, m_request);
+        if (m_retryAfter && !mayAwaitSuspended(*m_retryAfter))
             co_return std::nullopt;
+        if (m_retryAfter) {
+            co_await m_state.waitForChange(m_state.clock().now() + *m_retryAfter);
+            continue;
+        }
         if (!m_service->engine || !m_triedUpstreams.empty())
             co_return std::nullopt;
         const bool shouldChooseAgain = co_await waitForResidency();
@@ -182,6 +193,30 @@
     }
 }
 
+/// Returns the candidate if a request may be sent to it now; empty if another candidate must be chosen.
+asio::awaitable<std::optional<RankedUpstream>> RequestForwarder::obtainPermit(const RankedUpstream& candidate)
+{
+    const std::string id = candidate.upstream->id;
+    if (!m_state.directory().rateLimit(id))
+        co_return candidate;
+    const bool isGranted = co_await m_dependencies.permits.obtain(id, candidate.upstream->startedAt, m_deadline);
+    if (!isGranted)
+        co_return std::nullopt;
+    // The directory may have changed meanwhile.
+    const auto ranked = rankCandidates();
+    const auto it
+        = std::find_if(ranked.begin(), ranked.end(), [&](const RankedUpstream& it) { return it.upstream->id == id; });
+    co_return it == ranked.end() ? std::nullopt : std::optional(*it);
+}
+
+/// Returns whether the request can still be served in time by an upstream that is suspended for the given time. A
+/// request that would have to wait longer is rejected at once.
+bool RequestForwarder::mayAwaitSuspended(Milliseconds suspension) const
+{
+    const auto waited = m_state.clock().now() - m_receivedAt;
+    return waited + suspension <= m_route->latencyObjective * suspensionWaitShare;
+}
+
 SteadyTime RequestForwarder::residencyDeadline() const
 {
     const auto maxWait = duration_cast<Milliseconds>((m_deadline - m_receivedAt) * residencyWaitShare);
--- a/src/libfront/request_forwarder.h
+++ b/src/libfront/request_forwarder.h
@@ -28,12 +28,24 @@
     virtual boost::asio::awaitable<Result<std::string>> placeAdapter(AdapterDemand demand, SteadyTime deadline) = 0;
 };
 
+/// Obtains permits for requests to upstreams that state a rate limit; implemented by PermitClient.
+class PermitSource {
+public:
+    virtual ~PermitSource() = default;
+
+    /// Returns whether a request may be sent to the upstream at once. If not, the directory lists the upstream as
+    /// suspended until a permit can be expected. `startedAt` is the start time of the upstream's process, in Unix
+    /// milliseconds.
+    virtual boost::asio::awaitable<bool> obtain(std::string upstream, std::uint64_t startedAt, SteadyTime deadline) = 0;
+};
+
 /// Objects that the forwarders of all requests share.
 struct RequestDependencies {
     FrontState& state;
     HttpClient& client;
     const RequestFormat& format;
     AdapterPlacement& adapters;
+    PermitSource& permits;
     FrontMetrics& metrics;
 };
 
@@ -59,6 +71,8 @@
 
     boost::asio::awaitable<void> runAdmitted();
     boost::asio::awaitable<std::optional<RankedUpstream>> chooseUpstream();
+    boost::asio::awaitable<std::optional<RankedUpstream>> obtainPermit(const RankedUpstream& candidate);
+    bool mayAwaitSuspended(Milliseconds suspension) const;
     boost::asio::awaitable<bool> waitForResidency();
     boost::asio::awaitable<std::optional<Failure>> attempt(const RankedUpstream& chosen);
     boost::asio::awaitable<std::optional<Failure>> open(Attempt& attempt);
--- a/src/libfront/request_forwarder_test.cpp
+++ b/src/libfront/request_forwarder_test.cpp
@@ -74,6 +74,50 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(UpstreamStatesARateLimit)
+
+// Guards against requests without a permit to an upstream that limits its requests.
+BOOST_AUTO_TEST_CASE(UsesItOnlyWithAPermit)
+{
+    addUpstream({ okResponseWithLimit, okResponseWithLimit, okResponseWithLimit });
+    addUpstream({ okResponse, okResponse });
+    permits.left = 1;
+    for (int i = 0; i < 4; ++i)
+        BOOST_TEST(call("/once/x")->status == 200u);
+    BOOST_TEST(upstreams[0]->received().size() == 2u);
+    BOOST_TEST(permits.asked == 2u);
+}
+
+// Guards against clients that wait, or that do not learn when to retry, while no upstream may get a request.
+BOOST_AUTO_TEST_CASE(RejectsAtOnceWhileAllUpstreamsLackAPermit)
+{
+    addUpstream({ okResponseWithLimit });
+    BOOST_TEST(call("/once/x")->status == 200u);
+    for (int i = 0; i < 2; ++i) {
+        auto response = call("/once/x");
+        BOOST_TEST(response->status == 503u);
+        BOOST_TEST(std::stoi(response->headers.find("X-Retry-Ms").value()) > 29'000);
+    }
+    BOOST_TEST(permits.asked == 1u);
+    BOOST_TEST(upstreams[0]->received().size() == 1u);
+}
+
+// Guards against the rejection of a request that the next permit serves in time.
+BOOST_AUTO_TEST_CASE(WaitsForAPermitThatComesSoon)
+{
+    addUpstream({ okResponseWithLimit, okResponse, okResponse });
+    BOOST_TEST(call("/once/x")->status == 200u);
+    permits.retryAfter = std::chrono::milliseconds(100);
+    boost::asio::steady_timer timer(context, std::chrono::milliseconds(50));
+    timer.async_wait([&](boost::system::error_code) { permits.left = 1; });
+    BOOST_TEST(call("/once/x")->status == 200u);
+    BOOST_TEST(permits.asked == 2u);
+    BOOST_TEST(call("/once/x")->status == 200u); // The last response states no limit.
+    BOOST_TEST(permits.asked == 2u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(NonIdempotentRequest)
 
 // Guards against a call that is executed twice, and against an error response which states that it was not executed.
--- a/src/libserving/upstream_directory.cpp
+++ b/src/libserving/upstream_directory.cpp
@@ -158,8 +158,10 @@
     auto& limit = announcement->rateLimit;
     if (!requestsPerSecond) {
         const bool isEnded = limit && sentAt > limit->statedAt;
-        if (isEnded)
+        if (isEnded) {
             limit.reset();
+            announcement->noPermitUntil.reset();
+        }
         return isEnded;
     }
     const bool isChanged = !limit || limit->requestsPerSecond != *requestsPerSecond;
@@ -167,6 +169,14 @@
     return isChanged;
 }
 
+void UpstreamDirectory::recordNoPermit(
+    const std::string& id, std::uint64_t startedAt, std::chrono::nanoseconds retryAfter)
+{
+    auto* announcement = rateLimit(id) ? announcementOf(id, startedAt) : nullptr;
+    if (announcement)
+        announcement->noPermitUntil = m_clock.now() + std::chrono::duration_cast<SteadyTime::duration>(retryAfter);
+}
+
 std::optional<UpstreamDirectory::RateLimit> UpstreamDirectory::rateLimit(std::string_view id) const
 {
     auto it = m_announcements.find(id);
@@ -213,30 +223,38 @@
 
 std::vector<const UpstreamEntry*> UpstreamDirectory::usable(std::string_view service) const
 {
-    return filterByPause(service, false);
+    return filterBySuspension(service, false);
 }
 
-std::vector<const UpstreamEntry*> UpstreamDirectory::pausing(std::string_view service) const
+std::vector<const UpstreamEntry*> UpstreamDirectory::suspended(std::string_view service) const
 {
-    return filterByPause(service, true);
+    return filterBySuspension(service, true);
 }
 
-std::vector<const UpstreamEntry*> UpstreamDirectory::filterByPause(std::string_view service, bool isPausing) const
+std::vector<const UpstreamEntry*> UpstreamDirectory::filterBySuspension(
+    std::string_view service, bool isSuspended) const
 {
     std::vector<const UpstreamEntry*> out;
     for (const auto& [id, record] : m_records) {
-        if (record.entry.service == service && !isLeaving(record.entry) && pausedUntil(id).has_value() == isPausing)
+        if (record.entry.service == service && !isLeaving(record.entry)
+            && suspendedUntil(id).has_value() == isSuspended)
             out.push_back(&record.entry);
     }
     return out;
 }
 
-std::optional<SteadyTime> UpstreamDirectory::pausedUntil(std::string_view id) const
+std::optional<SteadyTime> UpstreamDirectory::suspendedUntil(std::string_view id) const
 {
     auto it = m_announcements.find(id);
-    const bool isPausing
-        = it != m_announcements.end() && it->second.pausedUntil && *it->second.pausedUntil > m_clock.now();
-    return isPausing ? it->second.pausedUntil : std::nullopt;
+    if (it == m_announcements.end())
+        return std::nullopt;
+    const auto until = std::max(it->second.pausedUntil, it->second.noPermitUntil); // An empty optional is the smaller.
+    return until && *until > m_clock.now() ? until : std::nullopt;
+}
+
+bool UpstreamDirectory::isPausing(const Announcement& announcement) const
+{
+    return announcement.pausedUntil && *announcement.pausedUntil > m_clock.now();
 }
 
 UpstreamDirectory::AnnouncementCounts UpstreamDirectory::countAnnouncements() const
@@ -244,7 +262,7 @@
     AnnouncementCounts out;
     for (const auto& [id, announcement] : m_announcements) {
         out.leaving += announcement.isLeaving ? 1 : 0;
-        out.pausing += pausedUntil(id) ? 1 : 0;
+        out.pausing += isPausing(announcement) ? 1 : 0;
         out.limited += announcement.rateLimit ? 1 : 0;
     }
     return out;
--- a/src/libserving/upstream_directory_test.cpp
+++ b/src/libserving/upstream_directory_test.cpp
@@ -84,7 +84,7 @@
 {
     BOOST_TEST(directory.recordPause("a", 0, 2s));
     BOOST_TEST(usable() == 3u);
-    BOOST_TEST(directory.pausing("s").size() == 1u);
+    BOOST_TEST(directory.suspended("s").size() == 1u);
     clock.advance(1999ms);
     BOOST_TEST(usable() == 3u);
     BOOST_TEST(directory.takeEndedPauses().empty());
@@ -165,6 +165,23 @@
     BOOST_TEST(directory.rateLimit("a").has_value());
 }
 
+// Guards against requests without a permit, and against an upstream that is not used again.
+BOOST_AUTO_TEST_CASE(SendsItNothingWhileThereIsNoPermit)
+{
+    directory.recordNoPermit("a", 0, 1s);
+    BOOST_TEST(usable() == 4u);
+    directory.recordRateLimit("a", 0, 1.5, clock.now());
+    directory.recordNoPermit("a", 0, 1s);
+    BOOST_TEST(usable() == 3u);
+    BOOST_TEST(directory.suspended("s").size() == 1u);
+    clock.advance(1s);
+    BOOST_TEST(usable() == 4u);
+    directory.recordNoPermit("a", 0, 1s);
+    clock.advance(1ms);
+    directory.recordRateLimit("a", 0, {}, clock.now());
+    BOOST_TEST(usable() == 4u);
+}
+
 BOOST_AUTO_TEST_CASE(ForgetsItWhenTheProcessIsReplaced)
 {
     directory.recordRateLimit("a", 0, 1.5, clock.now());
