Place the models of an upstream elsewhere while its rate limit is exhausted

What callers saw: requests for a model whose only copy is on an upstream in need were rejected until the limit ended, unless the load alone called for another copy.

Cause: the planner counted the copy as one that serves.

Change: while permits for an upstream are denied, the holder plans as if the upstream were draining: its copies do not count and it gets no orders. It still gets the requests that its limit allows.

--- a/src/include/bulrushstack/serving/permit_issuer.h
+++ b/src/include/bulrushstack/serving/permit_issuer.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -39,6 +40,10 @@
 
     PermitReply issue(const PermitRequest& request);
 
+    /// Returns whether a permit for this process of an upstream was denied recently, so that the demand for it exceeds
+    /// its limit.
+    bool isExhausted(const std::string& upstream, std::uint64_t startedAt) const;
+
     /// Tokens that a bucket can hold at most, for a limit in requests per second.
     static double burst(double requestsPerSecond);
 
@@ -49,6 +54,7 @@
         double tokens = 0;
         SteadyTime refilledAt {};
         unsigned denials = 0; ///< Denied requests since the last permit.
+        std::optional<SteadyTime> deniedAt; ///< Time of the last denied request.
     };
 
     Bucket& bucketOf(const PermitRequest& request);
--- a/src/libfront/permit_client.cpp
+++ b/src/libfront/permit_client.cpp
@@ -35,6 +35,11 @@
 
 PermitReply PermitClient::issueAsHolder(const PermitRequest& request) { return m_issuer.issue(request); }
 
+bool PermitClient::isExhausted(const UpstreamEntry& upstream) const
+{
+    return m_issuer.isExhausted(upstream.id, upstream.startedAt);
+}
+
 asio::awaitable<bool> PermitClient::obtain(std::string upstream, std::uint64_t startedAt, SteadyTime deadline)
 {
     const auto limit = m_state.directory().rateLimit(upstream);
--- a/src/libfront/permit_client.h
+++ b/src/libfront/permit_client.h
@@ -27,6 +27,10 @@
     /// Issues a permit as the holder of the placement lease.
     PermitReply issueAsHolder(const PermitRequest& request);
 
+    /// Returns whether more requests are meant for an upstream than its rate limit allows, as far as this instance
+    /// knows as the holder of the lease.
+    bool isExhausted(const UpstreamEntry& upstream) const;
+
 private:
     boost::asio::awaitable<Result<PermitReply>> askHolder(PermitRequest request, SteadyTime deadline);
     PermitReply issueOwnShare(PermitRequest request);
--- a/src/libfront/placement_agent.cpp
+++ b/src/libfront/placement_agent.cpp
@@ -259,7 +259,7 @@
             continue;
         entries.push_back(entry);
         const auto unreachable = m_unreachableUpstreams.find(entry->id);
-        if (m_state.directory().isLeaving(*entry)
+        if (m_state.directory().isLeaving(*entry) || m_permits.isExhausted(*entry)
             || (unreachable != m_unreachableUpstreams.end() && unreachable->second == entry->startedAt))
             placement.excludedUpstreams.insert(entry->id);
     }
--- a/src/libfront/placement_agent.h
+++ b/src/libfront/placement_agent.h
@@ -54,7 +54,8 @@
         ResidencyTracker tracker;
         /// Time of the last request for each adapter.
         std::map<AdapterKey, SteadyTime> lastRequested;
-        /// Upstreams that are shutting down or do not accept connections.
+        /// Upstreams that are shutting down, do not accept connections, or accept fewer requests than are meant for
+        /// them.
         std::set<std::string> excludedUpstreams;
         /// Upstreams whose state report is being fetched.
         std::set<std::string> pendingReports;
--- a/src/libserving/permit_issuer.cpp
+++ b/src/libserving/permit_issuer.cpp
@@ -16,6 +16,9 @@
 constexpr std::chrono::milliseconds minRetryAfter { 5 };
 /// Bounds the time for which an instance does not notice that a limit was raised.
 constexpr std::chrono::milliseconds maxRetryAfter { 2000 };
+/// Time after a denied request for which an upstream counts as exhausted. It is longer than maxRetryAfter, so that an
+/// upstream stays exhausted while the demand exceeds its limit.
+constexpr std::chrono::seconds exhaustionMemory { 4 };
 /// Time without requests for permits after which a bucket is dropped. It is longer than maxRetryAfter.
 constexpr std::chrono::seconds bucketLifetime { 10 };
 
@@ -59,10 +62,17 @@
     // Each further instance is told to come one permit later, so that they do not all ask for the same one.
     const Seconds delay { (1 - bucket.tokens + bucket.denials) / bucket.requestsPerSecond };
     ++bucket.denials;
+    bucket.deniedAt = m_clock.now();
     const auto retryAfter = std::chrono::ceil<std::chrono::milliseconds>(std::min<Seconds>(delay, maxRetryAfter));
     return { .retryAfter = std::max(minRetryAfter, retryAfter) };
 }
 
+bool PermitIssuer::isExhausted(const std::string& upstream, std::uint64_t startedAt) const
+{
+    const auto it = m_buckets.find({ upstream, startedAt });
+    return it != m_buckets.end() && it->second.deniedAt && m_clock.now() - *it->second.deniedAt < exhaustionMemory;
+}
+
 void PermitIssuer::dropUnused()
 {
     const auto now = m_clock.now();
--- a/src/libserving/permit_issuer_test.cpp
+++ b/src/libserving/permit_issuer_test.cpp
@@ -85,6 +85,19 @@
         BOOST_TEST(ask(0.3).retryAfter.count() <= 2000);
 }
 
+// Guards against a model whose only copy is on an upstream that accepts fewer requests than arrive.
+BOOST_AUTO_TEST_CASE(CountsTheUpstreamAsExhaustedForAWhile)
+{
+    BOOST_TEST(!issuer.isExhausted("a", 1));
+    ask(1.0);
+    BOOST_TEST(issuer.isExhausted("a", 1));
+    BOOST_TEST(!issuer.isExhausted("a", 2));
+    clock.advance(4s);
+    BOOST_TEST(!issuer.isExhausted("a", 1));
+    BOOST_TEST(ask(1.0).isGranted);
+    BOOST_TEST(!issuer.isExhausted("a", 1));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(WhenTheLimitChanges)
--- a/testsuite/rate-limit/run.py
+++ b/testsuite/rate-limit/run.py
@@ -1,7 +1,7 @@
 """Upstreams state how many requests a second they accept from all instances together.
 
 Guards against: instances that exceed the limit in sum, also while one of them restarts, joins or is paused; a limit that
-keeps requests from upstreams without one; requests that wait although no upstream can accept them in time; an upstream that
+keeps requests from upstreams without one; a model that is short of capacity because its only upstream limits its requests; requests that wait although no upstream can accept them in time; an upstream that
 is not used again after its limit ended.
 """
 
@@ -9,11 +9,13 @@
 
 import serving_site
 from processes import wait_until
-from serving_site import checkout_request
+from serving_site import brief_request, checkout_request
 from transcript import Transcript
 
 WAVE_INTERVAL_S = 0.2
 WAVE_REQUESTS = 4  # 20 requests a second
+LIGHT_INTERVAL_S = 0.5
+MODEL_MOVE_S = 20.0  # longest time until another upstream serves the model
 AT_ONCE_S = 0.5  # longest time to a refusal that does not wait for the upstream
 
 
@@ -93,6 +95,20 @@
     script.say(f"all served: {all(it.is_served for it in outcomes)}, used again: {share > 0.2}")
 
 
+def limit_only_engine(script, site, instances):
+    script.section("the only upstream of a model states a limit below the demand for it")
+    site.call_on_loop(site.workers["engine-2"].state_limit, 0.5)
+
+    def is_wave_served():
+        """Sends little load, so that the load alone is no reason for another copy of the model."""
+        time.sleep(LIGHT_INTERVAL_S)
+        return all(it.is_served for it in site.call_concurrently([(it, brief_request("m-3", 4)) for it in instances[:2]]))
+    # The first waves are served before all instances know the limit.
+    wait_until(lambda: all(is_wave_served() for _ in range(4)), "four waves in a row are served", MODEL_MOVE_S)
+    script.say(f"served by another upstream: {all(is_wave_served() for _ in range(3))}")
+    site.call_on_loop(site.workers["engine-2"].state_limit, None)
+
+
 def run(folder):
     script = Transcript()
     with serving_site.open_site(folder) as site:
@@ -101,5 +117,6 @@
         replace_instances(script, site, instances)
         limit_all(script, site)
         end_limits(script, site)
+        limit_only_engine(script, site, instances)
         serving_site.report_violations(script, site)
     return script.text()
