Order versions of rows over restorations of the store

What callers saw: 404 for a route that was added after the store came back from a copy, and 503 for models that were not placed any more. Upstreams got orders with fencing tokens that went back, from two holders in turn.

Cause: after a restoration the store assigns versions again. A lower version was taken for an outdated read, so that no instance accepted the row of the lease and all wrote it in vain with the old version; a feed that was read from a version assigned again skipped the rows below it; fencing tokens are versions of the lease's row. Class: a number was taken to be unique and rising for good, though the store promises it only between restorations.

Change: the binding puts the store's era into the upper bits of each version, so that the promise holds again for all that uses versions (feeds, relays, lease, fences).

The same cause elsewhere: a copy may name an earlier holder of the lease, or have no row; whoever saw another holder since keeps the handover pause. The quarantine's row is written again if the store may have lost it.

--- a/src/include/bulrushstack/platform/table_service.h
+++ b/src/include/bulrushstack/platform/table_service.h
@@ -15,8 +15,17 @@
 
 /// Version of a row. The table service assigns a higher version with every write and never reuses one. 0 means that the
 /// row does not exist.
+///
+/// A service that can be restored from a copy assigns versions again. Its binding puts the number of restorations into
+/// the upper bits, so that the versions after a restoration are higher than all before it.
 using RowVersion = std::uint64_t;
 
+/// Number of bits below the number of restorations.
+inline constexpr unsigned restorationShift = 40;
+
+/// Returns the number of restorations of the table service at the time of the version.
+inline std::uint64_t restorationsOf(RowVersion version) { return version >> restorationShift; }
+
 /// Identifies a row.
 struct RowId {
     std::string table;
--- a/src/include/bulrushstack/serving/placement_lease.h
+++ b/src/include/bulrushstack/serving/placement_lease.h
@@ -51,7 +51,7 @@
     explicit PlacementLease(LeaseOptions options);
 
     /// Processes a read of the row; `record` is empty if the row does not exist. A read with an older version than
-    /// already known is ignored.
+    /// already known is ignored. A row that was known and does not exist was lost when the store was restored.
     void observe(std::optional<LeaseRecord> record, SteadyTime now);
 
     /// Returns whether this instance should write the row now, either to acquire the lease or to renew it.
@@ -86,10 +86,15 @@
     const std::optional<LeaseRecord>& record() const { return m_record; }
 
 private:
+    bool isHeldByOther() const;
+    LeaseOrigin previousHolder() const;
+
     LeaseOptions m_options;
     std::optional<LeaseRecord> m_record;
     SteadyTime m_recordChangedAt {};
     bool m_hasObservedRow = false;
+    /// Whether a row named another holder since this instance last wrote the row.
+    bool m_hasOtherHeld = false;
     std::optional<SteadyTime> m_validUntil;
     SteadyTime m_ordersAllowedFrom {};
     SteadyTime m_lastWriteSentAt {};
--- a/src/libfront/quarantine_store.cpp
+++ b/src/libfront/quarantine_store.cpp
@@ -61,16 +61,24 @@
 asio::awaitable<void> QuarantineStore::saveIfChanged()
 {
     const auto quarantined = m_state.crashSuspects().quarantined();
-    if (quarantined == m_saved || !m_leaseManager.isHolder())
+    if (!m_leaseManager.isHolder())
         co_return;
     const auto& lease = m_leaseManager.lease();
+    const auto restorations = restorationsOf(lease.expectedVersion());
+    const bool isLost = restorations != m_restorations && !quarantined.empty();
+    if (quarantined == m_saved && !isLost) {
+        m_restorations = restorations;
+        co_return;
+    }
     auto transaction = makeQuarantineTransaction(lease.expectedVersion(), m_state.crashSuspects().quarantineEvidence());
     auto version
         = co_await m_binding.tableService().commit(std::move(transaction), m_state.clock().now() + storeCallTimeout);
     LOG(INFO) << "event=quarantine-saved suspects=" << quarantined.size() << " fence=" << lease.fence() << " error=\""
               << (version ? "" : version.error().detail) << "\"";
-    if (version)
-        m_saved = quarantined;
+    if (!version)
+        co_return;
+    m_saved = quarantined;
+    m_restorations = restorationsOf(*version);
 }
 
 } // namespace bulrushstack
--- a/src/libfront/quarantine_store.h
+++ b/src/libfront/quarantine_store.h
@@ -20,8 +20,8 @@
     /// instance then learns from the holder.
     boost::asio::awaitable<void> load();
 
-    /// Writes the row if this instance is the holder and the quarantine has changed since the last write. A failed
-    /// write is repeated by the next call.
+    /// Writes the row if this instance is the holder and the quarantine has changed since the last write, or the store
+    /// was restored from a copy and may have lost it. A failed write is repeated by the next call.
     boost::asio::awaitable<void> saveIfChanged();
 
 private:
@@ -29,6 +29,8 @@
     FrontBinding& m_binding;
     const LeaseManager& m_leaseManager;
     std::map<SuspectId, unsigned> m_saved;
+    /// Number of restorations of the store at the last write, or when there was nothing to write.
+    std::uint64_t m_restorations = 0;
 };
 
 } // namespace bulrushstack
--- a/src/libplatform/scripted_server.h
+++ b/src/libplatform/scripted_server.h
@@ -36,6 +36,7 @@
     };
     Kind kind = Kind::Respond;
     unsigned status = 200;
+    std::string headers; ///< further header lines, each with its end
     std::string body;
     std::string delayedBody; ///< second part of the body, sent after the pause
     std::chrono::milliseconds pause {}; ///< time between the two parts of the body
@@ -87,7 +88,7 @@
             }
             const auto text = "HTTP/1.1 " + std::to_string(response.status) + " X\r\nContent-Length: "
                 + std::to_string(response.body.size() + response.delayedBody.size() + response.unsentBody.size())
-                + "\r\n\r\n" + response.body;
+                + "\r\n" + response.headers + "\r\n" + response.body;
             co_await boost::asio::async_write(*socket, boost::asio::buffer(text), boost::asio::use_awaitable);
             if (!response.delayedBody.empty()) {
                 boost::asio::steady_timer timer(context, response.pause);
--- a/src/libserving/placement_lease.cpp
+++ b/src/libserving/placement_lease.cpp
@@ -22,9 +22,10 @@
     const std::uint64_t seen = record ? record->version : 0;
     if (m_hasObservedRow && seen == known)
         return;
-    if (m_hasObservedRow && seen < known)
+    if (m_hasObservedRow && record && seen < known)
         return; // The read is older than one already processed.
     m_hasObservedRow = true;
+    m_hasOtherHeld = m_hasOtherHeld || isHeldByOther();
     m_record = std::move(record);
     m_recordChangedAt = now;
     if (!isOwn())
@@ -46,7 +47,8 @@
 {
     const bool isRenewal = m_validUntil.has_value();
     if (!isRenewal)
-        m_origin = !m_record ? LeaseOrigin::New : isOwn() ? LeaseOrigin::EarlierProcess : LeaseOrigin::OtherInstance;
+        m_origin = previousHolder();
+    m_hasOtherHeld = false;
     m_record = LeaseRecord { .holder = m_options.instanceId, .address = address, .version = version };
     m_recordChangedAt = sentAt;
     m_lastWriteSentAt = sentAt;
@@ -57,6 +59,19 @@
     m_ordersAllowedFrom = m_origin == LeaseOrigin::OtherInstance ? after(sentAt, m_options.handoverPause) : sentAt;
 }
 
+bool PlacementLease::isHeldByOther() const { return m_record && !m_record->holder.empty() && !isOwn(); }
+
+/// Returns from whom this instance acquires the lease. A restored store may name an earlier holder, or none, although
+/// another instance has held the lease since.
+LeaseOrigin PlacementLease::previousHolder() const
+{
+    if (m_hasOtherHeld)
+        return LeaseOrigin::OtherInstance;
+    if (!m_record)
+        return LeaseOrigin::New;
+    return isOwn() ? LeaseOrigin::EarlierProcess : LeaseOrigin::OtherInstance;
+}
+
 void PlacementLease::recordLoss() { m_validUntil.reset(); }
 
 bool PlacementLease::isHolder(SteadyTime now) const { return m_validUntil && now < *m_validUntil; }
--- a/src/libserving/placement_lease_test.cpp
+++ b/src/libserving/placement_lease_test.cpp
@@ -121,6 +121,45 @@
     BOOST_TEST(!second.maySendOrders());
 }
 
+BOOST_AUTO_TEST_SUITE(WhenTheStoreIsRestoredFromACopy)
+
+// Guards against two holders in turn because the copy names the one before.
+BOOST_AUTO_TEST_CASE(KeepsTheHandoverPauseForAHolderThatTheCopyNames)
+{
+    write(first, second, 1);
+    clock.advance(3s);
+    write(second, first, 2);
+    const LeaseRecord copied { .holder = "first", .address = address, .version = 9 };
+    first.lease.observe(copied, clock.bootNow());
+    BOOST_TEST(first.shouldWrite());
+    first.lease.recordWrite(10, address, clock.bootNow());
+    BOOST_TEST(!first.maySendOrders());
+    BOOST_CHECK(first.lease.origin() == LeaseOrigin::OtherInstance);
+}
+
+// Guards against a lease that no instance can acquire any more because the copy is older than its row.
+BOOST_AUTO_TEST_CASE(IsAcquiredAnewIfTheCopyHasNoRow)
+{
+    write(first, second, 5);
+    second.lease.observe(std::nullopt, clock.bootNow());
+    BOOST_TEST(second.shouldWrite());
+    BOOST_TEST(second.lease.expectedVersion() == 0u);
+    second.lease.recordWrite(9, address, clock.bootNow());
+    BOOST_TEST(!second.maySendOrders());
+}
+
+BOOST_AUTO_TEST_CASE(IsResumedAtOnceByItsLastHolder)
+{
+    write(first, second, 5);
+    first.lease.recordLoss();
+    first.lease.observe(LeaseRecord { .holder = "first", .address = address, .version = 9 }, clock.bootNow());
+    first.lease.recordWrite(10, address, clock.bootNow());
+    BOOST_TEST(first.maySendOrders());
+    BOOST_TEST(first.lease.fence() == 10u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 // Guards against a read that is processed after a newer one.
 BOOST_AUTO_TEST_CASE(IgnoresOlderReadings)
 {
