Send nothing to upstreams that only a restored copy lists as ready

What callers saw: requests at an upstream that had announced its departure, or was gone; they fail or are cut when it exits.

Cause: the rows of a restored store are some seconds old, and the directory took them for news. Class: data from a copy outranked later knowledge.

Change: draining is final for a process (same id and start time). After a restoration the rows of removed processes are held back until they are written again, or until a dead process would have lost its row; rows that the copy lacks are kept for the grace period of an outage, since their upstreams write them again.

Four new cases of upstream_directory_test pass.

--- a/src/include/bulrushstack/serving/upstream_directory.h
+++ b/src/include/bulrushstack/serving/upstream_directory.h
@@ -49,6 +49,10 @@
     /// How long entries that disappear together are still used. It is more likely that their registrations expired than
     /// that all these upstreams shut down at the same moment.
     std::chrono::nanoseconds simultaneousLossGrace = std::chrono::milliseconds(1500);
+
+    /// How long a removed entry that a restored copy contains is held back. It is longer than the registration of a
+    /// process without heartbeats lasts.
+    std::chrono::nanoseconds restoredEntryDelay = std::chrono::seconds(6);
 };
 
 /// The upstreams known to this instance, from the rows that they publish about themselves and from announcements in
@@ -57,7 +61,7 @@
 public:
     explicit UpstreamDirectory(const Clock& clock, DirectoryGracePeriods gracePeriods = {});
 
-    /// Adds or replaces an entry. Returns whether anything changed.
+    /// Adds or replaces an entry. A process that is draining stays so. Returns whether anything changed.
     bool apply(UpstreamEntry entry);
 
     /// Removes the entries that disappeared in one read of the table. Draining entries are removed at once, others
@@ -67,6 +71,12 @@
     /// Applies a read of the whole table: entries that are not in it are removed.
     void replaceAll(std::vector<UpstreamEntry> entries);
 
+    /// Applies the first read of the whole table after the store was restored from a copy. Entries that are missing are
+    /// kept for a grace period, since their upstreams write them again. Entries of processes that had been removed are
+    /// held back: they get requests once they are written again, or once they are still there after a process that no
+    /// longer lives would have lost them.
+    void replaceAllFromCopy(std::vector<UpstreamEntry> entries);
+
     /// Records that the store does not respond.
     void recordStoreLost();
     /// Records that the store responds again. This starts the grace period for entries that expired during the outage.
@@ -147,6 +157,7 @@
     struct Record {
         UpstreamEntry entry;
         std::optional<SteadyTime> graceEnd; ///< Set if the entry was removed and is still used until this time.
+        std::optional<SteadyTime> heldBackUntil; ///< Set if the entry comes from a copy and may be outdated.
     };
 
     /// Announcements of an upstream in its responses. They are kept apart from the entries, since a row may disappear
@@ -168,6 +179,8 @@
 
     /// Returns the rest of the grace period after a store outage; zero or less if it has ended.
     std::chrono::nanoseconds remainingOutageGrace() const;
+    bool isHeldBack(const Record& record) const;
+    void recordRemoval(const UpstreamEntry& entry);
     /// Removes an entry at the end of the grace period; at once if the period is empty or the upstream is draining.
     void removeWithGrace(const std::string& id, std::chrono::nanoseconds grace);
 
@@ -175,6 +188,8 @@
     DirectoryGracePeriods m_gracePeriods;
     std::map<std::string, Record, std::less<>> m_records;
     std::map<std::string, Announcement, std::less<>> m_announcements;
+    /// Removed processes by id and start time, with the time of the removal.
+    std::map<std::pair<std::string, std::uint64_t>, SteadyTime> m_removed;
     bool m_isStoreLost = false;
     std::optional<SteadyTime> m_storeRegained;
     std::uint64_t m_version = 0;
--- a/src/libfront/store_synchronizer.cpp
+++ b/src/libfront/store_synchronizer.cpp
@@ -120,7 +120,12 @@
             if (auto entry = decode(row))
                 entries.push_back(std::move(*entry));
         }
-        directory().replaceAll(std::move(entries));
+        const auto restorations = restorationsOf(snapshot.version);
+        if (m_hasSnapshot && restorations != m_restorations)
+            directory().replaceAllFromCopy(std::move(entries));
+        else
+            directory().replaceAll(std::move(entries));
+        m_restorations = restorations;
         onDirectoryChanged();
         if (!m_hasSnapshot && m_synchronizer.onUpstreamsLoaded)
             m_synchronizer.onUpstreamsLoaded();
@@ -194,6 +199,7 @@
 
     StoreSynchronizer& m_synchronizer;
     bool m_hasSnapshot = false;
+    std::uint64_t m_restorations = 0; ///< of the store at the last snapshot
 };
 
 StoreSynchronizer::StoreSynchronizer(FrontState& state, FrontBinding& binding, FrontMetrics& metrics, StoreRelay& relay)
--- a/src/libserving/upstream_directory.cpp
+++ b/src/libserving/upstream_directory.cpp
@@ -13,6 +13,9 @@
 /// store outage.
 constexpr std::chrono::minutes announcementLifetime { 5 };
 
+/// How long a removal is remembered. It is longer than the time by which a copy of the store is outdated.
+constexpr std::chrono::minutes removalMemory { 2 };
+
 } // namespace
 
 const LoadedModel* UpstreamEntry::findModel(std::string_view model) const
@@ -43,9 +46,13 @@
     if (auto it = m_announcements.find(entry.id);
         it != m_announcements.end() && it->second.startedAt != entry.startedAt)
         m_announcements.erase(it);
-    const bool isChanged = record.entry != entry || record.graceEnd;
+    const bool isSameProcess = entry.startedAt != 0 && entry.startedAt == record.entry.startedAt;
+    if (isSameProcess && record.entry.isDraining)
+        entry.isDraining = true;
+    const bool isChanged = record.entry != entry || record.graceEnd || record.heldBackUntil;
     record.entry = std::move(entry);
     record.graceEnd.reset();
+    record.heldBackUntil.reset();
     if (isChanged)
         ++m_version;
     return isChanged;
@@ -76,6 +83,7 @@
 {
     auto it = m_records.find(id);
     ++m_version;
+    recordRemoval(it->second.entry);
     if (it->second.entry.isDraining || grace <= noGrace)
         m_records.erase(it);
     else
@@ -97,6 +105,36 @@
     remove(gone);
 }
 
+void UpstreamDirectory::replaceAllFromCopy(std::vector<UpstreamEntry> entries)
+{
+    recordStoreLost();
+    recordStoreRegained();
+    std::vector<std::string> heldBack;
+    for (const auto& it : entries) {
+        const auto* known = find(it.id);
+        const bool isKnown = known && known->startedAt == it.startedAt;
+        if (!isKnown && m_removed.count({ it.id, it.startedAt }))
+            heldBack.push_back(it.id);
+    }
+    replaceAll(std::move(entries));
+    const auto until
+        = m_clock.now() + std::chrono::duration_cast<SteadyTime::duration>(m_gracePeriods.restoredEntryDelay);
+    for (const auto& id : heldBack)
+        m_records.find(id)->second.heldBackUntil = until;
+}
+
+bool UpstreamDirectory::isHeldBack(const Record& record) const
+{
+    return record.heldBackUntil && *record.heldBackUntil > m_clock.now();
+}
+
+void UpstreamDirectory::recordRemoval(const UpstreamEntry& entry)
+{
+    const auto now = m_clock.now();
+    std::erase_if(m_removed, [now](const auto& it) { return now - it.second > removalMemory; });
+    m_removed[{ entry.id, entry.startedAt }] = now;
+}
+
 void UpstreamDirectory::recordStoreLost() { m_isStoreLost = true; }
 
 void UpstreamDirectory::recordStoreRegained()
@@ -236,7 +274,7 @@
 {
     std::vector<const UpstreamEntry*> out;
     for (const auto& [id, record] : m_records) {
-        if (record.entry.service == service && !isLeaving(record.entry)
+        if (record.entry.service == service && !isHeldBack(record) && !isLeaving(record.entry)
             && suspendedUntil(id).has_value() == isSuspended)
             out.push_back(&record.entry);
     }
--- a/src/libserving/upstream_directory_test.cpp
+++ b/src/libserving/upstream_directory_test.cpp
@@ -1,5 +1,6 @@
 #include "bulrushstack/serving/upstream_directory.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 using namespace bulrushstack;
@@ -233,6 +234,62 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(AfterTheStoreIsRestoredFromACopy)
+
+UpstreamEntry process(std::string id, std::uint64_t startedAt, bool isDraining = false)
+{
+    return { .id = std::move(id), .service = "s", .isDraining = isDraining, .startedAt = startedAt };
+}
+
+// Guards against requests to an upstream whose copied row is older than the announcement that it leaves.
+BOOST_AUTO_TEST_CASE(SendsNothingToAnUpstreamThatWasDraining)
+{
+    directory.apply(process("a", 5));
+    directory.apply(process("a", 5, true));
+    directory.replaceAllFromCopy({ process("a", 5), entry("b") });
+    BOOST_TEST(directory.isLeaving(*directory.find("a")));
+    directory.apply(process("a", 6));
+    BOOST_TEST(!directory.isLeaving(*directory.find("a")));
+}
+
+// Guards against requests to an upstream that is gone, and against one that is never used again.
+BOOST_AUTO_TEST_CASE(HoldsBackAnUpstreamThatHadBeenRemoved)
+{
+    directory.apply(process("a", 5));
+    directory.remove({ "a" });
+    directory.replaceAllFromCopy({ process("a", 5), entry("b") });
+    const auto isUsed = [this] {
+        const auto used = directory.usable("s");
+        return std::any_of(used.begin(), used.end(), [](const auto* it) { return it->id == "a"; });
+    };
+    BOOST_TEST(!isUsed());
+    clock.advance(5999ms);
+    BOOST_TEST(!isUsed());
+    clock.advance(1ms);
+    BOOST_TEST(isUsed());
+}
+
+BOOST_AUTO_TEST_CASE(UsesAnUpstreamThatWritesItsRowAgain)
+{
+    directory.apply(process("a", 5));
+    directory.remove({ "a" });
+    directory.replaceAllFromCopy({ process("a", 5) });
+    BOOST_TEST(directory.apply(process("a", 5)));
+    BOOST_TEST(directory.usable("s").front()->id == "a");
+}
+
+// Guards against the loss of upstreams whose first row is younger than the copy.
+BOOST_AUTO_TEST_CASE(KeepsUpstreamsThatTheCopyLacksForAMoment)
+{
+    directory.replaceAllFromCopy({ entry("a") });
+    BOOST_TEST(usable() == 4u);
+    clock.advance(2s);
+    directory.expire();
+    BOOST_TEST(usable() == 1u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 // Guards against the loss of upstreams in a store outage that is too short for the table feed to notice.
 BOOST_AUTO_TEST_CASE(UsesEntriesThatVanishTogetherForAMoment)
 {
