Take a refusal on a used connection for the request's own only if it names it

What callers saw on other systems: 'not run, try again' for requests that an upstream had run or was running, after it had sent an earlier refusal again.

Cause: a response without the id of a request was taken for the answer to the one that waited, also where the connection had been used before. And a request that goes to an upstream once more, after its adapter was loaded, bears the same id, so that a second copy of the first refusal fitted.

Change: on a used connection a refusal must name the request; otherwise the outcome is 'may have run'. A request that an upstream refused as misdirected goes there again on a new connection only.

--- a/src/include/bulrushstack/net/http_client.h
+++ b/src/include/bulrushstack/net/http_client.h
@@ -88,6 +88,10 @@
     virtual const HttpHeaders& headers() const = 0;
     virtual BodyFraming framing() const = 0;
 
+    /// Returns whether the request was the first one on its connection, so that no response to an earlier request can
+    /// take the place of its own.
+    virtual bool isOnNewConnection() const = 0;
+
     /// Returns the next part of the body, or an empty optional once the body is complete. A connection that closes
     /// before the end given by Content-Length or by the last chunk is a failure. Every failure has the verdict
     /// MayHaveRun.
--- /dev/null
+++ b/src/libfront/faulty_response_test.cpp
@@ -0,0 +1,113 @@
+#include "front_test_support.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace bulrushstack;
+
+namespace {
+
+const std::string firstEvent = "id: 1\ndata: a\n\n";
+const std::string secondEvent = "id: 2\ndata: b\n\n";
+const std::string okResponseTo8 = rawResponse("200 OK", "X-Id: 8\r\nX-Seal: s\r\n", "whole");
+const std::string refusalWithoutId = rawResponse("503 Busy", "X-Not-Run: 1\r\n", "");
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(FaultyResponses, FrontFixture)
+
+BOOST_AUTO_TEST_SUITE(UpstreamRepeatsAnEarlierRefusal)
+
+BOOST_AUTO_TEST_CASE(IsDiscardedIfItNamesTheEarlierRequest)
+{
+    addUpstream({ notExecutedResponse, notExecutedResponse + okResponseTo8 });
+    BOOST_TEST(call("/once/x")->status == 503u);
+    BOOST_TEST(call("/once/x", "8")->body == "whole");
+    BOOST_TEST(upstreams[0]->connections() == 1u);
+}
+
+// Guards against "not run" for a request that the upstream is running.
+BOOST_AUTO_TEST_CASE(IsNoRefusalIfItNamesNoRequest)
+{
+    addUpstream({ okResponse, refusalWithoutId });
+    addUpstream({ okResponseTo8 });
+    BOOST_TEST(call("/once/x")->status == 200u);
+    BOOST_TEST(call("/once/x", "8")->status == 502u);
+    BOOST_TEST(upstreams[0]->connections() == 1u);
+    BOOST_TEST(upstreams[1]->connections() == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(IsARefusalOnANewConnection)
+{
+    addUpstream({ refusalWithoutId });
+    BOOST_TEST(call("/once/x")->status == 503u);
+}
+
+// Guards against a pause or a departure that a response to an earlier request announces, and against one that is missed
+// because such a response came first.
+BOOST_AUTO_TEST_CASE(SaysNothingAboutTheUpstreamNow)
+{
+    addUpstream(
+        { notExecutedWithRetryAfter + rawResponse("200 OK", "X-Id: 8\r\nX-Seal: s\r\nX-Leaving: 1\r\n", "whole") });
+    BOOST_TEST(call("/once/x", "8")->status == 200u);
+    BOOST_TEST(state.directory().countAnnouncements().pausing == 0u);
+    BOOST_TEST(state.directory().countAnnouncements().leaving == 1u);
+}
+
+// Guards against a refusal of the first attempt that is taken for one of the second attempt at the same upstream.
+BOOST_AUTO_TEST_CASE(DoesNotReachALaterAttemptAtTheSameUpstream)
+{
+    const auto misdirected = rawResponse("421 Misdirected", "X-Id: 7\r\nX-Not-Run: 1\r\n", "");
+    addUpstream({ misdirected, okResponse });
+    BOOST_TEST(call("/once/x")->status == 200u);
+    BOOST_TEST(upstreams[0]->connections() == 2u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(NextUpstreamOfABrokenStreamFails)
+
+void checkNoErrorInStream(FrontFixture& fixture, const std::string& response)
+{
+    fixture.addUpstream({ streamResponseHead + chunk(firstEvent) }, true);
+    fixture.addUpstream({ response }, true);
+    auto result = fixture.call("/resumable/x");
+    BOOST_TEST(result.has_error());
+    BOOST_TEST(fixture.upstreams[1]->received().size() == 1u);
+}
+
+// Guards against an error, or its head, in the middle of a stream, and against a stream that ends as complete.
+BOOST_AUTO_TEST_CASE(WithAServerError) { checkNoErrorInStream(*this, serverErrorResponse); }
+
+BOOST_AUTO_TEST_CASE(WithARefusal) { checkNoErrorInStream(*this, notExecutedResponse); }
+
+BOOST_AUTO_TEST_CASE(WithAPlainSuccess) { checkNoErrorInStream(*this, okResponse); }
+
+BOOST_AUTO_TEST_CASE(WithATruncatedHead) { checkNoErrorInStream(*this, streamResponseHead.substr(0, 30)); }
+
+BOOST_AUTO_TEST_CASE(WithAnErrorThatIsMarkedAsAStream)
+{
+    checkNoErrorInStream(
+        *this, "HTTP/1.1 500 Error\r\nX-Id: 7\r\nX-Seal: s\r\nContent-Type: text/event-stream\r\n\r\ndata: error\n\n");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(UpstreamClosesInsideTheHead)
+
+// Guards against a success with an empty or short body that is framed as whole.
+BOOST_AUTO_TEST_CASE(IsAFailureAtEveryLength)
+{
+    for (const auto* head : { &closeDelimitedStreamHead, &streamResponseHead, &okResponse }) {
+        const auto end = head->find("\r\n\r\n") + 4;
+        for (std::size_t n = 1; n < end; n += 7) {
+            upstreams.clear();
+            addUpstream({ head->substr(0, n) }, true);
+            BOOST_TEST(call("/events/x")->status == 502u);
+            BOOST_TEST(upstreams[0]->received().size() == 1u);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/libfront/front_test_support.h
+++ b/src/libfront/front_test_support.h
@@ -223,10 +223,10 @@
         context.run_for(duration);
     }
 
-    Result<HttpResponse> call(std::string target)
+    Result<HttpResponse> call(std::string target, const std::string& id = "7")
     {
         HttpRequest request { .method = "POST", .target = std::move(target) };
-        request.headers.set("X-Id", "7");
+        request.headers.set("X-Id", id);
         const Address address { .host = "127.0.0.1", .port = server.port() };
         return runAwaitable(
             context, client.call(address, std::move(request), { .deadline = clock.now() + std::chrono::seconds(10) }));
--- a/src/libfront/request_attempt.cpp
+++ b/src/libfront/request_attempt.cpp
@@ -112,6 +112,9 @@
     HttpCallOptions options;
     options.deadline = attemptDeadline();
     options.maxIdle = m_route->isRepeatable() ? maxConnectionIdleTime : maxIdleTimeForNonRepeatable;
+    // A second copy of the refusal would name this request as well.
+    if (m_misdirectedTo.count(attempt.upstreamId))
+        options.maxIdle = {};
     options.connectTimeout = connectTimeout;
     options.tcpKeepAliveTimeout = tcpKeepAliveTimeout;
     options.isCloseDelimitedBodyAccepted = true;
@@ -148,7 +151,12 @@
     applyRateLimit(attempt);
     const auto& head = attempt.head;
     const unsigned status = stream.status();
+    if ((head.isNotExecuted || head.isMisdirected) && !isOwnRefusal(attempt))
+        co_return invalidResponse(
+            Errc::Malformed, "a refusal on a used connection names no request, status " + std::to_string(status));
     if (head.isNotExecuted || head.isMisdirected) {
+        if (head.isMisdirected)
+            m_misdirectedTo.insert(attempt.upstreamId);
         if (head.isMisdirected)
             m_state.residencyHints().recordAbsent(attempt.upstreamId, m_request.model, m_request.adapter);
         if (head.isMisdirected && !m_request.adapter.empty())
@@ -171,6 +179,13 @@
     co_return std::nullopt;
 }
 
+/// Returns whether a refusal is one of this request. A faulty upstream may send the refusal of an earlier request
+/// again.
+bool RequestForwarder::isOwnRefusal(const Attempt& attempt) const
+{
+    return attempt.head.requestId == m_request.id || attempt.stream->isOnNewConnection();
+}
+
 /// Applies what the response announces about its upstream. The response to a misdirected request says nothing about the
 /// chosen upstream, whose process may have ended and whose address may belong to another one.
 void RequestForwarder::applyResponseState(const Attempt& attempt)
--- a/src/libfront/request_forwarder.h
+++ b/src/libfront/request_forwarder.h
@@ -87,6 +87,7 @@
     boost::asio::awaitable<void> respondWithFailure(Failure failure);
     boost::asio::awaitable<void> endQuarantined(Problem problem);
 
+    bool isOwnRefusal(const Attempt& attempt) const;
     void applyResponseState(const Attempt& attempt);
     void applyRateLimit(const Attempt& attempt);
     void recordFirstResponse(Attempt& attempt);
@@ -127,6 +128,8 @@
     /// Size of the incomplete event at which the last response stream ended, in bytes.
     std::size_t m_partialEventBytes = 0;
     std::set<std::string, std::less<>> m_triedUpstreams;
+    /// Upstreams that refused the request as misdirected. They may get it again, once the adapter is loaded.
+    std::set<std::string> m_misdirectedTo;
     unsigned m_attemptsSent = 0;
     unsigned m_attemptsMaybeExecuted = 0;
     unsigned m_connectFailures = 0;
--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -31,6 +31,7 @@
     beast::flat_buffer buffer;
     SteadyTime idleSince {};
     std::chrono::nanoseconds idleLimit = std::chrono::nanoseconds::max(); ///< from the server's Keep-Alive header
+    unsigned requests = 0; ///< number of requests sent
     bool isSending = false; ///< whether a request is still being written in the background
 };
 
@@ -204,6 +205,7 @@
         , m_address(std::move(address))
         , m_options(options)
         , m_connection(std::move(connection))
+        , m_isOnNewConnection(m_connection->requests == 1)
     {
     }
 
@@ -219,6 +221,8 @@
     unsigned status() const override { return m_parser->get().result_int(); }
     const HttpHeaders& headers() const override { return m_headers; }
 
+    bool isOnNewConnection() const override { return m_isOnNewConnection; }
+
     BodyFraming framing() const override
     {
         if (m_parser->chunked())
@@ -347,6 +351,7 @@
     Address m_address;
     HttpCallOptions m_options;
     ClientConnectionPtr m_connection;
+    bool m_isOnNewConnection;
     std::optional<Parser> m_parser;
     HttpHeaders m_headers;
     bool m_isConnectionKept = false; ///< whether read() keeps the connection after the body for the next response
@@ -458,6 +463,7 @@
         options.cancellation->setCloseCallback(makeCloseCallback(connection));
     }
     const bool isHead = request.method == "HEAD";
+    ++connection->requests;
     auto ec = co_await sendRequest(connection, toMessage(address, std::move(request)));
     if (ec)
         co_return failureOf(ec, Verdict::MayHaveRun, "sending the request");
