Apply what a response announces only if the response is the request's own

What callers could see: requests at an upstream that leaves, and none at one that is sound.

Cause: pauses and departures were read from the first response on the connection, before it was known whether it belongs to the request; those of the right response that followed were ignored.

Result: faulty_response_test, SaysNothingAboutTheUpstreamNow failed before (1 pause, 0 departures) and passes; front_test passes.

--- a/src/libfront/request_attempt.cpp
+++ b/src/libfront/request_attempt.cpp
@@ -137,7 +137,6 @@
 {
     auto& stream = *attempt.stream;
     attempt.head = m_dependencies.format.decodeResponseHead(stream.status(), stream.headers());
-    applyResponseState(attempt);
     for (unsigned i = 0; !attempt.head.requestId.empty() && attempt.head.requestId != m_request.id; ++i) {
         LOG(WARNING) << "event=stray-answer request=" << m_request.id << " upstream=" << attempt.upstreamId
                      << " answer_for=" << attempt.head.requestId << " status=" << stream.status();
@@ -148,7 +147,7 @@
             co_return next.error();
         attempt.head = m_dependencies.format.decodeResponseHead(stream.status(), stream.headers());
     }
-    applyRateLimit(attempt);
+    applyResponseState(attempt);
     const auto& head = attempt.head;
     const unsigned status = stream.status();
     if ((head.isNotExecuted || head.isMisdirected) && !isOwnRefusal(attempt))
@@ -200,14 +199,11 @@
         LOG(INFO) << "event=upstream-pause upstream=" << attempt.upstreamId
                   << " source=request request=" << m_request.id << " pause_ms=" << attempt.head.retryAfter->count()
                   << " directory=" << directory.version();
+    applyRateLimit(attempt);
 }
 
-/// Applies the rate limit of a response that belongs to the request. A misdirected request got the response of another
-/// process.
 void RequestForwarder::applyRateLimit(const Attempt& attempt)
 {
-    if (attempt.head.isMisdirected)
-        return;
     const auto& limit = attempt.head.rateLimit;
     auto& directory = m_state.directory();
     if (!directory.recordRateLimit(attempt.upstreamId, attempt.startedAt, limit, attempt.sentRequest.sent))
