Continue a stream only at the software version that began it

What callers would see: one answer with events of two software versions that do not fit together, while upstreams are released.

Cause: the version in the row of an upstream was not read, and a broken stream went on at the best upstream with the model.

Change: from the first forwarded event on, only upstreams with the version of the first one are candidates.

--- a/src/include/bulrushstack/serving/upstream_directory.h
+++ b/src/include/bulrushstack/serving/upstream_directory.h
@@ -27,6 +27,8 @@
     std::string service;
     Address address;
     std::string zone;
+    /// Version of the upstream's software. The output of different versions does not fit together in one stream.
+    std::string softwareVersion;
     unsigned slots = 1; ///< Number of requests that run concurrently.
     bool isDraining = false;
     /// Start time of the process in Unix milliseconds; distinguishes processes with the same id.
--- a/src/libfront/request_attempt.cpp
+++ b/src/libfront/request_attempt.cpp
@@ -79,6 +79,7 @@
 {
     Attempt attempt { .upstreamId = chosen.upstream->id,
         .startedAt = chosen.upstream->startedAt,
+        .softwareVersion = chosen.upstream->softwareVersion,
         .address = chosen.upstream->address,
         .sentRequest = { .sent = m_state.clock().now(),
             .urgency = urgency(),
@@ -318,6 +319,8 @@
     if (m_isStreaming)
         co_return;
     m_isStreaming = true;
+    if (!m_streamVersion)
+        m_streamVersion = attempt.softwareVersion;
     const auto headers = m_dependencies.format.forwardedResponseHeaders(attempt.stream->headers());
     const auto ec = co_await m_exchange.beginStream(attempt.stream->status(), headers);
     m_isClientGone = m_isClientGone || ec;
--- a/src/libfront/request_forwarder.cpp
+++ b/src/libfront/request_forwarder.cpp
@@ -163,7 +163,10 @@
         .prefillMsPerToken = m_state.prefillMsPerToken(m_request.model),
         .tieBreaker = m_state.random(),
         .excluded = m_triedUpstreams };
-    return rankUpstreams(input, m_state.upstreamsWithModel(m_service->name, m_request), m_state.upstreamLoads());
+    auto candidates = m_state.upstreamsWithModel(m_service->name, m_request);
+    if (m_streamVersion)
+        std::erase_if(candidates, [this](const auto* it) { return it->softwareVersion != *m_streamVersion; });
+    return rankUpstreams(input, candidates, m_state.upstreamLoads());
 }
 
 asio::awaitable<std::optional<RankedUpstream>> RequestForwarder::chooseUpstream()
--- a/src/libfront/request_forwarder.h
+++ b/src/libfront/request_forwarder.h
@@ -61,6 +61,7 @@
         std::string upstreamId;
         /// Start time of the upstream's process, in Unix milliseconds.
         std::uint64_t startedAt = 0;
+        std::string softwareVersion;
         Address address;
         SentRequest sentRequest;
         std::unique_ptr<HttpStream> stream;
@@ -122,6 +123,8 @@
     bool m_isDone = false;
     /// Whether the header of the response was sent to the client.
     bool m_isStreaming = false;
+    /// Software version of the upstream that began the stream. Only upstreams with this version can continue it.
+    std::optional<std::string> m_streamVersion;
     EventSplitter m_eventSplitter;
     /// Framing of the last response whose body was read.
     std::optional<BodyFraming> m_responseFraming;
