Take streams up only at the service and software version that began them

What callers would see: a stream whose parts come from two software versions, after it broke off and they took it up at another instance.

Cause: an instance does not know where a stream began that another instance served, and chose among all versions.

Change: each instance remembers for a minute where its resumable streams began. While upstreams of several versions of a service are there, or were within the last minute, it reports them to the lease holder with its demand; the holder names its own in its replies, so that they are known if it is lost, and a new holder gets all reports again. A request that takes a stream up asks the holder where the stream began. It goes on at that version only; it is rejected at once as not run if the version is gone, or if it is unknown and may be one of several. With a single version nothing is reported.

Ruled out: a version that follows from the request id. Models are not loaded on all versions, and the shares of the versions change during a release.

--- a/src/include/bulrushstack/front/placement_messages.h
+++ b/src/include/bulrushstack/front/placement_messages.h
@@ -5,6 +5,7 @@
 #include "bulrushstack/serving/crash_suspects.h"
 #include "bulrushstack/serving/model_demand.h"
 #include "bulrushstack/serving/permit_issuer.h"
+#include "bulrushstack/serving/stream_origins.h"
 
 #include <chrono>
 #include <nlohmann/json.hpp>
@@ -36,6 +37,9 @@
     std::vector<UpstreamCrash> crashes;
     /// Fingerprint of all crashes that the sender knows.
     std::uint64_t crashFingerprint = 0;
+    /// Streams that began at the instances of the message while their service had upstreams of several software
+    /// versions.
+    std::vector<StreamOrigin> streams;
     /// Ids of upstreams to which a connection failed recently.
     std::vector<std::string> unreachable;
     /// The instances whose demand the message contains, the sender first.
@@ -64,6 +68,8 @@
     /// What the one that replies knows of crashes; empty if its fingerprint is that of the message.
     std::vector<UpstreamCrash> crashes;
     std::uint64_t crashFingerprint = 0;
+    /// Streams that began at the holder a short time ago, as in DemandMessage.
+    std::vector<StreamOrigin> streams;
     /// Id and address of the holder.
     std::string holder;
     Address holderAddress;
@@ -87,12 +93,30 @@
     friend bool operator==(const AdapterReply&, const AdapterReply&) = default;
 };
 
+/// Asks the lease holder where a stream began.
+struct OriginRequest {
+    std::string request; ///< Id of the request that got the first event.
+    std::string service; ///< Service of the request that takes the stream up again.
+
+    friend bool operator==(const OriginRequest&, const OriginRequest&) = default;
+};
+
+struct OriginReply {
+    std::optional<StreamOrigin> origin; ///< Empty if it is not known.
+    /// Whether the service had upstreams of several software versions in the time in which the stream may have begun.
+    bool isVersionAmbiguous = false;
+
+    friend bool operator==(const OriginReply&, const OriginReply&) = default;
+};
+
 std::string encode(const DemandMessage& message);
 std::string encode(const DemandReply& reply);
 std::string encode(const AdapterDemand& demand);
 std::string encode(const AdapterReply& reply);
 std::string encode(const PermitRequest& request);
 std::string encode(const PermitReply& reply);
+std::string encode(const OriginRequest& request);
+std::string encode(const OriginReply& reply);
 
 /// Encodes crashes for the platform's store.
 nlohmann::json encodeCrashes(const std::vector<UpstreamCrash>& crashes);
@@ -107,5 +131,7 @@
 Result<AdapterReply> decodeAdapterReply(std::string_view text);
 Result<PermitRequest> decodePermitRequest(std::string_view text);
 Result<PermitReply> decodePermitReply(std::string_view text);
+Result<OriginRequest> decodeOriginRequest(std::string_view text);
+Result<OriginReply> decodeOriginReply(std::string_view text);
 
 } // namespace bulrushstack
--- a/src/include/bulrushstack/serving/serving_request.h
+++ b/src/include/bulrushstack/serving/serving_request.h
@@ -28,6 +28,8 @@
     std::uint32_t promptTokens = 0; ///< Length of the whole prompt.
     std::uint32_t maxOutputTokens = 0; ///< Upper limit of the output length.
     std::optional<std::uint32_t> expectedOutputTokens; ///< Estimate of the output length by the caller.
+    /// Id of the request that got the first event of the stream that the caller takes up again; empty for a new stream.
+    std::string resumedRequest;
     std::optional<std::chrono::milliseconds> callerTimeout; ///< Time for which the caller waits for the response.
 
     friend bool operator==(const ServingRequest&, const ServingRequest&) = default;
--- a/src/include/bulrushstack/serving/upstream_directory.h
+++ b/src/include/bulrushstack/serving/upstream_directory.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -149,6 +150,13 @@
     };
     AnnouncementCounts countAnnouncements() const;
 
+    /// Returns the software versions of the upstreams of a service now and in the last minute, so that the version of a
+    /// recent stream is among them.
+    std::set<std::string> recentVersions(const std::string& service) const;
+
+    /// Returns whether an upstream of the service that is not shutting down has the software version.
+    bool hasVersion(std::string_view service, std::string_view softwareVersion) const;
+
     /// Returns all entries, including draining ones.
     std::vector<const UpstreamEntry*> all() const;
 
@@ -192,6 +200,8 @@
     std::map<std::string, Announcement, std::less<>> m_announcements;
     /// Removed processes by id and start time, with the time of the removal.
     std::map<std::pair<std::string, std::uint64_t>, SteadyTime> m_removed;
+    /// Time until which each software version of a service was last known to be there.
+    std::map<std::pair<std::string, std::string>, SteadyTime> m_versionsSeen;
     bool m_isStoreLost = false;
     std::optional<SteadyTime> m_storeRegained;
     std::uint64_t m_version = 0;
--- a/src/libfront/front_service.cpp
+++ b/src/libfront/front_service.cpp
@@ -195,6 +195,7 @@
               .format = binding->requestFormat(),
               .adapters = agent,
               .permits = agent.permits(),
+              .origins = agent,
               .metrics = metrics })
         , readiness(runtime, binding->readinessPath())
         , metricsHandler(runtime)
--- a/src/libfront/front_test_support.h
+++ b/src/libfront/front_test_support.h
@@ -11,8 +11,8 @@
 
 namespace bulrushstack {
 
-/// Minimal request format of the tests, with the headers X-Id, X-Seal, X-Not-Run, X-Model, X-Leaving, X-Pause, X-Limit
-/// and X-Retry-Ms.
+/// Minimal request format of the tests, with the headers X-Id, X-Seal, X-Not-Run, X-Model, X-Leaving, X-Pause, X-Limit,
+/// X-Resumes and X-Retry-Ms.
 class TestFormat final : public RequestFormat {
 public:
     Result<ServingRequest> decode(const HttpRequest& request) const override
@@ -22,6 +22,7 @@
         out.host = "host";
         out.path = std::string(request.path());
         out.model = request.headers.find("X-Model").value_or("");
+        out.resumedRequest = request.headers.find("X-Resumes").value_or("");
         if (out.id.empty())
             return Failure { .code = Errc::Malformed, .detail = "no id" };
         return out;
@@ -82,6 +83,13 @@
     }
 };
 
+class FixedOrigin final : public StreamOriginSource {
+public:
+    OriginReply reply;
+
+    boost::asio::awaitable<OriginReply> findOrigin(OriginRequest, SteadyTime) override { co_return reply; }
+};
+
 /// Grants a number of permits and then tells each request that the next one comes after a time.
 class CountedPermits final : public PermitSource {
 public:
@@ -176,6 +184,7 @@
     TestFormat format;
     NoAdapters adapters;
     CountedPermits permits { state };
+    FixedOrigin origins;
     prometheus::Registry registry;
     FrontMetrics metrics { registry };
     Ingress ingress { { .state = state,
@@ -183,6 +192,7 @@
         .format = format,
         .adapters = adapters,
         .permits = permits,
+        .origins = origins,
         .metrics = metrics } };
     HttpServer server { context, { .address = { .host = "127.0.0.1", .port = 0 } }, ingress };
     std::vector<std::unique_ptr<RawServer>> upstreams;
@@ -223,10 +233,12 @@
         context.run_for(duration);
     }
 
-    Result<HttpResponse> call(std::string target, const std::string& id = "7")
+    Result<HttpResponse> call(std::string target, const std::string& id = "7", const std::string& resumes = "")
     {
         HttpRequest request { .method = "POST", .target = std::move(target) };
         request.headers.set("X-Id", id);
+        if (!resumes.empty())
+            request.headers.set("X-Resumes", resumes);
         const Address address { .host = "127.0.0.1", .port = server.port() };
         return runAwaitable(
             context, client.call(address, std::move(request), { .deadline = clock.now() + std::chrono::seconds(10) }));
--- a/src/libfront/placement_agent.cpp
+++ b/src/libfront/placement_agent.cpp
@@ -105,6 +105,14 @@
         co_await exchange.respond(std::move(response));
         co_return;
     }
+    if (request.method == "POST" && request.path() == originPath) {
+        const auto originRequest = decodeOriginRequest(request.body);
+        auto response = !originRequest ? jsonErrorResponse(400, originRequest.error().detail)
+            : isHolder                 ? jsonResponse(200, encode(originOf(*originRequest)))
+                                       : jsonErrorResponse(503, "this instance does not hold the placement lease");
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
     if (request.method == "POST" && request.path() == permitPath) {
         auto permitRequest = decodePermitRequest(request.body);
         auto response = !permitRequest ? jsonErrorResponse(400, permitRequest.error().detail)
--- a/src/libfront/placement_demand.cpp
+++ b/src/libfront/placement_demand.cpp
@@ -23,6 +23,10 @@
 constexpr std::chrono::milliseconds firstReportsPeriod { 1500 };
 /// Maximum time between two reports of an instance that does not know the readers yet.
 constexpr std::chrono::milliseconds maxIntervalWithoutReaders { 1500 };
+/// Time for which the holder names a stream of its own in its replies, so that the other instances know where it began
+/// if the holder is lost. It is longer than the interval of the reports of a small fleet.
+constexpr std::chrono::seconds ownStreamsPeriod { 2 };
+constexpr std::chrono::milliseconds originTimeout { 200 };
 
 } // namespace
 
@@ -47,6 +51,8 @@
 {
     auto out = m_state.collectAndResetDemand();
     out.reporters.push_back(m_relay.self());
+    m_streamsCollectedAt = m_state.clock().now();
+    out.streams = m_state.ambiguousStreamsSince(m_streamsReportedUpTo);
     m_collector.takeInto(out);
     const auto& suspects = m_state.crashSuspects();
     out.crashFingerprint = suspects.fingerprint();
@@ -128,6 +134,12 @@
     m_leaseManager.recordRenewalByHolder(std::move(renewed), reply.age, reader.has_value(), reporters);
     m_peerCrashFingerprint = reply.crashFingerprint;
     m_state.mergeCrashes(reply.crashes);
+    m_state.streamOrigins().merge(reply.streams);
+    // A new holder has not heard of the streams that were reported to the one before.
+    const auto& current = m_leaseManager.lease().record();
+    const std::string holder = current ? current->holder : std::string();
+    m_streamsReportedUpTo = holder == m_streamsReportedTo ? m_streamsCollectedAt : SteadyTime();
+    m_streamsReportedTo = holder;
     applyReply(reply);
     m_holderReply = reply;
 }
@@ -165,6 +177,32 @@
     return out;
 }
 
+OriginReply PlacementAgent::originOf(const OriginRequest& request)
+{
+    OriginReply out { .isVersionAmbiguous = m_state.isVersionAmbiguous(request.service) };
+    if (const auto* origin = m_state.streamOrigins().find(request.request))
+        out.origin = *origin;
+    return out;
+}
+
+asio::awaitable<OriginReply> PlacementAgent::findOrigin(OriginRequest request, SteadyTime deadline)
+{
+    auto own = originOf(request);
+    const auto holder = m_leaseManager.reachableHolder();
+    if (own.origin || m_leaseManager.isHolder() || !holder)
+        co_return own;
+    HttpRequest httpRequest { .method = "POST", .target = std::string(originPath), .body = encode(request) };
+    HttpCallOptions options;
+    options.deadline = std::min(deadline, m_state.clock().now() + originTimeout);
+    auto response = co_await m_client.call(*holder, std::move(httpRequest), options);
+    auto reply = response && response->status == 200 ? decodeOriginReply(response->body)
+                                                     : Result<OriginReply>(Failure { .code = Errc::Unavailable });
+    if (!reply)
+        co_return own;
+    reply->isVersionAmbiguous = reply->isVersionAmbiguous || own.isVersionAmbiguous;
+    co_return std::move(*reply);
+}
+
 /// Merges the crashes that the sender of the message knows, and adds those that it lacks to the reply.
 void PlacementAgent::exchangeCrashes(const DemandMessage& message, DemandReply& reply)
 {
@@ -236,6 +274,8 @@
         }
     }
     exchangeCrashes(message, out);
+    m_state.streamOrigins().merge(message.streams);
+    out.streams = m_state.ambiguousStreamsSince(now - ownStreamsPeriod);
     if (knowsAllInstances())
         out.readers = chooseReaders(m_reporters[message.instance].member.zone);
     return out;
--- a/src/libfront/placement_messages.cpp
+++ b/src/libfront/placement_messages.cpp
@@ -88,13 +88,26 @@
     document.at("suspects").get_to(out.suspects);
 }
 
+/// A stream is an array [request, service, version], since many streams are reported at once.
+void to_json(json& out, const StreamOrigin& origin)
+{
+    out = json::array({ origin.request, origin.service, origin.softwareVersion });
+}
+
+void from_json(const json& document, StreamOrigin& out)
+{
+    document.at(0).get_to(out.request);
+    document.at(1).get_to(out.service);
+    document.at(2).get_to(out.softwareVersion);
+}
+
 // Instances of the previous version require the field "crashes", which held another type.
 void to_json(json& out, const DemandMessage& message)
 {
     out = { { "instance", message.instance }, { "models", message.models }, { "adapters", message.adapters },
         { "crashes", json::array() }, { "upstreamCrashes", message.crashes },
         { "crashFingerprint", message.crashFingerprint }, { "unreachable", message.unreachable },
-        { "reporters", message.reporters } };
+        { "reporters", message.reporters }, { "streams", message.streams } };
 }
 
 // Fields that instances of the previous version do not send are optional.
@@ -107,6 +120,7 @@
     out.crashFingerprint = document.value("crashFingerprint", std::uint64_t { 0 });
     document.at("unreachable").get_to(out.unreachable);
     out.reporters = document.value("reporters", std::vector<RelayMember>());
+    out.streams = document.value("streams", std::vector<StreamOrigin>());
 }
 
 void to_json(json& out, const DemandReply& reply)
@@ -115,7 +129,7 @@
         { "retiring", reply.retiring }, { "crashes", json::array() }, { "upstreamCrashes", reply.crashes },
         { "crashFingerprint", reply.crashFingerprint }, { "holder", reply.holder },
         { "holderAddress", reply.holderAddress.toString() }, { "ageMs", reply.age.count() },
-        { "reporters", reply.reporters }, { "isReader", reply.isReader } };
+        { "reporters", reply.reporters }, { "isReader", reply.isReader }, { "streams", reply.streams } };
     if (reply.readers)
         out["readers"] = *reply.readers;
 }
@@ -133,10 +147,36 @@
     out.age = std::chrono::milliseconds(document.value("ageMs", std::uint32_t { 0 }));
     out.reporters = document.value("reporters", 0U);
     out.isReader = document.value("isReader", false);
+    out.streams = document.value("streams", std::vector<StreamOrigin>());
     if (document.contains("readers"))
         out.readers = document.at("readers").get<std::vector<StoreReader>>();
 }
 
+void to_json(json& out, const OriginRequest& request)
+{
+    out = { { "request", request.request }, { "service", request.service } };
+}
+
+void from_json(const json& document, OriginRequest& out)
+{
+    document.at("request").get_to(out.request);
+    document.at("service").get_to(out.service);
+}
+
+void to_json(json& out, const OriginReply& reply)
+{
+    out = { { "isVersionAmbiguous", reply.isVersionAmbiguous } };
+    if (reply.origin)
+        out["origin"] = *reply.origin;
+}
+
+void from_json(const json& document, OriginReply& out)
+{
+    document.at("isVersionAmbiguous").get_to(out.isVersionAmbiguous);
+    if (document.contains("origin"))
+        out.origin = document.at("origin").get<StreamOrigin>();
+}
+
 void to_json(json& out, const PermitRequest& request)
 {
     out = { { "upstream", request.upstream }, { "startedAt", request.startedAt },
@@ -198,6 +238,8 @@
 std::string encode(const AdapterReply& reply) { return encodeAs(reply); }
 std::string encode(const PermitRequest& request) { return encodeAs(request); }
 std::string encode(const PermitReply& reply) { return encodeAs(reply); }
+std::string encode(const OriginRequest& request) { return encodeAs(request); }
+std::string encode(const OriginReply& reply) { return encodeAs(reply); }
 
 Result<DemandMessage> decodeDemandMessage(std::string_view text) { return decodeAs<DemandMessage>(text); }
 Result<DemandReply> decodeDemandReply(std::string_view text) { return decodeAs<DemandReply>(text); }
@@ -205,5 +247,7 @@
 Result<AdapterReply> decodeAdapterReply(std::string_view text) { return decodeAs<AdapterReply>(text); }
 Result<PermitRequest> decodePermitRequest(std::string_view text) { return decodeAs<PermitRequest>(text); }
 Result<PermitReply> decodePermitReply(std::string_view text) { return decodeAs<PermitReply>(text); }
+Result<OriginRequest> decodeOriginRequest(std::string_view text) { return decodeAs<OriginRequest>(text); }
+Result<OriginReply> decodeOriginReply(std::string_view text) { return decodeAs<OriginReply>(text); }
 
 } // namespace bulrushstack
--- a/src/libfront/request_attempt.cpp
+++ b/src/libfront/request_attempt.cpp
@@ -319,8 +319,7 @@
     if (m_isStreaming)
         co_return;
     m_isStreaming = true;
-    if (!m_streamVersion)
-        m_streamVersion = attempt.softwareVersion;
+    recordStreamOrigin(attempt);
     const auto headers = m_dependencies.format.forwardedResponseHeaders(attempt.stream->headers());
     const auto ec = co_await m_exchange.beginStream(attempt.stream->status(), headers);
     m_isClientGone = m_isClientGone || ec;
--- a/src/libfront/request_forwarder.cpp
+++ b/src/libfront/request_forwarder.cpp
@@ -23,6 +23,8 @@
 
 constexpr Milliseconds overloadRetryAfter { 300 };
 constexpr Milliseconds missingModelRetryAfter { 1000 };
+/// By then the instance at which a stream began has reported it to the lease holder.
+constexpr Milliseconds unknownOriginRetryAfter { 500 };
 /// Routes with at least this latency objective come after other routes of the same priority.
 constexpr Milliseconds relaxedLatencyObjective { 2000 };
 constexpr unsigned lowestUrgency = 9;
@@ -98,6 +100,14 @@
         m_state.recordDemand(
             m_service->name, m_request, workMs, m_state.isModelResident(m_service->name, m_request.model));
     }
+    if (!m_request.resumedRequest.empty() && !co_await findStreamVersion()) {
+        m_retryAfter = unknownOriginRetryAfter;
+        Failure failure { .code = Errc::Unavailable,
+            .verdict = Verdict::NotRun,
+            .detail = "the stream cannot be taken up at the software version that began it" };
+        co_await respondWithFailure(std::move(failure));
+        co_return;
+    }
     for (;;) {
         const auto chosen = co_await chooseUpstream();
         if (m_isClientGone) {
@@ -137,6 +147,38 @@
     }
 }
 
+/// Finds out which service and software version began the stream that the request takes up. Returns false if it may be
+/// one of several versions, or if the route no longer leads to the service.
+asio::awaitable<bool> RequestForwarder::findStreamVersion()
+{
+    OriginRequest request { .request = m_request.resumedRequest, .service = m_service->name };
+    const auto reply = co_await m_dependencies.origins.findOrigin(std::move(request), m_deadline);
+    LOG(INFO) << "event=stream-origin request=" << m_request.id << " resumed=" << m_request.resumedRequest
+              << " version=" << (reply.origin ? reply.origin->softwareVersion : "unknown")
+              << " ambiguous=" << reply.isVersionAmbiguous;
+    if (!reply.origin)
+        co_return !reply.isVersionAmbiguous;
+    const auto& services = m_route->services;
+    const bool isOnRoute = std::any_of(services.begin(), services.end(),
+        [&](const WeightedService& it) { return it.service == reply.origin->service; });
+    const auto* service = isOnRoute ? m_configuration->findService(reply.origin->service) : nullptr;
+    if (!service)
+        co_return false;
+    m_service = service;
+    m_streamVersion = reply.origin->softwareVersion;
+    co_return true;
+}
+
+/// Keeps the software version of the first event for the rest of the stream and for later requests that take it up.
+void RequestForwarder::recordStreamOrigin(const Attempt& attempt)
+{
+    if (m_streamVersion)
+        return;
+    m_streamVersion = attempt.softwareVersion;
+    if (m_route->isResumable)
+        m_state.streamOrigins().recordOwn({ m_request.id, m_service->name, attempt.softwareVersion });
+}
+
 /// A request that an upstream may have executed, or whose stream has begun, is always continued.
 bool RequestForwarder::isRejectedForOverload(const RankedUpstream& chosen)
 {
@@ -181,6 +223,8 @@
                 co_return permitted;
             continue;
         }
+        if (m_streamVersion && !m_state.directory().hasVersion(m_service->name, *m_streamVersion))
+            co_return std::nullopt;
         m_retryAfter = m_state.remainingSuspension(m_service->name, m_request);
         if (m_retryAfter && !mayAwaitSuspended(*m_retryAfter))
             co_return std::nullopt;
@@ -285,7 +329,9 @@
 asio::awaitable<void> RequestForwarder::respondWithFailure(Failure failure)
 {
     if (m_isStreaming) {
-        // The missing last chunk tells the client that the stream is truncated.
+        // The missing last chunk tells the client that the stream is truncated. It may take the stream up elsewhere.
+        if (m_route->isResumable && m_state.isVersionAmbiguous(m_service->name))
+            m_state.reportStreamsSoon();
         m_exchange.close();
         logCompletion("stream-cut", 0, failure.detail);
         co_return;
--- a/src/libfront/request_forwarder.h
+++ b/src/libfront/request_forwarder.h
@@ -39,6 +39,15 @@
     virtual boost::asio::awaitable<bool> obtain(std::string upstream, std::uint64_t startedAt, SteadyTime deadline) = 0;
 };
 
+/// Finds out where a stream began that a caller takes up again; implemented by the placement agent.
+class StreamOriginSource {
+public:
+    virtual ~StreamOriginSource() = default;
+
+    /// Returns what this instance and the lease holder know of the stream.
+    virtual boost::asio::awaitable<OriginReply> findOrigin(OriginRequest request, SteadyTime deadline) = 0;
+};
+
 /// Objects that the forwarders of all requests share.
 struct RequestDependencies {
     FrontState& state;
@@ -46,6 +55,7 @@
     const RequestFormat& format;
     AdapterPlacement& adapters;
     PermitSource& permits;
+    StreamOriginSource& origins;
     FrontMetrics& metrics;
 };
 
@@ -71,6 +81,8 @@
     };
 
     boost::asio::awaitable<void> runAdmitted();
+    boost::asio::awaitable<bool> findStreamVersion();
+    void recordStreamOrigin(const Attempt& attempt);
     boost::asio::awaitable<std::optional<RankedUpstream>> chooseUpstream();
     boost::asio::awaitable<std::optional<RankedUpstream>> obtainPermit(const RankedUpstream& candidate);
     bool mayAwaitSuspended(Milliseconds suspension) const;
--- a/src/libfront/software_version_test.cpp
+++ b/src/libfront/software_version_test.cpp
@@ -48,6 +48,44 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(ACallerTakesAStreamUp)
+
+// Guards against events of two software versions over the tries of one caller.
+BOOST_AUTO_TEST_CASE(GoesOnAtTheVersionThatBeganIt)
+{
+    addUpstreamWithVersion("v1", restOfStream);
+    addUpstreamWithVersion("v2", restOfStream);
+    origins.reply = { .origin = StreamOrigin { "7", "s", "v2" }, .isVersionAmbiguous = true };
+    BOOST_TEST(call("/resumable/x", "7", "6")->body == secondEvent);
+    BOOST_TEST(upstreams[0]->connections() == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(IsRejectedAtOnceIfTheVersionIsGoneOrUnknown)
+{
+    addUpstreamWithVersion("v1", restOfStream);
+    origins.reply = { .origin = StreamOrigin { "7", "s", "v0" }, .isVersionAmbiguous = true };
+    BOOST_TEST(call("/resumable/x", "7", "6")->status == 503u);
+    origins.reply = { .isVersionAmbiguous = true };
+    BOOST_TEST(call("/resumable/x", "7", "6")->status == 503u);
+    BOOST_TEST(upstreams[0]->connections() == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(GoesOnIfThereIsOnlyOneVersion)
+{
+    addUpstreamWithVersion("v1", restOfStream);
+    BOOST_TEST(call("/resumable/x", "7", "6")->body == secondEvent);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_CASE(AreRecordedForResumableStreams)
+{
+    addUpstreamWithVersion("v1", streamResponseHead + chunk(firstEvent) + "0\r\n\r\n");
+    BOOST_TEST(call("/resumable/x")->status == 200u);
+    BOOST_REQUIRE(state.streamOrigins().find("7"));
+    BOOST_TEST(state.streamOrigins().find("7")->softwareVersion == "v1");
+}
+
 // Guards against a version that is kept although no event of it was forwarded.
 BOOST_AUTO_TEST_CASE(DoNotMatterBeforeTheFirstEvent)
 {
--- a/src/libserving/upstream_directory.cpp
+++ b/src/libserving/upstream_directory.cpp
@@ -13,6 +13,9 @@
 /// store outage.
 constexpr std::chrono::minutes announcementLifetime { 5 };
 
+/// How long a software version without upstreams is remembered. It is longer than a stream lasts, retries included.
+constexpr std::chrono::minutes versionMemory { 1 };
+
 /// How long a removal is remembered. It is longer than the time by which a copy of the store is outdated.
 constexpr std::chrono::minutes removalMemory { 2 };
 
@@ -49,6 +52,8 @@
     const bool isSameProcess = entry.startedAt != 0 && entry.startedAt == record.entry.startedAt;
     if (isSameProcess && record.entry.isDraining)
         entry.isDraining = true;
+    if (!record.entry.service.empty())
+        m_versionsSeen[{ record.entry.service, record.entry.softwareVersion }] = m_clock.now();
     const bool isChanged = record.entry != entry || record.graceEnd || record.heldBackUntil;
     record.entry = std::move(entry);
     record.graceEnd.reset();
@@ -133,6 +138,7 @@
     const auto now = m_clock.now();
     std::erase_if(m_removed, [now](const auto& it) { return now - it.second > removalMemory; });
     m_removed[{ entry.id, entry.startedAt }] = now;
+    m_versionsSeen[{ entry.service, entry.softwareVersion }] = now;
 }
 
 void UpstreamDirectory::recordStoreLost() { m_isStoreLost = true; }
@@ -312,6 +318,28 @@
     return entry.isDraining || (it != m_announcements.end() && it->second.isLeaving);
 }
 
+std::set<std::string> UpstreamDirectory::recentVersions(const std::string& service) const
+{
+    std::set<std::string> out;
+    for (const auto& [key, seenAt] : m_versionsSeen) {
+        if (key.first == service && m_clock.now() - seenAt <= versionMemory)
+            out.insert(key.second);
+    }
+    for (const auto& [id, record] : m_records) {
+        if (record.entry.service == service)
+            out.insert(record.entry.softwareVersion);
+    }
+    return out;
+}
+
+bool UpstreamDirectory::hasVersion(std::string_view service, std::string_view softwareVersion) const
+{
+    return std::any_of(m_records.begin(), m_records.end(), [&](const auto& it) {
+        const auto& entry = it.second.entry;
+        return entry.service == service && entry.softwareVersion == softwareVersion && !isLeaving(entry);
+    });
+}
+
 std::vector<const UpstreamEntry*> UpstreamDirectory::all() const
 {
     std::vector<const UpstreamEntry*> out;
--- a/src/libserving/upstream_directory_test.cpp
+++ b/src/libserving/upstream_directory_test.cpp
@@ -234,6 +234,24 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against a stream of a version that has just left, which another version would continue.
+BOOST_AUTO_TEST_CASE(KnowsTheSoftwareVersionsOfTheLastMinute)
+{
+    auto upstream = entry("a");
+    upstream.softwareVersion = "v1";
+    directory.replaceAll({ upstream });
+    upstream.softwareVersion = "v2";
+    upstream.startedAt = 7;
+    directory.apply(upstream);
+    BOOST_TEST(directory.recentVersions("s").count("v1") == 1u);
+    BOOST_TEST(directory.recentVersions("s").count("v2") == 1u);
+    clock.advance(61s);
+    directory.expire();
+    BOOST_TEST(directory.recentVersions("s").size() == 1u);
+    directory.remove({ "a" });
+    BOOST_TEST(directory.recentVersions("s").count("v2") == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE(AfterTheStoreIsRestoredFromACopy)
 
 UpstreamEntry process(std::string id, std::uint64_t startedAt, bool isDraining = false)
--- /dev/null
+++ b/testsuite/software-versions/run.py
@@ -0,0 +1,74 @@
+"""Engines of two software versions serve side by side, and callers take up broken streams at any instance.
+
+Guards against: a stream with events of two versions, in one response or over the tries of a caller; streams that are not
+continued although an engine of their version serves; both also when the instance is lost at which the stream began.
+"""
+
+import time
+
+import serving_site
+from processes import wait_until
+from serving_site import NOTE_PREFIX, generation_request, note_request
+from transcript import Transcript
+
+REPORT_S = 1.0  # seconds after which the lease holder knows of a stream
+TAKE_UP_TRIES = 4
+
+
+def break_streams(site, instances, count):
+    """Returns the broken streams of callers, all with at least one event."""
+    for engine in ("engine-0", "engine-1"):
+        site.workers[engine].cut_share = 1.0
+    outcomes = site.call_concurrently([(instances[it % len(instances)], note_request("m-0")) for it in range(count)])
+    for engine in ("engine-0", "engine-1"):
+        site.workers[engine].cut_share = 0.0
+    return [it for it in outcomes if it.events and not it.is_complete]
+
+
+def take_up(site, instance, broken, tries=TAKE_UP_TRIES):
+    """Takes a stream up as a caller does, with a few tries."""
+    headers = (("Last-Event-Id", str(broken.events[-1][0])), ("Resumes", broken.request))
+    spec = generation_request(NOTE_PREFIX, "m-0", 40, extra_headers=headers)
+    for _ in range(tries):
+        outcome = site.call(instance, spec)
+        if outcome.is_served:
+            return True
+        time.sleep(float(outcome.headers.get("retry-after", 0.2)))
+    return False
+
+
+def take_up_all(script, site, instances, broken):
+    went_on = [take_up(site, instances[it % len(instances)], stream) for it, stream in enumerate(broken)]
+    script.say(f"streams broke off: {len(broken) > 0}, go on: {all(went_on)}")
+
+
+def run(folder):
+    script = Transcript()
+    with serving_site.open_site(folder, placed=(("m-0",), ("m-0",), ("m-3",))) as site:
+        instances = serving_site.start_instances(site, 3)
+        site.workers["engine-1"].version = "v2"
+        site.call_on_loop(site.workers["engine-1"].announce)
+        wait_until(lambda: all("upstream=engine-1" in it.log() for it in instances), "the instances know the version")
+        script.section("callers take streams up at other instances")
+        take_up_all(script, site, instances[1:], break_streams(site, instances[:1], 12))
+        script.section("the instance at which they began is killed")
+        for lost in instances[:2]:
+            site.begin_disruption(lost.name)
+            broken = break_streams(site, [lost], 12)
+            time.sleep(REPORT_S)
+            lost.process.kill()
+            take_up_all(script, site, [it for it in instances if it is not lost], broken)
+            site.start_instance(lost.name, lost.zone)
+            site.wait_ready(lost)
+            site.end_disruption(lost.name)
+        script.section("the engines of one version leave")
+        broken = break_streams(site, instances, 12)
+        site.run_coroutine(site.workers["engine-1"].crash())
+        wait_until(lambda: site.store.read("servers", "engine-1") is None, "its entry lapses")
+        time.sleep(REPORT_S)
+        version = {it.request: it.version for it in site.runs}
+        stayed = [take_up(site, instances[0], it) for it in broken if version[it.request] == "v1"]
+        left = [take_up(site, instances[0], it, tries=1) for it in broken if version[it.request] == "v2"]
+        script.say(f"streams of the version that serves go on: {all(stayed)}, of the other one: {any(left)}")
+        serving_site.report_violations(script, site)
+    return script.text()
