--- a/testsuite/lib/soak_faults.py
+++ b/testsuite/lib/soak_faults.py
@@ -26,7 +26,7 @@
 class FaultInjector:
     """Injects randomly drawn faults and undoes them when their duration is over; several may overlap."""
 
-    def __init__(self, site, random, with_notices=False, with_clock_steps=False):
+    def __init__(self, site, random, with_notices=False, with_clock_steps=False, with_copies=False):
         self.site, self.random = site, random
         self.start = time.monotonic()
         self.active, self.history = [], []
@@ -38,6 +38,8 @@
             self.kinds += [self.announce_worker_leaving, self.request_worker_pauses] * 3
         if with_clock_steps:
             self.kinds += [self.step_wall_clock] * 4
+        if with_copies:
+            self.kinds += [self.restore_store, self.limit_worker_rate] * 3
 
     def now(self):
         return time.monotonic() - self.start
@@ -164,6 +166,18 @@
             return None
         return self._store_fault("store slow", "store", list(self.site.store.faults), delay=self.random.uniform(0.1, 0.8))
 
+    def restore_store(self):
+        """Restores the store at the end of the fault from a copy that is taken now."""
+        if self._has_fault("store"):
+            return None
+        copy = self.site.call_on_loop(self.site.store.copy)
+
+        def undo():
+            for port in self.site.store.faults:
+                self.site.call_on_loop(self.site.store.abort_connections, port)
+            self.site.restore_store(copy)
+        return self._fault("writes will be lost by the", "store", undo, 1.0, 6.0)
+
     def discard_store_history(self):
         self.site.call_on_loop(self.site.store.discard_feed_history)
         return self._fault("store discarded", "its feed history", lambda: None, 0.1, 0.2)
@@ -218,6 +232,13 @@
             worker.pause = None
         return self._fault("requests pauses", worker.name, undo)
 
+    def limit_worker_rate(self):
+        worker = self._pick_worker()
+        if not worker:
+            return None
+        self.site.call_on_loop(worker.state_limit, self.random.choice([0.5, 1.5, 4.0]))
+        return self._fault("states a rate limit:", worker.name, lambda: self.site.call_on_loop(worker.state_limit, None), 2.0, 8.0)
+
     def delay_orders(self):
         worker = self._pick_worker(engines_only=True)
         if not worker:
