Wait until the end of a suspension, not a fraction of a millisecond less

Cause: the remaining time was rounded down, so that a waiting request ranked its upstreams again in vain until the millisecond was over. Result: front_test passes.

--- a/src/libfront/front_state.cpp
+++ b/src/libfront/front_state.cpp
@@ -123,7 +123,7 @@
     }
     if (!soonest)
         return std::nullopt;
-    return millisecondsOf(*soonest - m_clock.now());
+    return std::chrono::ceil<Milliseconds>(*soonest - m_clock.now()); // Not before the end.
 }
 
 void FrontState::markLeaving(const std::string& id, std::uint64_t startedAt, std::string_view source)
