Give the HTTP client of permit_client_test the clock of the permits

Cause: the deadline of a permit request was a time of the manual clock, which starts at one hour, and the client compared it with the steady clock. From an uptime of one hour on the deadline had always passed.

--- a/src/libfront/permit_client_test.cpp
+++ b/src/libfront/permit_client_test.cpp
@@ -21,9 +21,8 @@
 
 struct Fixture {
     boost::asio::io_context context;
-    SystemClock clock; // of the HTTP client
-    ManualClock permitClock;
-    FrontState state { context, permitClock, "front-1", "z", {} };
+    ManualClock clock;
+    FrontState state { context, clock, "front-1", "z", {} };
     HttpClient client { context, clock };
     FixedHolder holder;
     PermitClient permits { state, client, holder };
@@ -32,7 +31,7 @@
     {
         state.setInstanceCount(4);
         state.directory().apply({ .id = "a", .service = "s", .startedAt = 1 });
-        state.directory().recordRateLimit("a", 1, 2.0, permitClock.now());
+        state.directory().recordRateLimit("a", 1, 2.0, clock.now());
     }
 
     bool obtain() { return runAwaitable(context, permits.obtain("a", 1, clock.now() + 5s)); }
@@ -45,8 +44,8 @@
 
 BOOST_AUTO_TEST_CASE(NeedsNoPermitForAnUpstreamWithoutALimit)
 {
-    permitClock.advance(1ms);
-    state.directory().recordRateLimit("a", 1, {}, permitClock.now());
+    clock.advance(1ms);
+    state.directory().recordRateLimit("a", 1, {}, clock.now());
     BOOST_TEST(obtain());
 }
 
@@ -55,7 +54,7 @@
     holder.isOwn = true;
     BOOST_TEST(!obtain());
     BOOST_TEST(!isUsable());
-    permitClock.advance(500ms);
+    clock.advance(500ms);
     BOOST_TEST(isUsable());
     BOOST_TEST(obtain());
 }
@@ -77,9 +76,9 @@
         context, { "HTTP/1.1 200 OK\r\nContent-Length: 38\r\n\r\n{\"isGranted\":false,\"retryAfterMs\":700}" });
     holder.other = server.address();
     BOOST_TEST(!obtain());
-    permitClock.advance(699ms);
+    clock.advance(699ms);
     BOOST_TEST(!isUsable());
-    permitClock.advance(1ms);
+    clock.advance(1ms);
     BOOST_TEST(isUsable());
 }
 
@@ -93,7 +92,7 @@
     unsigned n = 0;
     for (int i = 0; i < 200; ++i) {
         n += obtain() ? 1 : 0;
-        permitClock.advance(100ms);
+        clock.advance(100ms);
     }
     BOOST_TEST(n == 9u); // A quarter of 2 permits per second; the bucket starts empty.
 }
@@ -104,17 +103,17 @@
     state.setInstanceCount(7);
     for (int i = 0; i < 200; ++i) {
         BOOST_TEST(!obtain());
-        permitClock.advance(100ms);
+        clock.advance(100ms);
     }
 }
 
 BOOST_AUTO_TEST_CASE(IssuesNoneIfTheNumberOfInstancesIsUnknown)
 {
-    FrontState unknown(context, permitClock, "front-2", "z", {});
+    FrontState unknown(context, clock, "front-2", "z", {});
     unknown.directory().apply({ .id = "a", .service = "s", .startedAt = 1 });
-    unknown.directory().recordRateLimit("a", 1, 2.0, permitClock.now());
+    unknown.directory().recordRateLimit("a", 1, 2.0, clock.now());
     PermitClient other(unknown, client, holder);
-    permitClock.advance(10s);
+    clock.advance(10s);
     BOOST_TEST(!runAwaitable(context, other.obtain("a", 1, clock.now() + 5s)));
 }
 
