Remember where streams began on two other instances, within 50 ms

What callers saw: a stream whose instance was killed was refused (503) when they took it up at once at another instance, while upstreams of several software versions served, although its version did.

Cause: the instance told the lease holder of its streams with its report of demand, every 0.4 s and more (20 ms for each instance), so that the streams of the last interval were unknown; and only the holder could be asked.

Change: each stream is remembered by two other instances, chosen by rendezvous hashing of the request's id, which are told within 50 ms of the first event. Whoever takes a stream up asks these and the instance at which it may have begun. The holder names all instances in its replies to demand while a service has several versions. Nothing is sent while each service has one version. The streams leave the messages of demand. The cases of StreamOrigins on reports are replaced by those of OriginReplicator.

Ruled out: more frequent reports to the holder. One instance would hear of each stream of the fleet, and its loss would leave all of them unknown.

--- a/src/include/bulrushstack/front/placement_messages.h
+++ b/src/include/bulrushstack/front/placement_messages.h
@@ -4,8 +4,8 @@
 #include "bulrushstack/relay/store_reader.h"
 #include "bulrushstack/serving/crash_suspects.h"
 #include "bulrushstack/serving/model_demand.h"
+#include "bulrushstack/serving/origin_replicator.h"
 #include "bulrushstack/serving/permit_issuer.h"
-#include "bulrushstack/serving/stream_origins.h"
 
 #include <chrono>
 #include <nlohmann/json.hpp>
@@ -37,9 +37,8 @@
     std::vector<UpstreamCrash> crashes;
     /// Fingerprint of all crashes that the sender knows.
     std::uint64_t crashFingerprint = 0;
-    /// Streams that began at the instances of the message while their service had upstreams of several software
-    /// versions.
-    std::vector<StreamOrigin> streams;
+    /// Fingerprint of the peers that the sender knows.
+    std::uint64_t peerFingerprint = 0;
     /// Ids of upstreams to which a connection failed recently.
     std::vector<std::string> unreachable;
     /// The instances whose demand the message contains, the sender first.
@@ -68,8 +67,8 @@
     /// What the one that replies knows of crashes; empty if its fingerprint is that of the message.
     std::vector<UpstreamCrash> crashes;
     std::uint64_t crashFingerprint = 0;
-    /// Streams that began at the holder a short time ago, as in DemandMessage.
-    std::vector<StreamOrigin> streams;
+    /// All instances, while they have to remember streams for each other; empty if the sender knows them.
+    std::optional<std::vector<Peer>> peers;
     /// Id and address of the holder.
     std::string holder;
     Address holderAddress;
@@ -93,7 +92,7 @@
     friend bool operator==(const AdapterReply&, const AdapterReply&) = default;
 };
 
-/// Asks the lease holder where a stream began.
+/// Asks another instance where a stream began.
 struct OriginRequest {
     std::string request; ///< Id of the request that got the first event.
     std::string service; ///< Service of the request that takes the stream up again.
@@ -117,6 +116,7 @@
 std::string encode(const PermitReply& reply);
 std::string encode(const OriginRequest& request);
 std::string encode(const OriginReply& reply);
+std::string encode(const std::vector<StreamOrigin>& origins);
 
 /// Encodes crashes for the platform's store.
 nlohmann::json encodeCrashes(const std::vector<UpstreamCrash>& crashes);
@@ -133,5 +133,6 @@
 Result<PermitReply> decodePermitReply(std::string_view text);
 Result<OriginRequest> decodeOriginRequest(std::string_view text);
 Result<OriginReply> decodeOriginReply(std::string_view text);
+Result<std::vector<StreamOrigin>> decodeStreamOrigins(std::string_view text);
 
 } // namespace bulrushstack
--- a/src/include/bulrushstack/serving/stream_origins.h
+++ b/src/include/bulrushstack/serving/stream_origins.h
@@ -2,11 +2,10 @@
 
 #include "bulrushstack/kernel/clock.h"
 
-#include <cstddef>
+#include <chrono>
 #include <map>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace bulrushstack {
 
@@ -22,36 +21,22 @@
 /// Remembers where recent streams began, so that a caller can take up a broken stream at any instance. Performs no I/O.
 class StreamOrigins {
 public:
-    explicit StreamOrigins(const Clock& clock);
+    /// Time for which a stream is remembered. It is longer than callers wait for a response, retries included.
+    static constexpr std::chrono::seconds memory { 60 };
 
-    /// Records a stream that began at this instance.
-    void recordOwn(StreamOrigin origin);
+    explicit StreamOrigins(const Clock& clock);
 
-    /// Records streams that began at other instances.
-    void merge(const std::vector<StreamOrigin>& origins);
+    void record(StreamOrigin origin);
 
     /// Returns where the stream of a request began; null if it is not known.
     const StreamOrigin* find(std::string_view request) const;
 
-    /// Returns the streams that began at this instance after the given time, the newest first, up to
-    /// maxReportedStreams.
-    std::vector<StreamOrigin> ownSince(SteadyTime since) const;
-
-    /// Bounds the size of a message.
-    static constexpr std::size_t maxReportedStreams = 2000;
-
 private:
-    struct Record {
-        StreamOrigin origin;
-        bool isOwn = false;
-    };
-
-    void record(StreamOrigin origin, bool isOwn);
     void dropOldest();
 
     const Clock& m_clock;
-    std::map<std::string, Record, std::less<>> m_records;
-    /// Ids of the requests in m_records by the time at which they were recorded.
+    std::map<std::string, StreamOrigin, std::less<>> m_origins;
+    /// Ids of the requests in m_origins by the time at which they were recorded.
     std::multimap<SteadyTime, std::string> m_byTime;
 };
 
--- a/src/include/bulrushstack/serving/upstream_directory.h
+++ b/src/include/bulrushstack/serving/upstream_directory.h
@@ -150,9 +150,9 @@
     };
     AnnouncementCounts countAnnouncements() const;
 
-    /// Returns the software versions of the upstreams of a service now and in the last minute, so that the version of a
-    /// recent stream is among them.
-    std::set<std::string> recentVersions(const std::string& service) const;
+    /// Returns the services whose upstreams have several software versions, those of the last minute included, so that
+    /// the version of a recent stream is among them.
+    std::set<std::string> servicesWithSeveralVersions() const;
 
     /// Returns whether an upstream of the service that is not shutting down has the software version.
     bool hasVersion(std::string_view service, std::string_view softwareVersion) const;
--- a/src/libfront/demand_collector.cpp
+++ b/src/libfront/demand_collector.cpp
@@ -16,7 +16,6 @@
     for (const auto& it : message.adapters)
         m_adapters[{ it.service, it.model, it.adapter }] = it;
     m_unreachable.insert(message.unreachable.begin(), message.unreachable.end());
-    m_streams.insert(m_streams.end(), message.streams.begin(), message.streams.end());
     for (const auto& it : message.reporters)
         m_reporters[it.instance] = it;
 }
@@ -30,11 +29,6 @@
         out.models.push_back(std::move(demand));
     for (auto& [key, demand] : m_adapters)
         out.adapters.push_back(std::move(demand));
-    // A longer message would be rejected. The streams at the end are the sender's own, or those that were reported
-    // last.
-    if (m_streams.size() > StreamOrigins::maxReportedStreams)
-        m_streams.erase(m_streams.begin(), m_streams.end() - StreamOrigins::maxReportedStreams);
-    out.streams = std::move(m_streams);
     out.unreachable.assign(m_unreachable.begin(), m_unreachable.end());
     for (auto& [instance, member] : m_reporters) {
         if (instance != message.instance)
--- a/src/libfront/demand_collector.h
+++ b/src/libfront/demand_collector.h
@@ -27,7 +27,6 @@
     std::map<ModelKey, ModelDemand> m_models;
     std::map<std::tuple<std::string, std::string, std::string>, AdapterDemand> m_adapters;
     std::set<std::string> m_unreachable;
-    std::vector<StreamOrigin> m_streams;
     std::map<std::string, RelayMember> m_reporters;
     bool m_isUrgent = false;
 };
--- a/src/libfront/front_service.cpp
+++ b/src/libfront/front_service.cpp
@@ -130,28 +130,34 @@
     RuntimeService& m_runtime;
 };
 
-/// Handles the requests of other instances: for tables of the store, and for the placement agent.
+/// Handles the requests of other instances: for tables of the store, for origins of streams, and for the placement
+/// agent.
 class ControlHandler final : public HttpHandler {
 public:
-    ControlHandler(TableRelay& tables, HttpHandler& agent)
+    ControlHandler(TableRelay& tables, HttpHandler& origins, HttpHandler& agent)
         : m_tables(tables)
+        , m_origins(origins)
         , m_agent(agent)
     {
     }
 
     asio::awaitable<void> handle(HttpExchange& exchange) override
     {
-        const bool isForRelay = exchange.request().method == "POST" && exchange.request().path() == relayPath;
-        if (!isForRelay) {
+        const bool isPost = exchange.request().method == "POST";
+        const auto path = exchange.request().path();
+        if (isPost && path == relayPath) {
+            auto response = co_await m_tables.handle(exchange.request());
+            co_await exchange.respond(std::move(response));
+        } else if (isPost && (path == rememberOriginsPath || path == findOriginPath)) {
+            co_await m_origins.handle(exchange);
+        } else {
             co_await m_agent.handle(exchange);
-            co_return;
         }
-        auto response = co_await m_tables.handle(exchange.request());
-        co_await exchange.respond(std::move(response));
     }
 
 private:
     TableRelay& m_tables;
+    HttpHandler& m_origins;
     HttpHandler& m_agent;
 };
 
@@ -186,8 +192,9 @@
         , metrics(runtime.metrics())
         , binding(createBinding(client, runtime.clock(), settings.address("store-address")))
         , relay(context, client, runtime.clock(), relayOptions(runtime, settings, state.random()), binding->tableFeed())
-        , agent(state, client, *binding, metrics, relay)
-        , controlHandler(relay.tables(), agent)
+        , origins(state, client, runtime.identity().id)
+        , agent(state, client, *binding, metrics, relay, origins)
+        , controlHandler(relay.tables(), origins, agent)
         , storeSynchronizer(state, *binding, metrics, relay)
         , loopMonitor(state, metrics)
         , ingress({ .state = state,
@@ -195,7 +202,7 @@
               .format = binding->requestFormat(),
               .adapters = agent,
               .permits = agent.permits(),
-              .origins = agent,
+              .origins = origins,
               .metrics = metrics })
         , readiness(runtime, binding->readinessPath())
         , metricsHandler(runtime)
@@ -218,6 +225,7 @@
     FrontMetrics metrics;
     std::unique_ptr<FrontBinding> binding;
     StoreRelay relay;
+    StreamOriginService origins;
     PlacementAgent agent;
     ControlHandler controlHandler;
     StoreSynchronizer storeSynchronizer;
@@ -253,6 +261,7 @@
     startServer(m_components->ingressServer, "listen-address", settings.address("listen-address"));
     m_components->storeSynchronizer.start();
     spawnLogged(m_components->context, m_components->loopMonitor.run(), "loop-monitor");
+    spawnLogged(m_components->context, m_components->origins.run(), "stream-origins");
     m_components->agent.start();
 }
 
@@ -277,6 +286,7 @@
     LOG(INFO) << "event=drained complete=" << *isDrained << " left=" << components.ingressServer.activeRequests();
     components.storeSynchronizer.stop();
     components.loopMonitor.stop();
+    components.origins.stop();
 }
 
 void FrontService::reload(const Settings& settings)
--- a/src/libfront/front_state.cpp
+++ b/src/libfront/front_state.cpp
@@ -40,7 +40,6 @@
     , m_upstreamLoads(clock)
     , m_residencyHints(clock)
     , m_crashSuspects(clock)
-    , m_streamOrigins(clock)
 {
 }
 
@@ -196,27 +195,6 @@
     logQuarantineChanges(previous);
 }
 
-bool FrontState::isVersionAmbiguous(const std::string& service) const
-{
-    return m_directory.recentVersions(service).size() > 1;
-}
-
-std::vector<StreamOrigin> FrontState::ambiguousStreamsSince(SteadyTime since) const
-{
-    std::map<std::string, bool> isAmbiguous;
-    for (const auto* it : m_directory.all()) {
-        if (!isAmbiguous.count(it->service))
-            isAmbiguous[it->service] = isVersionAmbiguous(it->service);
-    }
-    const bool isAny
-        = std::any_of(isAmbiguous.begin(), isAmbiguous.end(), [](const auto& service) { return service.second; });
-    if (!isAny)
-        return {};
-    auto out = m_streamOrigins.ownSince(since);
-    std::erase_if(out, [&](const StreamOrigin& it) { return !isAmbiguous[it.service]; });
-    return out;
-}
-
 void FrontState::recordServed(const std::vector<CrashSuspect>& contents)
 {
     const auto previous = m_crashSuspects.quarantined();
--- a/src/libfront/front_state.h
+++ b/src/libfront/front_state.h
@@ -6,7 +6,6 @@
 #include "bulrushstack/serving/crash_suspects.h"
 #include "bulrushstack/serving/residency_hints.h"
 #include "bulrushstack/serving/retry_budget.h"
-#include "bulrushstack/serving/stream_origins.h"
 #include "table_follower.h"
 
 #include <boost/asio/io_context.hpp>
@@ -61,18 +60,6 @@
     ResidencyHints& residencyHints() { return m_residencyHints; }
     RetryBudget& retryBudget(const std::string& service);
     const CrashSuspects& crashSuspects() const { return m_crashSuspects; }
-    StreamOrigins& streamOrigins() { return m_streamOrigins; }
-
-    /// Returns the streams of this instance that began after the given time and whose service has had upstreams of
-    /// several software versions since.
-    std::vector<StreamOrigin> ambiguousStreamsSince(SteadyTime since) const;
-
-    /// Returns whether the service has had upstreams of several software versions within the last minute.
-    bool isVersionAmbiguous(const std::string& service) const;
-
-    /// Has the streams of this instance reported soon, since one of them broke off and its caller may take it up at
-    /// another instance.
-    void reportStreamsSoon() { m_hasUrgentDemand = true; }
 
     /// Records what was in progress on a process of an upstream when it crashed. The lease holder hears of it soon.
     void recordCrash(const std::string& upstream, std::uint64_t startedAt, const std::vector<CrashSuspect>& suspects);
@@ -120,8 +107,8 @@
     /// Returns the demand since the last call, as a message to the lease holder.
     DemandMessage collectAndResetDemand();
 
-    /// Returns whether requests since the last collectAndResetDemand() found no upstream with their model loaded, a
-    /// crash was recorded, or streams are to be reported.
+    /// Returns whether requests since the last collectAndResetDemand() found no upstream with their model loaded, or a
+    /// crash was recorded.
     bool hasUrgentDemand() const { return m_hasUrgentDemand; }
 
     /// Wakes the requests that wait for a change of the directory or of the residency hints.
@@ -150,7 +137,6 @@
     UpstreamLoads m_upstreamLoads;
     ResidencyHints m_residencyHints;
     CrashSuspects m_crashSuspects;
-    StreamOrigins m_streamOrigins;
     std::map<std::string, RetryBudget> m_retryBudgets;
     /// Number of instances that share the retry budgets; 0 while it is unknown.
     unsigned m_instanceCount = 0;
--- a/src/libfront/front_test_support.h
+++ b/src/libfront/front_test_support.h
@@ -86,6 +86,9 @@
 class FixedOrigin final : public StreamOriginSource {
 public:
     OriginReply reply;
+    std::vector<StreamOrigin> recorded;
+
+    void recordOrigin(StreamOrigin origin) override { recorded.push_back(std::move(origin)); }
 
     boost::asio::awaitable<OriginReply> findOrigin(OriginRequest, SteadyTime) override { co_return reply; }
 };
--- a/src/libfront/placement_agent.cpp
+++ b/src/libfront/placement_agent.cpp
@@ -42,13 +42,14 @@
 
 } // namespace
 
-PlacementAgent::PlacementAgent(
-    FrontState& state, HttpClient& client, FrontBinding& binding, FrontMetrics& metrics, StoreRelay& relay)
+PlacementAgent::PlacementAgent(FrontState& state, HttpClient& client, FrontBinding& binding, FrontMetrics& metrics,
+    StoreRelay& relay, StreamOriginService& origins)
     : m_state(state)
     , m_client(client)
     , m_binding(binding)
     , m_metrics(metrics)
     , m_relay(relay)
+    , m_origins(origins)
     , m_leaseManager(state, binding, metrics, relay.self())
     , m_permits(state, client, m_leaseManager)
     , m_quarantineStore(state, binding, m_leaseManager)
@@ -105,14 +106,6 @@
         co_await exchange.respond(std::move(response));
         co_return;
     }
-    if (request.method == "POST" && request.path() == originPath) {
-        const auto originRequest = decodeOriginRequest(request.body);
-        auto response = !originRequest ? jsonErrorResponse(400, originRequest.error().detail)
-            : isHolder                 ? jsonResponse(200, encode(originOf(*originRequest)))
-                                       : jsonErrorResponse(503, "this instance does not hold the placement lease");
-        co_await exchange.respond(std::move(response));
-        co_return;
-    }
     if (request.method == "POST" && request.path() == permitPath) {
         auto permitRequest = decodePermitRequest(request.body);
         auto response = !permitRequest ? jsonErrorResponse(400, permitRequest.error().detail)
--- a/src/libfront/placement_agent.h
+++ b/src/libfront/placement_agent.h
@@ -12,6 +12,7 @@
 #include "permit_client.h"
 #include "quarantine_store.h"
 #include "request_forwarder.h"
+#include "stream_origin_service.h"
 
 #include <map>
 #include <memory>
@@ -23,15 +24,14 @@
 /// Paths of the requests that one instance sends to another one.
 inline constexpr std::string_view demandPath = "/v1/placement/demand";
 inline constexpr std::string_view adapterPath = "/v1/placement/adapter";
-inline constexpr std::string_view originPath = "/v1/placement/origin";
 
 /// Sends orders to the upstreams while this instance holds the placement lease, and reports the demand of this instance
 /// to the holder otherwise, directly or through a reader. The holder also chooses the readers. Other instances reach
 /// the agent over HTTP, through HttpHandler.
-class PlacementAgent final : public AdapterPlacement, public StreamOriginSource, public HttpHandler {
+class PlacementAgent final : public AdapterPlacement, public HttpHandler {
 public:
-    PlacementAgent(
-        FrontState& state, HttpClient& client, FrontBinding& binding, FrontMetrics& metrics, StoreRelay& relay);
+    PlacementAgent(FrontState& state, HttpClient& client, FrontBinding& binding, FrontMetrics& metrics,
+        StoreRelay& relay, StreamOriginService& origins);
 
     /// Starts the loops for the lease, the demand reports and the planning. They run until stop() is called.
     void start();
@@ -40,7 +40,6 @@
     boost::asio::awaitable<void> stop();
 
     boost::asio::awaitable<Result<std::string>> placeAdapter(AdapterDemand demand, SteadyTime deadline) override;
-    boost::asio::awaitable<OriginReply> findOrigin(OriginRequest request, SteadyTime deadline) override;
     boost::asio::awaitable<void> handle(HttpExchange& exchange) override;
 
     /// Returns the source of permits for upstreams with a rate limit. The holder of the placement lease issues them.
@@ -77,7 +76,8 @@
     void handleReply(const DemandReply& reply, const std::optional<StoreReader>& reader);
     DemandMessage collectDemand();
     DemandReply relayDemand(const DemandMessage& message);
-    OriginReply originOf(const OriginRequest& request);
+    void offerPeers(const DemandMessage& message, DemandReply& reply, const std::vector<Peer>& peers) const;
+    std::vector<Peer> allPeers();
     void exchangeCrashes(const DemandMessage& message, DemandReply& reply);
     bool knowsAllInstances();
     unsigned countInstances();
@@ -106,6 +106,7 @@
     FrontBinding& m_binding;
     FrontMetrics& m_metrics;
     StoreRelay& m_relay;
+    StreamOriginService& m_origins;
     LeaseManager m_leaseManager;
     PermitClient m_permits;
     QuarantineStore m_quarantineStore;
@@ -114,10 +115,6 @@
     DemandReply m_holderReply;
     /// Fingerprint of the crashes known to the instance that last replied to a demand message.
     std::uint64_t m_peerCrashFingerprint = 0;
-    /// Holder that has heard of the streams of this instance, and time up to which they were reported to it.
-    std::string m_streamsReportedTo;
-    SteadyTime m_streamsReportedUpTo {};
-    SteadyTime m_streamsCollectedAt {};
     /// State of the connection to the lease holder as last logged.
     bool m_isHolderReachable = false;
     /// Fencing token of the lease term at whose beginning the trackers were last reset.
--- a/src/libfront/placement_demand.cpp
+++ b/src/libfront/placement_demand.cpp
@@ -4,6 +4,7 @@
 #include "bulrushstack/serving/demand_report_schedule.h"
 #include <algorithm>
 #include <glog/logging.h>
+#include <xxhash.h>
 
 // Reports of demand: an instance sends its demand to the lease holder, directly or through a reader; the holder answers
 // with what all instances need to know.
@@ -23,10 +24,14 @@
 constexpr std::chrono::milliseconds firstReportsPeriod { 1500 };
 /// Maximum time between two reports of an instance that does not know the readers yet.
 constexpr std::chrono::milliseconds maxIntervalWithoutReaders { 1500 };
-/// Time for which the holder names a stream of its own in its replies, so that the other instances know where it began
-/// if the holder is lost. It is longer than the interval of the reports of a small fleet.
-constexpr std::chrono::seconds ownStreamsPeriod { 2 };
-constexpr std::chrono::milliseconds originTimeout { 200 };
+
+std::uint64_t fingerprintOf(const std::vector<Peer>& peers)
+{
+    std::string text;
+    for (const auto& it : peers)
+        text += it.instance + "=" + it.address.toString() + ";";
+    return XXH3_64bits(text.data(), text.size());
+}
 
 } // namespace
 
@@ -51,8 +56,7 @@
 {
     auto out = m_state.collectAndResetDemand();
     out.reporters.push_back(m_relay.self());
-    m_streamsCollectedAt = m_state.clock().now();
-    out.streams = m_state.ambiguousStreamsSince(m_streamsReportedUpTo);
+    out.peerFingerprint = fingerprintOf(m_origins.peers());
     m_collector.takeInto(out);
     const auto& suspects = m_state.crashSuspects();
     out.crashFingerprint = suspects.fingerprint();
@@ -134,12 +138,6 @@
     m_leaseManager.recordRenewalByHolder(std::move(renewed), reply.age, reader.has_value(), reporters);
     m_peerCrashFingerprint = reply.crashFingerprint;
     m_state.mergeCrashes(reply.crashes);
-    m_state.streamOrigins().merge(reply.streams);
-    // A new holder has not heard of the streams that were reported to the one before.
-    const auto& current = m_leaseManager.lease().record();
-    const std::string holder = current ? current->holder : std::string();
-    m_streamsReportedUpTo = holder == m_streamsReportedTo ? m_streamsCollectedAt : SteadyTime();
-    m_streamsReportedTo = holder;
     applyReply(reply);
     m_holderReply = reply;
 }
@@ -157,6 +155,8 @@
     m_state.setRetiringReplicas(reply.retiring);
     if (reply.readers)
         m_relay.setReaders(*reply.readers);
+    if (reply.peers)
+        m_origins.setPeers(*reply.peers);
 }
 
 /// Collects the demand of an instance that reports to this reader, and passes on what the holder last replied.
@@ -174,33 +174,35 @@
     out.reporters = static_cast<unsigned>(m_directReports.size());
     out.isReader = m_relay.isUsableReader();
     exchangeCrashes(message, out);
+    offerPeers(message, out, m_origins.peers());
     return out;
 }
 
-OriginReply PlacementAgent::originOf(const OriginRequest& request)
+/// Adds the peers to the reply if instances have to remember streams for each other and the sender lacks some.
+void PlacementAgent::offerPeers(const DemandMessage& message, DemandReply& reply, const std::vector<Peer>& peers) const
 {
-    OriginReply out { .isVersionAmbiguous = m_state.isVersionAmbiguous(request.service) };
-    if (const auto* origin = m_state.streamOrigins().find(request.request))
-        out.origin = *origin;
-    return out;
+    reply.peers.reset();
+    const bool isNeeded = !peers.empty() && !m_state.directory().servicesWithSeveralVersions().empty();
+    if (isNeeded && message.peerFingerprint != fingerprintOf(peers))
+        reply.peers = peers;
 }
 
-asio::awaitable<OriginReply> PlacementAgent::findOrigin(OriginRequest request, SteadyTime deadline)
+/// Returns all instances as the holder knows them. A new holder adds those that its predecessor named.
+std::vector<Peer> PlacementAgent::allPeers()
 {
-    auto own = originOf(request);
-    const auto holder = m_leaseManager.reachableHolder();
-    if (own.origin || m_leaseManager.isHolder() || !holder)
-        co_return own;
-    HttpRequest httpRequest { .method = "POST", .target = std::string(originPath), .body = encode(request) };
-    HttpCallOptions options;
-    options.deadline = std::min(deadline, m_state.clock().now() + originTimeout);
-    auto response = co_await m_client.call(*holder, std::move(httpRequest), options);
-    auto reply = response && response->status == 200 ? decodeOriginReply(response->body)
-                                                     : Result<OriginReply>(Failure { .code = Errc::Unavailable });
-    if (!reply)
-        co_return own;
-    reply->isVersionAmbiguous = reply->isVersionAmbiguous || own.isVersionAmbiguous;
-    co_return std::move(*reply);
+    std::map<std::string, Peer> out;
+    if (!knowsAllInstances()) {
+        for (const auto& it : m_origins.peers())
+            out[it.instance] = it;
+    }
+    for (const auto& [instance, reporter] : m_reporters) {
+        if (reporter.member.address != Address())
+            out[instance] = { .instance = instance, .address = reporter.member.address };
+    }
+    std::vector<Peer> peers;
+    for (auto& [instance, peer] : out)
+        peers.push_back(std::move(peer));
+    return peers;
 }
 
 /// Merges the crashes that the sender of the message knows, and adds those that it lacks to the reply.
@@ -274,8 +276,7 @@
         }
     }
     exchangeCrashes(message, out);
-    m_state.streamOrigins().merge(message.streams);
-    out.streams = m_state.ambiguousStreamsSince(now - ownStreamsPeriod);
+    offerPeers(message, out, allPeers());
     if (knowsAllInstances())
         out.readers = chooseReaders(m_reporters[message.instance].member.zone);
     return out;
--- a/src/libfront/placement_messages.cpp
+++ b/src/libfront/placement_messages.cpp
@@ -45,6 +45,15 @@
     out.address = readAddress(document, "address");
 }
 
+/// A peer is an array [instance, address], since a message contains all of them.
+void to_json(json& out, const Peer& peer) { out = json::array({ peer.instance, peer.address.toString() }); }
+
+void from_json(const json& document, Peer& out)
+{
+    document.at(0).get_to(out.instance);
+    out.address = parseAddress(document.at(1).get<std::string>()).value_or(Address());
+}
+
 /// A suspect is an array [id, depth, flags], since a disruption of many upstreams makes many requests suspect at once.
 enum SuspectFlag : unsigned {
     IsPromptPart = 1,
@@ -107,7 +116,7 @@
     out = { { "instance", message.instance }, { "models", message.models }, { "adapters", message.adapters },
         { "crashes", json::array() }, { "upstreamCrashes", message.crashes },
         { "crashFingerprint", message.crashFingerprint }, { "unreachable", message.unreachable },
-        { "reporters", message.reporters }, { "streams", message.streams } };
+        { "reporters", message.reporters }, { "peerFingerprint", message.peerFingerprint } };
 }
 
 // Fields that instances of the previous version do not send are optional.
@@ -120,7 +129,7 @@
     out.crashFingerprint = document.value("crashFingerprint", std::uint64_t { 0 });
     document.at("unreachable").get_to(out.unreachable);
     out.reporters = document.value("reporters", std::vector<RelayMember>());
-    out.streams = document.value("streams", std::vector<StreamOrigin>());
+    out.peerFingerprint = document.value("peerFingerprint", std::uint64_t { 0 });
 }
 
 void to_json(json& out, const DemandReply& reply)
@@ -129,9 +138,11 @@
         { "retiring", reply.retiring }, { "crashes", json::array() }, { "upstreamCrashes", reply.crashes },
         { "crashFingerprint", reply.crashFingerprint }, { "holder", reply.holder },
         { "holderAddress", reply.holderAddress.toString() }, { "ageMs", reply.age.count() },
-        { "reporters", reply.reporters }, { "isReader", reply.isReader }, { "streams", reply.streams } };
+        { "reporters", reply.reporters }, { "isReader", reply.isReader } };
     if (reply.readers)
         out["readers"] = *reply.readers;
+    if (reply.peers)
+        out["peers"] = *reply.peers;
 }
 
 void from_json(const json& document, DemandReply& out)
@@ -147,9 +158,10 @@
     out.age = std::chrono::milliseconds(document.value("ageMs", std::uint32_t { 0 }));
     out.reporters = document.value("reporters", 0U);
     out.isReader = document.value("isReader", false);
-    out.streams = document.value("streams", std::vector<StreamOrigin>());
     if (document.contains("readers"))
         out.readers = document.at("readers").get<std::vector<StoreReader>>();
+    if (document.contains("peers"))
+        out.peers = document.at("peers").get<std::vector<Peer>>();
 }
 
 void to_json(json& out, const OriginRequest& request)
@@ -240,6 +252,7 @@
 std::string encode(const PermitReply& reply) { return encodeAs(reply); }
 std::string encode(const OriginRequest& request) { return encodeAs(request); }
 std::string encode(const OriginReply& reply) { return encodeAs(reply); }
+std::string encode(const std::vector<StreamOrigin>& origins) { return encodeAs(origins); }
 
 Result<DemandMessage> decodeDemandMessage(std::string_view text) { return decodeAs<DemandMessage>(text); }
 Result<DemandReply> decodeDemandReply(std::string_view text) { return decodeAs<DemandReply>(text); }
@@ -250,4 +263,9 @@
 Result<OriginRequest> decodeOriginRequest(std::string_view text) { return decodeAs<OriginRequest>(text); }
 Result<OriginReply> decodeOriginReply(std::string_view text) { return decodeAs<OriginReply>(text); }
 
+Result<std::vector<StreamOrigin>> decodeStreamOrigins(std::string_view text)
+{
+    return decodeAs<std::vector<StreamOrigin>>(text);
+}
+
 } // namespace bulrushstack
--- a/src/libfront/request_forwarder.cpp
+++ b/src/libfront/request_forwarder.cpp
@@ -23,7 +23,7 @@
 
 constexpr Milliseconds overloadRetryAfter { 300 };
 constexpr Milliseconds missingModelRetryAfter { 1000 };
-/// By then the instance at which a stream began has reported it to the lease holder.
+/// By then the instance at which a stream began has told others of it, if it can.
 constexpr Milliseconds unknownOriginRetryAfter { 500 };
 /// Routes with at least this latency objective come after other routes of the same priority.
 constexpr Milliseconds relaxedLatencyObjective { 2000 };
@@ -176,7 +176,7 @@
         return;
     m_streamVersion = attempt.softwareVersion;
     if (m_route->isResumable)
-        m_state.streamOrigins().recordOwn({ m_request.id, m_service->name, attempt.softwareVersion });
+        m_dependencies.origins.recordOrigin({ m_request.id, m_service->name, attempt.softwareVersion });
 }
 
 /// A request that an upstream may have executed, or whose stream has begun, is always continued.
@@ -329,9 +329,7 @@
 asio::awaitable<void> RequestForwarder::respondWithFailure(Failure failure)
 {
     if (m_isStreaming) {
-        // The missing last chunk tells the client that the stream is truncated. It may take the stream up elsewhere.
-        if (m_route->isResumable && m_state.isVersionAmbiguous(m_service->name))
-            m_state.reportStreamsSoon();
+        // The missing last chunk tells the client that the stream is truncated.
         m_exchange.close();
         logCompletion("stream-cut", 0, failure.detail);
         co_return;
--- a/src/libfront/request_forwarder.h
+++ b/src/libfront/request_forwarder.h
@@ -39,12 +39,16 @@
     virtual boost::asio::awaitable<bool> obtain(std::string upstream, std::uint64_t startedAt, SteadyTime deadline) = 0;
 };
 
-/// Finds out where a stream began that a caller takes up again; implemented by the placement agent.
+/// Remembers where streams began, and finds out where one began that a caller takes up again; implemented by
+/// StreamOriginService.
 class StreamOriginSource {
 public:
     virtual ~StreamOriginSource() = default;
 
-    /// Returns what this instance and the lease holder know of the stream.
+    /// Records a stream whose first event comes from an upstream of this instance.
+    virtual void recordOrigin(StreamOrigin origin) = 0;
+
+    /// Returns what this instance and the others that remember the stream know of it.
     virtual boost::asio::awaitable<OriginReply> findOrigin(OriginRequest request, SteadyTime deadline) = 0;
 };
 
--- a/src/libfront/software_version_test.cpp
+++ b/src/libfront/software_version_test.cpp
@@ -82,8 +82,8 @@
 {
     addUpstreamWithVersion("v1", streamResponseHead + chunk(firstEvent) + "0\r\n\r\n");
     BOOST_TEST(call("/resumable/x")->status == 200u);
-    BOOST_REQUIRE(state.streamOrigins().find("7"));
-    BOOST_TEST(state.streamOrigins().find("7")->softwareVersion == "v1");
+    BOOST_REQUIRE(origins.recorded.size() == 1u);
+    BOOST_TEST((origins.recorded[0] == StreamOrigin { "7", "s", "v1" }));
 }
 
 // Guards against a version that is kept although no event of it was forwarded.
--- a/src/libserving/upstream_directory.cpp
+++ b/src/libserving/upstream_directory.cpp
@@ -318,16 +318,19 @@
     return entry.isDraining || (it != m_announcements.end() && it->second.isLeaving);
 }
 
-std::set<std::string> UpstreamDirectory::recentVersions(const std::string& service) const
+std::set<std::string> UpstreamDirectory::servicesWithSeveralVersions() const
 {
-    std::set<std::string> out;
+    std::map<std::string_view, std::set<std::string_view>> versions;
     for (const auto& [key, seenAt] : m_versionsSeen) {
-        if (key.first == service && m_clock.now() - seenAt <= versionMemory)
-            out.insert(key.second);
+        if (m_clock.now() - seenAt <= versionMemory)
+            versions[key.first].insert(key.second);
     }
-    for (const auto& [id, record] : m_records) {
-        if (record.entry.service == service)
-            out.insert(record.entry.softwareVersion);
+    for (const auto& [id, record] : m_records)
+        versions[record.entry.service].insert(record.entry.softwareVersion);
+    std::set<std::string> out;
+    for (const auto& [service, names] : versions) {
+        if (names.size() > 1)
+            out.emplace(service);
     }
     return out;
 }
--- a/src/libserving/upstream_directory_test.cpp
+++ b/src/libserving/upstream_directory_test.cpp
@@ -243,13 +243,15 @@
     upstream.softwareVersion = "v2";
     upstream.startedAt = 7;
     directory.apply(upstream);
-    BOOST_TEST(directory.recentVersions("s").count("v1") == 1u);
-    BOOST_TEST(directory.recentVersions("s").count("v2") == 1u);
+    BOOST_TEST(directory.servicesWithSeveralVersions() == std::set<std::string> { "s" });
     clock.advance(61s);
     directory.expire();
-    BOOST_TEST(directory.recentVersions("s").size() == 1u);
+    BOOST_TEST(directory.servicesWithSeveralVersions().empty());
     directory.remove({ "a" });
-    BOOST_TEST(directory.recentVersions("s").count("v2") == 1u);
+    upstream.id = "b";
+    upstream.softwareVersion = "v3";
+    directory.apply(upstream);
+    BOOST_TEST(directory.servicesWithSeveralVersions() == std::set<std::string> { "s" });
 }
 
 BOOST_AUTO_TEST_SUITE(AfterTheStoreIsRestoredFromACopy)
--- a/testsuite/software-versions/run.py
+++ b/testsuite/software-versions/run.py
@@ -1,9 +1,11 @@
 """Engines of two software versions serve side by side, and callers take up broken streams at any instance.
 
 Guards against: a stream with events of two versions, in one response or over the tries of a caller; streams that are not
-continued although an engine of their version serves; both also when the instance is lost at which the stream began.
+continued although an engine of their version serves; both also when the instance is lost at which the stream began, or the
+lease holder with it, and the callers come back at once.
 """
 
+import concurrent.futures
 import time
 
 import serving_site
@@ -11,8 +13,11 @@
 from serving_site import NOTE_PREFIX, generation_request, note_request
 from transcript import Transcript
 
-REPORT_S = 1.0  # seconds after which the lease holder knows of a stream
+REPORT_S = 1.0  # seconds after which other instances know of a stream
 TAKE_UP_TRIES = 4
+EVENT_INTERVAL_S = 0.15  # a stream takes 1.5 s
+START_INTERVAL_S = 0.06
+FIRST_EVENT_S = 0.35  # seconds in which each stream has its first event
 
 
 def break_streams(site, instances, count):
@@ -25,6 +30,34 @@
     return [it for it in outcomes if it.events and not it.is_complete]
 
 
+def lose_instance(site, lost, count):
+    """Kills an instance while it serves streams that began one after the other; returns those that broke off."""
+    site.begin_disruption(lost.name)
+    with concurrent.futures.ThreadPoolExecutor(count) as pool:
+        calls = []
+        for _ in range(count):
+            calls.append(pool.submit(site.call, lost, note_request("m-0")))
+            time.sleep(START_INTERVAL_S)
+        time.sleep(FIRST_EVENT_S)
+        lost.process.kill()
+        outcomes = [it.result() for it in calls]
+    return [it for it in outcomes if it.events and not it.is_complete]
+
+
+def lose_each_instance(script, site, instances):
+    """Kills each instance in turn, and so the lease holder too; the callers take their streams up at once, with one try."""
+    for engine in ("engine-0", "engine-1"):
+        site.workers[engine].event_interval = EVENT_INTERVAL_S
+    for lost in instances:
+        broken = lose_instance(site, lost, 12)
+        others = [it for it in instances if it is not lost]
+        went_on = [take_up(site, others[it % len(others)], stream, tries=1) for it, stream in enumerate(broken)]
+        script.say(f"streams broke off: {len(broken)}, go on at once: {sum(went_on)}")
+        site.start_instance(lost.name, lost.zone)
+        site.wait_ready(lost)
+        site.end_disruption(lost.name)
+
+
 def take_up(site, instance, broken, tries=TAKE_UP_TRIES):
     """Takes a stream up as a caller does, with a few tries."""
     headers = (("Last-Event-Id", str(broken.events[-1][0])), ("Resumes", broken.request))
@@ -61,6 +94,8 @@
             site.start_instance(lost.name, lost.zone)
             site.wait_ready(lost)
             site.end_disruption(lost.name)
+        script.section("an instance is killed while it serves streams")
+        lose_each_instance(script, site, instances)
         script.section("the engines of one version leave")
         broken = break_streams(site, instances, 12)
         site.run_coroutine(site.workers["engine-1"].crash())
