Keep the handover pause after a lease that only a restored copy names

What callers could see: orders of two holders in turn within the lease period, so that an upstream loads and unloads against itself.

Cause: an instance that finds its own name in the row of the lease takes the lease back without the handover pause. The row of a restored store may be older than another holder's term. An instance that was restarted meanwhile, or did not see the other one's row, could not tell. Class: a copy outranked later knowledge; a permission was used that had run out meanwhile.

Change: the row names the restorations of the store at its writing. A row from the copy counts as that of another holder, unless the instance's own lease has not expired, so that nobody can have held it since. It is no renewal, and does not confirm a write whose response was lost.

--- a/src/include/bulrushstack/serving/placement_lease.h
+++ b/src/include/bulrushstack/serving/placement_lease.h
@@ -14,6 +14,9 @@
     std::string holder; ///< Instance id of the holder; empty if the last holder released the lease.
     Address address; ///< Address at which the holder accepts demand reports and adapter requests.
     std::uint64_t version = 0; ///< Version of the row; increases with every renewal.
+    /// Whether the row was restored from a copy and not written since, so that another instance may have held the lease
+    /// after it.
+    bool isFromCopy = false;
 
     friend bool operator==(const LeaseRecord&, const LeaseRecord&) = default;
 };
@@ -87,7 +90,7 @@
 
 private:
     bool isHeldByOther() const;
-    LeaseOrigin previousHolder() const;
+    LeaseOrigin previousHolder(SteadyTime now) const;
 
     LeaseOptions m_options;
     std::optional<LeaseRecord> m_record;
@@ -97,7 +100,7 @@
     bool m_hasOtherHeld = false;
     std::optional<SteadyTime> m_validUntil;
     SteadyTime m_ordersAllowedFrom {};
-    SteadyTime m_lastWriteSentAt {};
+    std::optional<SteadyTime> m_lastWriteSentAt;
     std::uint64_t m_fence = 0;
     LeaseOrigin m_origin = LeaseOrigin::New;
 };
--- a/src/libfront/lease_manager.cpp
+++ b/src/libfront/lease_manager.cpp
@@ -39,14 +39,6 @@
         .renewInterval = leaseRenewInterval };
 }
 
-/// Returns a transaction that writes the lease's row if the row has the given version. An empty holder releases the
-/// lease.
-Transaction makeLeaseTransaction(std::uint64_t version, const std::string& holder, const std::string& address)
-{
-    return { .conditions = { { .id = leaseRowId, .version = version } },
-        .writes = { { .id = leaseRowId, .value = nlohmann::json { { "holder", holder }, { "address", address } } } } };
-}
-
 } // namespace
 
 LeaseManager::LeaseManager(FrontState& state, FrontBinding& binding, FrontMetrics& metrics, RelayMember self)
@@ -162,14 +154,9 @@
         m_lease.observe(std::nullopt, now);
         co_return;
     }
-    const auto& value = (*row)->value;
-    LeaseRecord record { .version = (*row)->version };
-    if (value.is_object()) {
-        record.holder = value.value("holder", "");
-        record.address = parseAddress(value.value("address", "")).value_or(Address());
-    }
-    const bool isOwnWrite
-        = m_pendingWriteSentAt && record.holder == m_state.instanceId() && record.version > m_lease.expectedVersion();
+    auto record = decodeLeaseRow(**row);
+    const bool isOwnWrite = m_pendingWriteSentAt && record.holder == m_state.instanceId() && !record.isFromCopy
+        && record.version > m_lease.expectedVersion();
     if (isOwnWrite)
         m_lease.recordWrite(record.version, m_self.address, *m_pendingWriteSentAt);
     else
--- a/src/libfront/lease_manager.h
+++ b/src/libfront/lease_manager.h
@@ -5,14 +5,12 @@
 #include "front_metrics.h"
 #include "front_state.h"
 #include "lease_holder.h"
+#include "lease_row.h"
 
 #include <optional>
 
 namespace bulrushstack {
 
-/// Row of the placement lease. Its version changes with every renewal.
-inline const RowId leaseRowId { .table = "placement", .key = "lease" };
-
 /// Manages the placement lease: reads its row, claims it when no instance holds it, renews it while this instance holds
 /// it, and releases it. What the holder does with the lease is up to the caller.
 class LeaseManager final : public LeaseHolder {
--- a/src/libserving/placement_lease.cpp
+++ b/src/libserving/placement_lease.cpp
@@ -28,7 +28,7 @@
     m_hasOtherHeld = m_hasOtherHeld || isHeldByOther();
     m_record = std::move(record);
     m_recordChangedAt = now;
-    if (!isOwn())
+    if (!isOwn() || m_record->isFromCopy)
         m_validUntil.reset();
 }
 
@@ -37,7 +37,7 @@
     if (!m_hasObservedRow)
         return false;
     if (isHolder(now))
-        return now >= after(m_lastWriteSentAt, m_options.renewInterval);
+        return now >= after(*m_lastWriteSentAt, m_options.renewInterval);
     // A row of an earlier process of this instance can be taken over at once, since that process no longer sends
     // orders.
     return !m_record || m_record->holder.empty() || isOwn() || now >= after(m_recordChangedAt, m_options.validity);
@@ -47,7 +47,7 @@
 {
     const bool isRenewal = m_validUntil.has_value();
     if (!isRenewal)
-        m_origin = previousHolder();
+        m_origin = previousHolder(sentAt);
     m_hasOtherHeld = false;
     m_record = LeaseRecord { .holder = m_options.instanceId, .address = address, .version = version };
     m_recordChangedAt = sentAt;
@@ -63,13 +63,15 @@
 
 /// Returns from whom this instance acquires the lease. A restored store may name an earlier holder, or none, although
 /// another instance has held the lease since.
-LeaseOrigin PlacementLease::previousHolder() const
+LeaseOrigin PlacementLease::previousHolder(SteadyTime now) const
 {
     if (m_hasOtherHeld)
         return LeaseOrigin::OtherInstance;
     if (!m_record)
         return LeaseOrigin::New;
-    return isOwn() ? LeaseOrigin::EarlierProcess : LeaseOrigin::OtherInstance;
+    const bool isLeaseUnexpired = m_lastWriteSentAt && now < after(*m_lastWriteSentAt, m_options.validity);
+    const bool isLastHolder = isOwn() && (!m_record->isFromCopy || isLeaseUnexpired);
+    return isLastHolder ? LeaseOrigin::EarlierProcess : LeaseOrigin::OtherInstance;
 }
 
 void PlacementLease::recordLoss() { m_validUntil.reset(); }
--- a/src/libserving/placement_lease_test.cpp
+++ b/src/libserving/placement_lease_test.cpp
@@ -137,6 +137,17 @@
     BOOST_CHECK(first.lease.origin() == LeaseOrigin::OtherInstance);
 }
 
+// Guards against two holders in turn because the copy names the one before, which has been restarted since.
+BOOST_AUTO_TEST_CASE(KeepsTheHandoverPauseForAnEarlierProcessThatTheCopyNames)
+{
+    first.lease.observe(
+        LeaseRecord { .holder = "first", .address = address, .version = 9, .isFromCopy = true }, clock.bootNow());
+    BOOST_TEST(first.shouldWrite());
+    first.lease.recordWrite(10, address, clock.bootNow());
+    BOOST_TEST(!first.maySendOrders());
+    BOOST_CHECK(first.lease.origin() == LeaseOrigin::OtherInstance);
+}
+
 // Guards against a lease that no instance can acquire any more because the copy is older than its row.
 BOOST_AUTO_TEST_CASE(IsAcquiredAnewIfTheCopyHasNoRow)
 {
@@ -148,11 +159,23 @@
     BOOST_TEST(!second.maySendOrders());
 }
 
+// Guards against two holders in turn because the last holder that the copy names did not see its successor.
+BOOST_AUTO_TEST_CASE(KeepsTheHandoverPauseForAHolderWhoseLeaseHadExpired)
+{
+    write(first, second, 5);
+    clock.advance(3s);
+    first.lease.observe(
+        LeaseRecord { .holder = "first", .address = address, .version = 9, .isFromCopy = true }, clock.bootNow());
+    first.lease.recordWrite(10, address, clock.bootNow());
+    BOOST_TEST(!first.maySendOrders());
+}
+
 BOOST_AUTO_TEST_CASE(IsResumedAtOnceByItsLastHolder)
 {
     write(first, second, 5);
     first.lease.recordLoss();
-    first.lease.observe(LeaseRecord { .holder = "first", .address = address, .version = 9 }, clock.bootNow());
+    first.lease.observe(
+        LeaseRecord { .holder = "first", .address = address, .version = 9, .isFromCopy = true }, clock.bootNow());
     first.lease.recordWrite(10, address, clock.bootNow());
     BOOST_TEST(first.maySendOrders());
     BOOST_TEST(first.lease.fence() == 10u);
