Send the peers only to instances that lack them

Cause: the collector of demand replaced the message after the fingerprint of the peers had been set, so that each reply named all peers while a service had several versions. Lint: containers are reserved before loops that fill them.

Result: seen while reading the code; front_test passes.

--- a/src/libfront/placement_demand.cpp
+++ b/src/libfront/placement_demand.cpp
@@ -56,8 +56,8 @@
 {
     auto out = m_state.collectAndResetDemand();
     out.reporters.push_back(m_relay.self());
-    out.peerFingerprint = fingerprintOf(m_origins.peers());
     m_collector.takeInto(out);
+    out.peerFingerprint = fingerprintOf(m_origins.peers());
     const auto& suspects = m_state.crashSuspects();
     out.crashFingerprint = suspects.fingerprint();
     if (out.crashFingerprint != m_peerCrashFingerprint)
@@ -200,6 +200,7 @@
             out[instance] = { .instance = instance, .address = reporter.member.address };
     }
     std::vector<Peer> peers;
+    peers.reserve(out.size());
     for (auto& [instance, peer] : out)
         peers.push_back(std::move(peer));
     return peers;
--- a/src/libserving/origin_replicator.cpp
+++ b/src/libserving/origin_replicator.cpp
@@ -34,6 +34,7 @@
     std::partial_sort(weighted.begin(), weighted.begin() + static_cast<std::ptrdiff_t>(n), weighted.end(),
         [](const auto& a, const auto& b) { return a.first > b.first; });
     std::vector<Peer> out;
+    out.reserve(n);
     for (std::size_t i = 0; i < n; ++i)
         out.push_back(*weighted[i].second);
     return out;
@@ -75,6 +76,7 @@
             addToBatches(it, peers, batches);
     }
     std::vector<OriginBatch> out;
+    out.reserve(batches.size());
     for (auto& [instance, batch] : batches)
         out.push_back(std::move(batch));
     return out;
