--- a/testsuite/lib/serving_site.py
+++ b/testsuite/lib/serving_site.py
@@ -25,7 +25,7 @@
 def populate(site, engines, placed, models):
     site.models = models
     for number in range(engines):
-        site.add_engine(f"engine-{number}", ZONES[number], placed[number])
+        site.add_engine(f"engine-{number}", ZONES[number % len(ZONES)], placed[number])
     for number in range(2):
         site.add_plain_worker(f"plain-{number}", ZONES[number])
     site.add_route(BRIEF_PREFIX, "stream", "models", attempts=2)
--- a/testsuite/lib/soak_faults.py
+++ b/testsuite/lib/soak_faults.py
@@ -26,7 +26,7 @@
 class FaultInjector:
     """Injects randomly drawn faults and undoes them when their duration is over; several may overlap."""
 
-    def __init__(self, site, random, with_notices=False, with_clock_steps=False, with_copies=False):
+    def __init__(self, site, random, with_notices=False, with_clock_steps=False, with_copies=False, with_versions=False):
         self.site, self.random = site, random
         self.start = time.monotonic()
         self.active, self.history = [], []
@@ -40,6 +40,8 @@
             self.kinds += [self.step_wall_clock] * 4
         if with_copies:
             self.kinds += [self.restore_store, self.limit_worker_rate] * 3
+        if with_versions:
+            self.kinds += [self.release_worker] * 4 + [self.kill_instance] * 2
 
     def now(self):
         return time.monotonic() - self.start
@@ -199,6 +201,16 @@
         self.site.spawn(worker.crash(restart_after=duration))
         return Fault("crashed", worker.name, self.now(), duration + 0.2, lambda: None)
 
+    def release_worker(self):
+        """Restarts an engine with another software version."""
+        worker = self._pick_worker(engines_only=True)
+        if not worker:
+            return None
+        worker.version = "v2" if worker.version == "v1" else "v1"
+        duration = self.random.uniform(0.3, 1.5)
+        self.site.spawn(worker.crash(restart_after=duration))
+        return Fault(f"restarted as {worker.version}", worker.name, self.now(), duration + 0.2, lambda: None)
+
     def set_worker_fault_share(self):
         worker = self._pick_worker()
         if not worker:
