Place the model of a stream at the software version that began it

What callers saw: a stream could not be taken up although upstreams of its version served, since its model was loaded at other versions only, for example after its upstream had crashed. And a caller lost its only try if the upstream of the stream had crashed and its entry was still there: 503 at once.

Cause: the planner knows copies of a model, not of a model at a version; and a request whose connection was refused does not wait for another copy.

Change: a request that takes a stream up and finds no upstream of its version with the model reports that with the demand, urgently. The holder treats the model as one without a copy among the upstreams of that version and loads it there, one copy, before copies elsewhere. Requests that take a stream up wait for a copy also after a refused connection.

Ruled out: two copies of each model at each version. A fleet has memory for about three models an upstream, and releases are rare.

--- a/src/include/bulrushstack/serving/model_demand.h
+++ b/src/include/bulrushstack/serving/model_demand.h
@@ -20,6 +20,9 @@
     std::uint32_t requests = 0;
     double workMs = 0; ///< Estimated milliseconds of upstream time that the requests take.
     std::uint32_t unplaced = 0; ///< Number of requests that found no upstream with the model loaded.
+    /// Number of streams to be taken up that found no upstream of their software version with the model loaded, by
+    /// version.
+    std::map<std::string, std::uint32_t> unplacedByVersion;
 
     friend bool operator==(const ModelDemand&, const ModelDemand&) = default;
 };
@@ -48,14 +51,20 @@
     /// Returns the exponentially decayed number of requests that found no upstream with the model.
     double unplaced(const std::string& service, const std::string& model) const;
 
+    /// Returns the exponentially decayed number of streams to be taken up that found no upstream of their software
+    /// version with the model, by version.
+    std::map<std::string, double> unplacedByVersion(const std::string& service, const std::string& model) const;
+
 private:
     struct Rate {
         double work = 0;
         double unplaced = 0;
+        std::map<std::string, double> unplacedByVersion;
         SteadyTime updated {};
     };
 
     double decayed(double value, const Rate& rate) const;
+    std::map<std::string, double> decayed(std::map<std::string, double> values, const Rate& rate) const;
     const Rate* find(const std::string& service, const std::string& model) const;
 
     const Clock& m_clock;
--- a/src/include/bulrushstack/serving/residency_tracker.h
+++ b/src/include/bulrushstack/serving/residency_tracker.h
@@ -33,6 +33,7 @@
 struct UpstreamResidency {
     std::string id;
     std::uint64_t startedAt = 0; ///< Start time of the upstream process, in Unix milliseconds.
+    std::string softwareVersion;
     /// Whether the state was reported since this instance became the placement holder, and no later event has made it
     /// doubtful. While it is not known, the upstream gets no new orders.
     bool isStateKnown = false;
--- a/src/libfront/demand_collector.cpp
+++ b/src/libfront/demand_collector.cpp
@@ -11,7 +11,9 @@
         demand.requests += it.requests;
         demand.workMs += it.workMs;
         demand.unplaced += it.unplaced;
-        m_isUrgent = m_isUrgent || it.unplaced > 0;
+        for (const auto& [version, count] : it.unplacedByVersion)
+            demand.unplacedByVersion[version] += count;
+        m_isUrgent = m_isUrgent || it.unplaced > 0 || !it.unplacedByVersion.empty();
     }
     for (const auto& it : message.adapters)
         m_adapters[{ it.service, it.model, it.adapter }] = it;
--- a/src/libfront/front_state.cpp
+++ b/src/libfront/front_state.cpp
@@ -172,6 +172,16 @@
         m_adapterDemand.insert({ service, request.model, request.adapter });
 }
 
+void FrontState::recordUnplacedStream(
+    const std::string& service, const ServingRequest& request, const std::string& softwareVersion)
+{
+    auto& demand = m_demand[{ service, request.model }];
+    demand.service = service;
+    demand.model = request.model;
+    ++demand.unplacedByVersion[softwareVersion];
+    m_hasUrgentDemand = true;
+}
+
 DemandMessage FrontState::collectAndResetDemand()
 {
     DemandMessage out { .instance = m_instanceId };
--- a/src/libfront/front_state.h
+++ b/src/libfront/front_state.h
@@ -104,6 +104,10 @@
     /// `isPlaced` is whether an upstream of the service has the model loaded.
     void recordDemand(const std::string& service, const ServingRequest& request, double workMs, bool isPlaced);
 
+    /// Counts a stream to be taken up for whose model no upstream of its software version is loaded.
+    void recordUnplacedStream(
+        const std::string& service, const ServingRequest& request, const std::string& softwareVersion);
+
     /// Returns the demand since the last call, as a message to the lease holder.
     DemandMessage collectAndResetDemand();
 
--- a/src/libfront/placement_messages.cpp
+++ b/src/libfront/placement_messages.cpp
@@ -4,7 +4,6 @@
 
 namespace bulrushstack {
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ModelDemand, service, model, requests, workMs, unplaced)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AdapterDemand, service, model, adapter, refusedBy)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RetiringReplica, upstream, model)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AdapterReply, upstream)
@@ -20,6 +19,24 @@
 
 } // namespace
 
+void to_json(json& out, const ModelDemand& demand)
+{
+    out = { { "service", demand.service }, { "model", demand.model }, { "requests", demand.requests },
+        { "workMs", demand.workMs }, { "unplaced", demand.unplaced } };
+    if (!demand.unplacedByVersion.empty())
+        out["unplacedByVersion"] = demand.unplacedByVersion;
+}
+
+void from_json(const json& document, ModelDemand& out)
+{
+    document.at("service").get_to(out.service);
+    document.at("model").get_to(out.model);
+    document.at("requests").get_to(out.requests);
+    document.at("workMs").get_to(out.workMs);
+    document.at("unplaced").get_to(out.unplaced);
+    out.unplacedByVersion = document.value("unplacedByVersion", std::map<std::string, std::uint32_t>());
+}
+
 void to_json(json& out, const RelayMember& member)
 {
     out = { { "instance", member.instance }, { "zone", member.zone }, { "address", member.address.toString() },
--- a/src/libfront/request_forwarder.cpp
+++ b/src/libfront/request_forwarder.cpp
@@ -108,6 +108,8 @@
         co_await respondWithFailure(std::move(failure));
         co_return;
     }
+    if (!m_request.resumedRequest.empty() && m_streamVersion && m_service->engine && rankCandidates().empty())
+        m_state.recordUnplacedStream(m_service->name, m_request, *m_streamVersion);
     for (;;) {
         const auto chosen = co_await chooseUpstream();
         if (m_isClientGone) {
@@ -232,7 +234,9 @@
             co_await m_state.waitForChange(m_state.clock().now() + *m_retryAfter);
             continue;
         }
-        if (!m_service->engine || !m_triedUpstreams.empty())
+        // A caller that takes a stream up may have no further try.
+        const bool mayWait = m_triedUpstreams.empty() || !m_request.resumedRequest.empty();
+        if (!m_service->engine || !mayWait)
             co_return std::nullopt;
         const bool shouldChooseAgain = co_await waitForResidency();
         if (!shouldChooseAgain)
--- a/src/libfront/software_version_test.cpp
+++ b/src/libfront/software_version_test.cpp
@@ -20,6 +20,41 @@
         entry.softwareVersion = version;
         state.directory().apply(std::move(entry));
     }
+
+    /// Makes the service one of engines, whose requests wait until an upstream has loaded their model.
+    void configureEngines()
+    {
+        std::vector<RouteSpec> routes { route("/resumable/", CallKind::Stream, 2, true) };
+        std::vector<ServiceSpec> services { { .name = "s", .engine = EngineSpec { .slots = 4 } } };
+        state.updateConfiguration(
+            std::make_shared<ServingConfiguration>(2, std::move(routes), std::move(services), RequestLimits()));
+    }
+
+    void load(const std::string& upstream, const std::string& model)
+    {
+        auto entry = *state.directory().find(upstream);
+        entry.models.push_back({ .name = model });
+        state.directory().apply(std::move(entry));
+        state.wakeWaitingRequests();
+    }
+
+    /// Takes the stream of request 6 up and returns the status that the caller gets; empty if it still waits.
+    std::optional<unsigned> takeUpStream(std::function<void()> whileWaiting)
+    {
+        HttpRequest request { .method = "POST", .target = "/resumable/x" };
+        request.headers.set("X-Id", "7");
+        request.headers.set("X-Resumes", "6");
+        request.headers.set("X-Model", "m");
+        std::optional<unsigned> status;
+        boost::asio::co_spawn(context,
+            client.call({ .host = "127.0.0.1", .port = server.port() }, std::move(request),
+                { .deadline = clock.now() + std::chrono::seconds(10) }),
+            [&](std::exception_ptr, Result<HttpResponse> response) { status = response ? response->status : 0; });
+        runFor(std::chrono::milliseconds(200));
+        whileWaiting();
+        runFor(std::chrono::milliseconds(300));
+        return status;
+    }
 };
 
 } // namespace
@@ -70,6 +105,37 @@
     BOOST_TEST(upstreams[0]->connections() == 0u);
 }
 
+// Guards against streams that cannot go on, since the model is loaded at another version only.
+BOOST_AUTO_TEST_CASE(AsksForTheModelAtTheVersionThatBeganIt)
+{
+    configureEngines();
+    addUpstreamWithVersion("v1", restOfStream);
+    addUpstreamWithVersion("v2", restOfStream);
+    load("u1", "m");
+    origins.reply = { .origin = StreamOrigin { "6", "s", "v2" }, .isVersionAmbiguous = true };
+    std::map<std::string, std::uint32_t> unplaced;
+    const auto status = takeUpStream([&] {
+        unplaced = state.collectAndResetDemand().models.front().unplacedByVersion;
+        load("u2", "m");
+    });
+    BOOST_TEST(unplaced["v2"] == 1u);
+    BOOST_TEST(status.value_or(0) == 200u);
+    BOOST_TEST(upstreams[0]->connections() == 0u);
+}
+
+// Guards against a caller that loses its only try because the upstream of the stream has just crashed.
+BOOST_AUTO_TEST_CASE(WaitsForTheModelIfItsUpstreamIsNotThere)
+{
+    configureEngines();
+    addUpstreamWithVersion("v1", restOfStream);
+    addUpstreamWithVersion("v1", restOfStream);
+    load("u1", "m");
+    upstreams[0]->stopListening();
+    origins.reply = { .origin = StreamOrigin { "6", "s", "v1" } };
+    const auto status = takeUpStream([&] { load("u2", "m"); });
+    BOOST_TEST(status.value_or(0) == 200u);
+}
+
 BOOST_AUTO_TEST_CASE(GoesOnIfThereIsOnlyOneVersion)
 {
     addUpstreamWithVersion("v1", restOfStream);
--- a/src/libserving/model_demand_test.cpp
+++ b/src/libserving/model_demand_test.cpp
@@ -55,4 +55,16 @@
     BOOST_TEST(demand.workRate("s", "other") == 0);
 }
 
+BOOST_AUTO_TEST_CASE(CountsStreamsToBeTakenUpBySoftwareVersion)
+{
+    ManualClock clock;
+    DemandEstimator demand(clock);
+    demand.add({ { .service = "s", .model = "m", .unplacedByVersion = { { "v1", 2 } } } });
+    demand.add({ { .service = "s", .model = "m", .unplacedByVersion = { { "v1", 1 }, { "v2", 1 } } } });
+    BOOST_TEST(demand.unplacedByVersion("s", "m")["v1"] == 3);
+    BOOST_TEST(demand.unplacedByVersion("s", "m")["v2"] == 1);
+    clock.advance(20s);
+    BOOST_TEST(demand.unplacedByVersion("s", "m").empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libserving/placement_planner.cpp
+++ b/src/libserving/placement_planner.cpp
@@ -1,6 +1,7 @@
 #include "bulrushstack/serving/placement_planner.h"
 
 #include <algorithm>
+#include <map>
 #include <optional>
 #include <tuple>
 #include <unordered_map>
@@ -33,6 +34,8 @@
     unsigned loaded = 0;
     unsigned loading = 0;
     bool isUnloadPlanned = false; ///< The plan already unloads one copy; it unloads at most one.
+    /// Decayed number of streams to be taken up that wait for a copy at their software version, by version.
+    std::map<std::string, double> unplacedByVersion;
 
     unsigned copies() const { return loaded + loading; }
 
@@ -74,6 +77,19 @@
     bool isWeightStoreLoad(const PlannedModel& model) const { return !localCopies || !localCopies->count(model.name); }
 };
 
+/// A model that needs a copy.
+struct Wanted {
+    ModelIndex model = 0;
+    /// Software version at which streams wait for the model; empty if any upstream may load it.
+    std::string softwareVersion;
+    double need = 0; ///< in milliseconds of work per second
+
+    bool isAllowed(const PlannedUpstream& upstream) const
+    {
+        return softwareVersion.empty() || upstream.residency->softwareVersion == softwareVersion;
+    }
+};
+
 /// Working state of a plan. Models are looked up by name once and then addressed by index, since the planner compares
 /// each needed model with each upstream and runs on the thread that serves requests.
 class PlanState {
@@ -86,6 +102,7 @@
             model.spec = &spec;
             model.work = demand.workRate(service, spec.name);
             model.unplaced = demand.unplaced(service, spec.name);
+            model.unplacedByVersion = demand.unplacedByVersion(service, spec.name);
         }
         for (const auto& [id, residency] : tracker.upstreams()) {
             const bool isChanging = residency.hasOrderInFlight || residency.isBusy || !residency.loading.empty()
@@ -117,6 +134,15 @@
         return m_upstreamCount == 0 ? 0 : static_cast<double>(m_changing) / static_cast<double>(m_upstreamCount);
     }
 
+    /// Returns whether no upstream that the wanted model may use has a copy of it, loaded or loading.
+    bool isMissing(const Wanted& wanted) const
+    {
+        if (wanted.softwareVersion.empty())
+            return m_models[wanted.model].copies() == 0;
+        return std::none_of(m_upstreams.begin(), m_upstreams.end(),
+            [&](const PlannedUpstream& it) { return wanted.isAllowed(it) && it.occupiesMemory(wanted.model); });
+    }
+
     /// Applies a planned change of a model on an upstream.
     void applyChange(std::size_t upstream, OrderKind kind, ModelIndex model)
     {
@@ -172,14 +198,15 @@
 
 /// Returns the best upstream with enough free memory to load the model. Upstreams with a local copy of the weights come
 /// first, then the ones with the least work.
-std::optional<PlacementOption> findFreeMemory(const PlanState& state, ModelIndex wanted, bool isWeightStoreAllowed)
+std::optional<PlacementOption> findFreeMemory(const PlanState& state, const Wanted& wanted, bool isWeightStoreAllowed)
 {
-    const auto& model = state.models()[wanted];
+    const auto& model = state.models()[wanted.model];
     std::optional<PlacementOption> best;
     std::pair<bool, double> bestRank;
     for (std::size_t i = 0; i < state.upstreams().size(); ++i) {
         const auto& upstream = state.upstreams()[i];
-        if (!upstream.canReceiveOrder || upstream.freeMb < model.spec->sizeMb || upstream.occupiesMemory(wanted))
+        if (!upstream.canReceiveOrder || !wanted.isAllowed(upstream) || upstream.freeMb < model.spec->sizeMb
+            || upstream.occupiesMemory(wanted.model))
             continue;
         const bool isWeightStoreLoad = upstream.isWeightStoreLoad(model);
         if (isWeightStoreLoad && !isWeightStoreAllowed)
@@ -198,12 +225,13 @@
 /// weight store. The last copy of a model is chosen only if there is no other choice, for a model without a copy whose
 /// requests are being missed and whose need is greater.
 std::optional<PlacementOption> findVictim(
-    const PlanState& state, ModelIndex wanted, bool isWeightStoreAllowed, const PlannerOptions& options)
+    const PlanState& state, const Wanted& wanted, bool isWeightStoreAllowed, const PlannerOptions& options)
 {
-    const auto& wantedModel = state.models()[wanted];
-    const double need = wantedModel.need();
-    const bool isMissing = wantedModel.copies() == 0;
-    const bool mayUnloadLastCopy = isMissing && wantedModel.hasMissedRequests();
+    const auto& wantedModel = state.models()[wanted.model];
+    const double need = wanted.need;
+    const bool isMissing = state.isMissing(wanted);
+    const bool hasMissedRequests = !wanted.softwareVersion.empty() || wantedModel.hasMissedRequests();
+    const bool mayUnloadLastCopy = isMissing && hasMissedRequests;
     // Upper limits for the work per copy that remains, and for the work of a model that loses its last copy.
     const double maxRemainingWork
         = isMissing ? std::max(need, options.copyWorkThreshold) : need / options.replacementNeedRatio;
@@ -213,7 +241,7 @@
     Rank bestRank;
     for (std::size_t i = 0; i < state.upstreams().size(); ++i) {
         const auto& upstream = state.upstreams()[i];
-        if (!upstream.canReceiveOrder || upstream.occupiesMemory(wanted))
+        if (!upstream.canReceiveOrder || !wanted.isAllowed(upstream) || upstream.occupiesMemory(wanted.model))
             continue;
         const bool isWeightStoreLoad = upstream.isWeightStoreLoad(wantedModel);
         if (isWeightStoreLoad && !isWeightStoreAllowed)
@@ -238,28 +266,36 @@
     return best;
 }
 
-/// Returns the models of the configuration, sorted by need, highest first.
-std::vector<ModelIndex> modelsByNeed(const PlanState& state)
+/// Returns the models of the configuration, and those that streams wait for at one software version, sorted by need,
+/// highest first.
+std::vector<Wanted> wantedByNeed(const PlanState& state)
 {
-    std::vector<std::pair<double, ModelIndex>> needs;
+    std::vector<Wanted> out;
     for (ModelIndex i = 0; i < state.models().size(); ++i) {
-        if (state.models()[i].spec)
-            needs.emplace_back(state.models()[i].need(), i);
+        const auto& model = state.models()[i];
+        if (!model.spec)
+            continue;
+        // A copy at the software version comes first, since it serves other requests as well.
+        for (const auto& [version, unplaced] : model.unplacedByVersion) {
+            const double modelNeed = model.copies() == 0 ? model.need() : 0;
+            Wanted wanted {
+                .model = i, .softwareVersion = version, .need = std::max(modelNeed, unplacedRequestWork * unplaced)
+            };
+            if (unplaced >= missedRequestThreshold && state.isMissing(wanted))
+                out.push_back(std::move(wanted));
+        }
+        out.push_back({ .model = i, .need = model.need() });
     }
-    std::stable_sort(needs.begin(), needs.end(), [](const auto& a, const auto& b) { return a.first > b.first; });
-    std::vector<ModelIndex> out;
-    out.reserve(needs.size());
-    for (const auto& [need, model] : needs)
-        out.push_back(model);
+    std::stable_sort(out.begin(), out.end(), [](const Wanted& a, const Wanted& b) { return a.need > b.need; });
     return out;
 }
 
 std::optional<PlacementOption> findPlacement(
-    const PlanState& state, ModelIndex wanted, bool isWeightStoreAllowed, const PlannerOptions& options)
+    const PlanState& state, const Wanted& wanted, bool isWeightStoreAllowed, const PlannerOptions& options)
 {
-    const auto& model = state.models()[wanted];
-    const bool isMissing = model.copies() == 0;
-    const double need = model.need();
+    const auto& model = state.models()[wanted.model];
+    const bool isMissing = state.isMissing(wanted);
+    const double need = wanted.need;
     if ((!isMissing && need < options.copyWorkThreshold) || model.isAtLoadLimit())
         return std::nullopt;
     const bool hasFewChanges = state.changingShare() < options.maxChangingShare;
@@ -282,18 +318,18 @@
     PlanState state(service, tracker, demand, leaving);
     std::vector<PlannedChange> out;
     unsigned weightStoreLoads = tracker.weightStoreLoadAllowance();
-    for (const auto wanted : modelsByNeed(state)) {
+    for (const auto& wanted : wantedByNeed(state)) {
         const auto option = findPlacement(state, wanted, weightStoreLoads > 0, options);
         if (!option)
             continue;
         if (option->isWeightStoreLoad)
             --weightStoreLoads;
         const auto kind = option->unloaded ? OrderKind::Unload : OrderKind::Load;
-        const auto changed = option->unloaded.value_or(wanted);
+        const auto changed = option->unloaded.value_or(wanted.model);
         out.push_back({ .kind = kind,
             .upstreamId = state.upstreams()[option->upstream].residency->id,
             .model = state.models()[changed].name,
-            .workPerCopy = state.models()[wanted].need() });
+            .workPerCopy = wanted.need });
         state.applyChange(option->upstream, kind, changed);
     }
     return out;
--- a/src/libserving/placement_planner_test.cpp
+++ b/src/libserving/placement_planner_test.cpp
@@ -31,9 +31,9 @@
         return out;
     }
 
-    void add(std::string id, std::vector<std::string> models)
+    void add(std::string id, std::vector<std::string> models, std::string softwareVersion = "v1")
     {
-        UpstreamEntry entry { .id = std::move(id), .service = "s" };
+        UpstreamEntry entry { .id = std::move(id), .service = "s", .softwareVersion = std::move(softwareVersion) };
         for (auto& it : models)
             entry.models.push_back({ .name = std::move(it) });
         entries.push_back(entry);
@@ -54,6 +54,12 @@
         demand.add({ { .service = "s", .model = model, .requests = 1, .workMs = workPerSecond * 0.15 } });
     }
 
+    /// Reports a stream of the version that waits for the model.
+    void addUnplacedStream(const std::string& model, const std::string& softwareVersion)
+    {
+        demand.add({ { .service = "s", .model = model, .unplacedByVersion = { { softwareVersion, 1 } } } });
+    }
+
     unsigned copies(const std::string& model) const
     {
         unsigned out = 0;
@@ -116,6 +122,59 @@
     BOOST_TEST(plan.front().model == "e");
 }
 
+BOOST_AUTO_TEST_SUITE(ForAStreamThatACallerTakesUp)
+
+// Guards against streams that cannot go on, since the model is loaded at another software version only.
+BOOST_AUTO_TEST_CASE(LoadsItsModelAtItsSoftwareVersion)
+{
+    add("u0", { "a", "b" }, "v2");
+    add("u1", { "c", "d" }, "v1");
+    add("u2", { "e" }, "v2");
+    for (int i = 0; i < 30; ++i) {
+        addUnplacedStream("a", "v1");
+        step();
+    }
+    BOOST_TEST(tracker.upstreams().at("u1").loaded.count("a") == 1u);
+    BOOST_TEST(tracker.upstreams().at("u2").loaded.count("a") == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(LoadsOneCopyHoweverManyStreamsWait)
+{
+    add("u0", { "a", "b" }, "v2");
+    add("u1", { "c" }, "v1");
+    add("u2", { "d" }, "v1");
+    add("u3", { "e" }, "v1");
+    for (int i = 0; i < 60; ++i) {
+        for (int n = 0; n < 20; ++n)
+            addUnplacedStream("a", "v1");
+        step();
+    }
+    BOOST_TEST(copies("a") == 2u);
+}
+
+// Guards against a copy at another version for a model without a copy, which the stream cannot use.
+BOOST_AUTO_TEST_CASE(LoadsAModelWithoutACopyAtTheSoftwareVersionFirst)
+{
+    add("u0", { "b" }, "v2");
+    add("u1", { "c" }, "v1");
+    add("u2", { "d", "e" }, "v2");
+    demand.add({ { .service = "s", .model = "a", .unplaced = 1, .unplacedByVersion = { { "v1", 1 } } } });
+    const auto plan = planPlacement("s", tracker, demand, leaving, {});
+    BOOST_REQUIRE(plan.size() == 1u);
+    BOOST_TEST(plan.front().upstreamId == "u1");
+}
+
+BOOST_AUTO_TEST_CASE(ChangesNothingIfNoUpstreamHasTheVersion)
+{
+    add("u0", { "a", "b" }, "v2");
+    add("u1", { "c", "d" }, "v2");
+    add("u2", { "e" }, "v2");
+    addUnplacedStream("a", "v1");
+    BOOST_TEST(planPlacement("s", tracker, demand, leaving, {}).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_CASE(MovesCopiesWithTheDemand)
 {
     add("u0", { "a", "b" });
--- a/src/libserving/residency_tracker.cpp
+++ b/src/libserving/residency_tracker.cpp
@@ -64,6 +64,7 @@
         } else if (details.directoryModels != entry->models) {
             applyDirectoryModels(upstream, entry->models);
         }
+        upstream.softwareVersion = entry->softwareVersion;
         details.directoryModels = entry->models;
     }
     std::erase_if(m_upstreams, [&](const auto& it) { return !present.count(it.first); });
