Read the row of an upstream before a stream goes on there

Cause: the instance trusted its directory, and an upstream checks only its id. Class: a process that was suspended acted on knowledge that was outdated.

Change: before a stream goes on at another upstream, while its service has several versions or a caller takes it up, the upstream's row is read from the store. While the store does not respond, the directory is trusted, since most restarts keep the version. Requests that take a stream up wait for a copy of their model for half of their time, not for their latency objective, which has passed.

Result: GoesOnOnlyAtUpstreamsWhoseRowStillHasTheVersion fails without the read and passes; software-versions passes.

--- a/src/libfront/front_service.cpp
+++ b/src/libfront/front_service.cpp
@@ -203,6 +203,7 @@
               .adapters = agent,
               .permits = agent.permits(),
               .origins = origins,
+              .upstreams = storeSynchronizer,
               .metrics = metrics })
         , readiness(runtime, binding->readinessPath())
         , metricsHandler(runtime)
--- a/src/libfront/front_test_support.h
+++ b/src/libfront/front_test_support.h
@@ -93,6 +93,21 @@
     boost::asio::awaitable<OriginReply> findOrigin(OriginRequest, SteadyTime) override { co_return reply; }
 };
 
+/// Reads the rows of upstreams from a map instead of the store.
+class FixedRows final : public UpstreamReader {
+public:
+    std::map<std::string, UpstreamEntry> rows;
+    bool isStoreAway = true;
+
+    boost::asio::awaitable<Result<std::optional<UpstreamEntry>>> readUpstream(std::string id, SteadyTime) override
+    {
+        if (isStoreAway)
+            co_return Failure { .code = Errc::Unavailable };
+        const auto it = rows.find(id);
+        co_return it == rows.end() ? std::nullopt : std::optional(it->second);
+    }
+};
+
 /// Grants a number of permits and then tells each request that the next one comes after a time.
 class CountedPermits final : public PermitSource {
 public:
@@ -188,6 +203,7 @@
     NoAdapters adapters;
     CountedPermits permits { state };
     FixedOrigin origins;
+    FixedRows rows;
     prometheus::Registry registry;
     FrontMetrics metrics { registry };
     Ingress ingress { { .state = state,
@@ -196,6 +212,7 @@
         .adapters = adapters,
         .permits = permits,
         .origins = origins,
+        .upstreams = rows,
         .metrics = metrics } };
     HttpServer server { context, { .address = { .host = "127.0.0.1", .port = 0 } }, ingress };
     std::vector<std::unique_ptr<RawServer>> upstreams;
--- a/src/libfront/request_forwarder.cpp
+++ b/src/libfront/request_forwarder.cpp
@@ -22,6 +22,7 @@
 constexpr double suspensionWaitShare = 0.5;
 
 constexpr Milliseconds overloadRetryAfter { 300 };
+constexpr Milliseconds versionReadTimeout { 300 };
 constexpr Milliseconds missingModelRetryAfter { 1000 };
 /// By then the instance at which a stream began has told others of it, if it can.
 constexpr Milliseconds unknownOriginRetryAfter { 500 };
@@ -100,7 +101,7 @@
         m_state.recordDemand(
             m_service->name, m_request, workMs, m_state.isModelResident(m_service->name, m_request.model));
     }
-    if (!m_request.resumedRequest.empty() && !co_await findStreamVersion()) {
+    if (isTakeUp() && !co_await findStreamVersion()) {
         m_retryAfter = unknownOriginRetryAfter;
         Failure failure { .code = Errc::Unavailable,
             .verdict = Verdict::NotRun,
@@ -108,7 +109,7 @@
         co_await respondWithFailure(std::move(failure));
         co_return;
     }
-    if (!m_request.resumedRequest.empty() && m_streamVersion && m_service->engine && rankCandidates().empty())
+    if (m_streamVersion && m_service->engine && rankCandidates().empty())
         m_state.recordUnplacedStream(m_service->name, m_request, *m_streamVersion);
     for (;;) {
         const auto chosen = co_await chooseUpstream();
@@ -220,9 +221,9 @@
             co_return std::nullopt;
         auto ranked = rankCandidates();
         if (!ranked.empty()) {
-            auto permitted = co_await obtainPermit(ranked.front());
-            if (permitted)
-                co_return permitted;
+            auto approved = co_await approve(ranked.front());
+            if (approved)
+                co_return approved;
             continue;
         }
         if (m_streamVersion && !m_state.directory().hasVersion(m_service->name, *m_streamVersion))
@@ -234,8 +235,7 @@
             co_await m_state.waitForChange(m_state.clock().now() + *m_retryAfter);
             continue;
         }
-        // A caller that takes a stream up may have no further try.
-        const bool mayWait = m_triedUpstreams.empty() || !m_request.resumedRequest.empty();
+        const bool mayWait = m_triedUpstreams.empty() || isTakeUp();
         if (!m_service->engine || !mayWait)
             co_return std::nullopt;
         const bool shouldChooseAgain = co_await waitForResidency();
@@ -245,13 +245,17 @@
 }
 
 /// Returns the candidate if a request may be sent to it now; empty if another candidate must be chosen.
-asio::awaitable<std::optional<RankedUpstream>> RequestForwarder::obtainPermit(const RankedUpstream& candidate)
+asio::awaitable<std::optional<RankedUpstream>> RequestForwarder::approve(const RankedUpstream& candidate)
 {
     const std::string id = candidate.upstream->id;
-    if (!m_state.directory().rateLimit(id))
+    const auto startedAt = candidate.upstream->startedAt;
+    const bool isUnconfirmed = mustConfirmVersion(id);
+    const bool isLimited = m_state.directory().rateLimit(id).has_value();
+    if (!isUnconfirmed && !isLimited)
         co_return candidate;
-    const bool isGranted = co_await m_dependencies.permits.obtain(id, candidate.upstream->startedAt, m_deadline);
-    if (!isGranted)
+    if (isUnconfirmed && !co_await confirmVersion(id))
+        co_return std::nullopt;
+    if (isLimited && !co_await m_dependencies.permits.obtain(id, startedAt, m_deadline))
         co_return std::nullopt;
     // The directory may have changed meanwhile.
     const auto ranked = rankCandidates();
@@ -260,6 +264,28 @@
     co_return it == ranked.end() ? std::nullopt : std::optional(*it);
 }
 
+bool RequestForwarder::mustConfirmVersion(const std::string& upstream) const
+{
+    if (!m_streamVersion || m_confirmedUpstreams.count(upstream))
+        return false;
+    return isTakeUp() || m_state.directory().servicesWithSeveralVersions().count(m_service->name) > 0;
+}
+
+/// Returns whether the upstream still has the software version of the stream. The directory may be outdated, for
+/// example after this instance was suspended, and the upstream may have been restarted with another version under the
+/// same id. While the store does not respond, the directory is trusted.
+asio::awaitable<bool> RequestForwarder::confirmVersion(std::string upstream)
+{
+    const auto deadline = std::min(m_deadline, m_state.clock().now() + versionReadTimeout);
+    const auto row = co_await m_dependencies.upstreams.readUpstream(upstream, deadline);
+    const bool isConfirmed = !row || (*row && (*row)->softwareVersion == *m_streamVersion);
+    if (isConfirmed)
+        m_confirmedUpstreams.insert(upstream);
+    else
+        m_triedUpstreams.insert(upstream);
+    co_return isConfirmed;
+}
+
 /// Returns whether the request can still be served in time by an upstream that is suspended for the given time. A
 /// request that would have to wait longer is rejected at once.
 bool RequestForwarder::mayAwaitSuspended(Milliseconds suspension) const
@@ -271,6 +297,8 @@
 SteadyTime RequestForwarder::residencyDeadline() const
 {
     const auto maxWait = duration_cast<Milliseconds>((m_deadline - m_receivedAt) * residencyWaitShare);
+    if (isTakeUp())
+        return m_receivedAt + maxWait; // The caller may have no further try.
     return m_receivedAt + std::min(maxWait, std::max(m_route->latencyObjective, minResidencyWait));
 }
 
--- a/src/libfront/request_forwarder.h
+++ b/src/libfront/request_forwarder.h
@@ -52,6 +52,18 @@
     virtual boost::asio::awaitable<OriginReply> findOrigin(OriginRequest request, SteadyTime deadline) = 0;
 };
 
+/// Reads the rows of upstreams; implemented by StoreSynchronizer.
+class UpstreamReader {
+public:
+    virtual ~UpstreamReader() = default;
+
+    /// Reads the upstream's row from the store; returns an empty optional if it does not exist or is unreadable. Fails
+    /// if the store does not respond in time.
+    virtual boost::asio::awaitable<Result<std::optional<UpstreamEntry>>> readUpstream(
+        std::string id, SteadyTime deadline)
+        = 0;
+};
+
 /// Objects that the forwarders of all requests share.
 struct RequestDependencies {
     FrontState& state;
@@ -60,6 +72,7 @@
     AdapterPlacement& adapters;
     PermitSource& permits;
     StreamOriginSource& origins;
+    UpstreamReader& upstreams;
     FrontMetrics& metrics;
 };
 
@@ -85,10 +98,14 @@
     };
 
     boost::asio::awaitable<void> runAdmitted();
+    /// Returns whether the request takes up a stream that broke off.
+    bool isTakeUp() const { return !m_request.resumedRequest.empty(); }
     boost::asio::awaitable<bool> findStreamVersion();
     void recordStreamOrigin(const Attempt& attempt);
     boost::asio::awaitable<std::optional<RankedUpstream>> chooseUpstream();
-    boost::asio::awaitable<std::optional<RankedUpstream>> obtainPermit(const RankedUpstream& candidate);
+    boost::asio::awaitable<std::optional<RankedUpstream>> approve(const RankedUpstream& candidate);
+    bool mustConfirmVersion(const std::string& upstream) const;
+    boost::asio::awaitable<bool> confirmVersion(std::string upstream);
     bool mayAwaitSuspended(Milliseconds suspension) const;
     boost::asio::awaitable<bool> waitForResidency();
     boost::asio::awaitable<std::optional<Failure>> attempt(const RankedUpstream& chosen);
@@ -141,6 +158,8 @@
     bool m_isStreaming = false;
     /// Software version of the upstream that began the stream. Only upstreams with this version can continue it.
     std::optional<std::string> m_streamVersion;
+    /// Upstreams whose row in the store names the software version of the stream.
+    std::set<std::string> m_confirmedUpstreams;
     EventSplitter m_eventSplitter;
     /// Framing of the last response whose body was read.
     std::optional<BodyFraming> m_responseFraming;
--- a/src/libfront/software_version_test.cpp
+++ b/src/libfront/software_version_test.cpp
@@ -136,6 +136,27 @@
     BOOST_TEST(status.value_or(0) == 200u);
 }
 
+// Guards against an instance that was suspended while an upstream was restarted with another version under its id.
+BOOST_AUTO_TEST_CASE(GoesOnOnlyAtUpstreamsWhoseRowStillHasTheVersion)
+{
+    addUpstreamWithVersion("v1", restOfStream);
+    addUpstreamWithVersion("v1", restOfStream);
+    origins.reply = { .origin = StreamOrigin { "6", "s", "v1" } };
+    rows.isStoreAway = false;
+    rows.rows["u1"] = { .id = "u1", .service = "s", .softwareVersion = "v2" };
+    rows.rows["u2"] = { .id = "u2", .service = "s", .softwareVersion = "v1" };
+    BOOST_TEST(call("/resumable/x", "7", "6")->body == secondEvent);
+    BOOST_TEST(upstreams[0]->connections() == 0u);
+    BOOST_TEST(upstreams[1]->connections() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(GoesOnWhileTheStoreIsAway)
+{
+    addUpstreamWithVersion("v1", restOfStream);
+    origins.reply = { .origin = StreamOrigin { "6", "s", "v1" } };
+    BOOST_TEST(call("/resumable/x", "7", "6")->body == secondEvent);
+}
+
 BOOST_AUTO_TEST_CASE(GoesOnIfThereIsOnlyOneVersion)
 {
     addUpstreamWithVersion("v1", restOfStream);
--- a/src/libfront/store_synchronizer.cpp
+++ b/src/libfront/store_synchronizer.cpp
@@ -216,6 +216,19 @@
 {
 }
 
+asio::awaitable<Result<std::optional<UpstreamEntry>>> StoreSynchronizer::readUpstream(
+    std::string id, SteadyTime deadline)
+{
+    const RowId row { .table = m_binding.rowFormat().upstreamTable(), .key = std::move(id) };
+    const auto found = co_await m_binding.tableService().read(row, deadline);
+    if (!found)
+        co_return found.error();
+    if (!*found)
+        co_return std::optional<UpstreamEntry>();
+    auto entry = m_binding.rowFormat().decodeUpstream(**found);
+    co_return entry ? std::optional(std::move(*entry)) : std::nullopt;
+}
+
 void StoreSynchronizer::start()
 {
     spawnLogged(m_state.context(), m_configurationFollower.run(), "configuration-follower");
--- a/src/libfront/store_synchronizer.h
+++ b/src/libfront/store_synchronizer.h
@@ -3,6 +3,7 @@
 #include "bulrushstack/relay/store_relay.h"
 #include "front_metrics.h"
 #include "front_state.h"
+#include "request_forwarder.h"
 #include "table_follower.h"
 
 #include <functional>
@@ -11,13 +12,16 @@
 
 /// Keeps the configuration and the directory of upstreams of a FrontState up to date with the platform's store,
 /// directly or through a reader, and passes them on while this instance is a reader.
-class StoreSynchronizer {
+class StoreSynchronizer final : public UpstreamReader {
 public:
     StoreSynchronizer(FrontState& state, FrontBinding& binding, FrontMetrics& metrics, StoreRelay& relay);
 
     void start();
     void stop();
 
+    boost::asio::awaitable<Result<std::optional<UpstreamEntry>>> readUpstream(
+        std::string id, SteadyTime deadline) override;
+
     /// Called once, after the first snapshot of the upstreams was read.
     std::function<void()> onUpstreamsLoaded;
     /// Called for each version of the configuration that comes into force.
