Take a stream of unknown origin up at the only version that was there

Cause: with one version the request was not restricted to it, so that it could go on at any that came later.

Result: GoesOnAtTheOnlyVersionThatWasThere failed before (a connection to the second version) and passes; front_test passes.

--- a/src/include/bulrushstack/serving/upstream_directory.h
+++ b/src/include/bulrushstack/serving/upstream_directory.h
@@ -154,6 +154,9 @@
     /// the version of a recent stream is among them.
     std::set<std::string> servicesWithSeveralVersions() const;
 
+    /// Returns the software version of all upstreams of a service; empty if there are several or none.
+    std::optional<std::string> onlyVersion(std::string_view service) const;
+
     /// Returns whether an upstream of the service that is not shutting down has the software version.
     bool hasVersion(std::string_view service, std::string_view softwareVersion) const;
 
--- a/src/libfront/request_forwarder.cpp
+++ b/src/libfront/request_forwarder.cpp
@@ -159,8 +159,11 @@
     LOG(INFO) << "event=stream-origin request=" << m_request.id << " resumed=" << m_request.resumedRequest
               << " version=" << (reply.origin ? reply.origin->softwareVersion : "unknown")
               << " ambiguous=" << reply.isVersionAmbiguous;
-    if (!reply.origin)
+    if (!reply.origin) {
+        // Another version may appear while the request waits.
+        m_streamVersion = m_state.directory().onlyVersion(m_service->name);
         co_return !reply.isVersionAmbiguous;
+    }
     const auto& services = m_route->services;
     const bool isOnRoute = std::any_of(services.begin(), services.end(),
         [&](const WeightedService& it) { return it.service == reply.origin->service; });
--- a/src/libfront/software_version_test.cpp
+++ b/src/libfront/software_version_test.cpp
@@ -123,6 +123,21 @@
     BOOST_TEST(upstreams[0]->connections() == 0u);
 }
 
+// Guards against a version that appears while a stream of the only version before waits for its model.
+BOOST_AUTO_TEST_CASE(GoesOnAtTheOnlyVersionThatWasThere)
+{
+    configureEngines();
+    addUpstreamWithVersion("v1", restOfStream);
+    const auto status = takeUpStream([&] {
+        addUpstreamWithVersion("v2", restOfStream);
+        load("u2", "m");
+        runFor(std::chrono::milliseconds(200));
+        load("u1", "m");
+    });
+    BOOST_TEST(status.value_or(0) == 200u);
+    BOOST_TEST(upstreams[1]->connections() == 0u);
+}
+
 // Guards against a caller that loses its only try because the upstream of the stream has just crashed.
 BOOST_AUTO_TEST_CASE(WaitsForTheModelIfItsUpstreamIsNotThere)
 {
--- a/src/libserving/upstream_directory.cpp
+++ b/src/libserving/upstream_directory.cpp
@@ -335,6 +335,19 @@
     return out;
 }
 
+std::optional<std::string> UpstreamDirectory::onlyVersion(std::string_view service) const
+{
+    std::optional<std::string> out;
+    for (const auto& [id, record] : m_records) {
+        if (record.entry.service != service)
+            continue;
+        if (out && *out != record.entry.softwareVersion)
+            return std::nullopt;
+        out = record.entry.softwareVersion;
+    }
+    return out;
+}
+
 bool UpstreamDirectory::hasVersion(std::string_view service, std::string_view softwareVersion) const
 {
     return std::any_of(m_records.begin(), m_records.end(), [&](const auto& it) {
