--- a/testsuite/rate-limit/run.py
+++ b/testsuite/rate-limit/run.py
@@ -1,8 +1,8 @@
 """Upstreams state how many requests a second they accept from all instances together.
 
 Guards against: instances that exceed the limit in sum, also while one of them restarts, joins or is paused; a limit that
-keeps requests from upstreams without one; a model that is short of capacity because its only upstream limits its requests; requests that wait although no upstream can accept them in time; an upstream that
-is not used again after its limit ended.
+keeps requests from upstreams without one; a model that is short of capacity because its only upstream limits its requests;
+requests that wait although no upstream can accept them in time; an upstream that is not used again after its limit ended.
 """
 
 import time
