Keep the rest of the handover pause when a lease is acquired again

Cause: the store was restored twice within half a second. An instance acquired the lease after the first restoration, with the handover pause; the second one restored its own row, it lost the lease and acquired it again as its last holder, and that began without a pause. Class: a permission was counted from a renewal instead of from the event that it depends on.

--- a/src/libserving/placement_lease.cpp
+++ b/src/libserving/placement_lease.cpp
@@ -1,5 +1,7 @@
 #include "bulrushstack/serving/placement_lease.h"
 
+#include <algorithm>
+
 namespace bulrushstack {
 
 namespace {
@@ -56,7 +58,8 @@
     if (isRenewal)
         return;
     m_fence = version;
-    m_ordersAllowedFrom = m_origin == LeaseOrigin::OtherInstance ? after(sentAt, m_options.handoverPause) : sentAt;
+    const auto pauseEnd = m_origin == LeaseOrigin::OtherInstance ? after(sentAt, m_options.handoverPause) : sentAt;
+    m_ordersAllowedFrom = std::max(m_ordersAllowedFrom, pauseEnd);
 }
 
 bool PlacementLease::isHeldByOther() const { return m_record && !m_record->holder.empty() && !isOwn(); }
--- a/src/libserving/placement_lease_test.cpp
+++ b/src/libserving/placement_lease_test.cpp
@@ -170,6 +170,25 @@
     BOOST_TEST(!first.maySendOrders());
 }
 
+// Guards against two holders in turn because a holder that lost the lease during its handover pause acquires it again.
+BOOST_AUTO_TEST_CASE(KeepsTheRestOfTheHandoverPauseIfItIsAcquiredAgain)
+{
+    write(first, second, 5);
+    clock.advance(3s);
+    write(second, first, 6);
+    clock.advance(500ms);
+    second.lease.recordLoss();
+    second.lease.observe(
+        LeaseRecord { .holder = "second", .address = address, .version = 9, .isFromCopy = true }, clock.bootNow());
+    second.lease.recordWrite(10, address, clock.bootNow());
+    BOOST_TEST(second.lease.isHolder(clock.bootNow()));
+    BOOST_TEST(!second.maySendOrders());
+    clock.advance(1500ms);
+    second.lease.recordWrite(11, address, clock.bootNow());
+    clock.advance(1400ms);
+    BOOST_TEST(second.maySendOrders());
+}
+
 BOOST_AUTO_TEST_CASE(IsResumedAtOnceByItsLastHolder)
 {
     write(first, second, 5);
