Wait for the revisions of all peers before an instance is ready without the store

An instance that starts while the store is down was ready on revision 49 for 23 ms, while revision 50 had been accepted and was in force at another instance.

Cause: one announcement of any peer sufficed for readiness, and that peer had not received the last change yet (entry-1 got it 70 ms after entry-2 had started). Class: the knowledge of one peer taken for that of all. docs/design.md, section 21, already demands the highest revision of store and peers.

Change: without an answer of the store, an instance is ready once each peer of its first instance list has replied to a heartbeat or failed to, and what they announced has been fetched as far as possible.

--- a/src/include/bulrushstack/config/configuration_service.h
+++ b/src/include/bulrushstack/config/configuration_service.h
@@ -35,6 +35,10 @@
     /// higher, because each call counts as contact for the freshness bound.
     void handleAnnouncement(ConfigurationHead head, Address peer);
 
+    /// Records that each known peer has announced its revision or did not reply. Until then, or until the store has
+    /// replied, this instance is not ready: the peers that it has heard of may lack the last accepted change.
+    void recordPeersAsked();
+
     ConfigurationStore& store();
 
 private:
--- a/src/libconfig/configuration_follower.cpp
+++ b/src/libconfig/configuration_follower.cpp
@@ -80,6 +80,14 @@
         spawn(&ConfigurationFollower::fetchAnnounced);
 }
 
+void ConfigurationFollower::recordPeersAsked()
+{
+    m_arePeersAsked = true;
+    // Otherwise a fetch is in progress or is tried again at the next poll.
+    if (m_announced.empty())
+        confirmAsHighest();
+}
+
 asio::awaitable<void> ConfigurationFollower::poll()
 {
     m_polls.Increment();
@@ -89,6 +97,8 @@
         checkStoreHead(*head);
         if (shouldFetch(*head))
             co_await fetchRevision(*head);
+        if (!shouldFetch(*head))
+            confirmAsHighest();
     } else {
         recordFailure("head", {}, head.error());
     }
@@ -140,6 +150,15 @@
             break;
     }
     m_isFetching = false;
+    if (m_arePeersAsked)
+        confirmAsHighest();
+}
+
+/// Records that no higher revision can be obtained now.
+void ConfigurationFollower::confirmAsHighest()
+{
+    m_isConfirmed = true;
+    updateReadiness();
 }
 
 /// Asks, one after the other, the peers that announced at least this revision; returns whether one of them sent a
@@ -236,6 +255,9 @@
     const bool isFresh = m_lastContact && m_clock.now() - *m_lastContact < m_options.freshnessBound;
     if (!m_hasRevision)
         m_runtime.setReady(readinessCondition, false, "no revision has been read from the store or a peer yet");
+    else if (!m_isConfirmed)
+        m_runtime.setReady(
+            readinessCondition, false, "neither the store nor all peers have confirmed the revision yet");
     else if (!isFresh)
         m_runtime.setReady(readinessCondition, false, "no contact with the store or a peer within the freshness bound");
     else
--- a/src/libconfig/configuration_follower.h
+++ b/src/libconfig/configuration_follower.h
@@ -41,6 +41,9 @@
     /// See ConfigurationService::handleAnnouncement().
     void handleAnnouncement(ConfigurationHead head, Address peer);
 
+    /// See ConfigurationService::recordPeersAsked().
+    void recordPeersAsked();
+
     /// Reads the head once and fetches the revision that it names if it is higher than the current one.
     boost::asio::awaitable<void> poll();
 
@@ -48,7 +51,8 @@
     /// only a lower revision or the document is too large for a peer message.
     nlohmann::json handleFetchRequest(const nlohmann::json& request) const;
 
-    /// Sets the readiness condition: true if a revision is known and the last contact is within the freshness bound.
+    /// Sets the readiness condition: true if a revision is known, no higher one can be obtained at the start, and the
+    /// last contact is within the freshness bound.
     void updateReadiness();
 
     /// Starts the tasks that poll the store and monitor the freshness bound.
@@ -66,6 +70,7 @@
     boost::asio::awaitable<bool> adoptFromPeers(std::uint64_t revision);
     boost::asio::awaitable<bool> adoptFromStore(ConfigurationHead head);
     void checkStoreHead(const ConfigurationHead& head);
+    void confirmAsHighest();
     void recordContact();
     void recordFailure(const char* source, const ConfigurationHead& head, const Failure& failure);
     bool shouldFetch(const ConfigurationHead& head) const;
@@ -84,6 +89,10 @@
     std::optional<SteadyTime> m_lastContact;
     std::optional<ConfigurationHead> m_reportedConflictingHead; ///< last conflicting head of the store that was logged
     bool m_hasRevision = false;
+    bool m_arePeersAsked = false;
+    /// Whether the current revision was the highest one of the store or of all peers at some time. A peer alone may not
+    /// have received the last change yet.
+    bool m_isConfirmed = false;
     bool m_isFetching = false;
     bool m_isStopped = false;
     int m_runningTasks = 0;
--- a/src/libconfig/configuration_follower_test.cpp
+++ b/src/libconfig/configuration_follower_test.cpp
@@ -150,6 +150,8 @@
     BOOST_TEST(current() == 4u);
     BOOST_REQUIRE(peerRequests.size() == 1u);
     BOOST_TEST((peerRequests[0] == nlohmann::json { { "type", "config-fetch" }, { "revision", 4 } }));
+    BOOST_TEST(!runtime.isReady());
+    follower->recordPeersAsked();
     BOOST_TEST(runtime.isReady());
 }
 
@@ -247,6 +249,38 @@
     BOOST_TEST(runtime.isReady());
 }
 
+// Guards against an instance that starts while the store is down and is ready on the revision of the first peer that it
+// hears of, while another peer already has a higher one.
+BOOST_AUTO_TEST_CASE(RequiresTheRevisionsOfAllPeersWithoutTheStore)
+{
+    setStoreDown(true);
+    setPeerReply(*revision(4));
+    handleAnnouncement(headOf(*revision(4)));
+    BOOST_TEST(current() == 4u);
+    BOOST_TEST(!runtime.isReady());
+    setPeerReply(*revision(5));
+    handleAnnouncement(headOf(*revision(5)));
+    follower->recordPeersAsked();
+    BOOST_TEST(current() == 5u);
+    BOOST_TEST(runtime.isReady());
+}
+
+// Guards against an instance that is ready while it still fetches the higher revision of the last peer.
+BOOST_AUTO_TEST_CASE(WaitsForTheFetchOfTheLastAnnouncement)
+{
+    setStoreDown(true);
+    setPeerReply(*revision(4));
+    handleAnnouncement(headOf(*revision(4)));
+    setPeerReply(*revision(5));
+    follower->handleAnnouncement(headOf(*revision(5)), peerAddress);
+    follower->recordPeersAsked();
+    BOOST_TEST(!runtime.isReady());
+    context.restart();
+    context.poll();
+    BOOST_TEST(current() == 5u);
+    BOOST_TEST(runtime.isReady());
+}
+
 // Guards against an instance that serves an old configuration for an unlimited time during a network partition
 // (guarantee G8 of the design document).
 BOOST_AUTO_TEST_CASE(IsLostAfterTheFreshnessBoundWithoutContact)
--- a/src/libconfig/configuration_service.cpp
+++ b/src/libconfig/configuration_service.cpp
@@ -59,6 +59,8 @@
     m_state->follower->handleAnnouncement(std::move(head), std::move(peer));
 }
 
+void ConfigurationService::recordPeersAsked() { m_state->follower->recordPeersAsked(); }
+
 ConfigurationStore& ConfigurationService::store() { return m_state->follower->store(); }
 
 std::vector<SettingSpec> configurationSettings()
--- a/src/libmembership/membership_service.cpp
+++ b/src/libmembership/membership_service.cpp
@@ -94,6 +94,8 @@
     asio::awaitable<void> pollInstanceList();
     asio::awaitable<void> requestFirstReports();
     void completeFirstReport(const std::string& id);
+    asio::awaitable<void> sendFirstHeartbeats();
+    void completeFirstHeartbeat(const std::string& id);
     asio::awaitable<void> pollLoadReports();
     asio::awaitable<void> pollLoadReport(InstanceRecord record);
     asio::awaitable<void> sendHeartbeats();
@@ -114,6 +116,8 @@
     std::set<std::string> pendingRequests; ///< ids of instances with a request in progress
     std::set<std::string> pendingFirstReports; ///< engines of the first instance list whose first load report
                                                ///< has neither arrived nor failed
+    std::set<std::string>
+        pendingFirstHeartbeats; ///< peers of the first instance list that have neither replied nor failed
     std::set<std::pair<std::string, std::uint64_t>> loggedLeaving; ///< ids and incarnations logged as leaving
     std::minstd_rand random { std::random_device()() };
     bool isListed = false; ///< whether an instance list has contained this instance
@@ -162,8 +166,27 @@
         runtime.setReady("instance-list", true);
     }
     updateMemberMetrics();
-    if (isFirst)
-        co_await requestFirstReports();
+    if (!isFirst)
+        co_return;
+    co_await sendFirstHeartbeats();
+    co_await requestFirstReports();
+}
+
+/// Exchanges revisions of the configuration with the peers of the first instance list, so that this instance becomes
+/// ready without the store if it has the highest one.
+asio::awaitable<void> MembershipService::State::sendFirstHeartbeats()
+{
+    for (const auto& it : selectHeartbeatPeers(directory.peers(), runtime.identity().id))
+        pendingFirstHeartbeats.insert(it.record.id);
+    if (pendingFirstHeartbeats.empty())
+        configuration.recordPeersAsked();
+    co_await sendHeartbeats();
+}
+
+void MembershipService::State::completeFirstHeartbeat(const std::string& id)
+{
+    if (pendingFirstHeartbeats.erase(id) > 0 && pendingFirstHeartbeats.empty())
+        configuration.recordPeersAsked();
 }
 
 /// Requests the first load report of every live engine. This instance becomes ready once each of them has arrived or
@@ -267,6 +290,7 @@
     metrics.countPoll("heartbeat", heartbeat.has_value());
     if (heartbeat)
         handleHeartbeat(*heartbeat);
+    completeFirstHeartbeat(peer.record.id);
 }
 
 void MembershipService::State::handleHeartbeat(const Heartbeat& heartbeat)
