Do not name the version of an upstream's earlier process for a stream

An instance that had been suspended began streams at an engine that had been restarted under its id with another version meanwhile, 0.3 s before it read the engine's new row.

Cause: the version of a stream was that of the directory, however old, and neither upstreams nor their responses name a version. Class: a process that was suspended acted on knowledge that was outdated.

Change: the origin of a stream names the process of its upstream and its age. Whoever takes the stream up, or goes on with it in the same response, checks that process: if the upstream has another version now, and the process was not listed any more by a read of the directory that began after the stream, the version is unknown and the request is refused at once. If its own directory is not newer than the first event, it reads the upstream's row. While the store is away, the directory is trusted as before.

--- a/src/include/bulrushstack/serving/origin_replicator.h
+++ b/src/include/bulrushstack/serving/origin_replicator.h
@@ -66,8 +66,7 @@
 
     void dropOldest();
     std::vector<Peer> usablePeers();
-    static void addToBatches(
-        OwnStream& stream, const std::vector<Peer>& peers, std::map<std::string, OriginBatch>& batches);
+    void addToBatches(OwnStream& stream, const std::vector<Peer>& peers, std::map<std::string, OriginBatch>& batches);
 
     const Clock& m_clock;
     std::string m_ownInstance;
--- a/src/include/bulrushstack/serving/upstream_directory.h
+++ b/src/include/bulrushstack/serving/upstream_directory.h
@@ -80,8 +80,16 @@
     /// longer lives would have lost them.
     void replaceAllFromCopy(std::vector<UpstreamEntry> entries);
 
+    /// Records that the entries are those of a read of the table that began at the given time.
+    void recordRead(SteadyTime startedAt);
+
+    /// Returns the time up to which all changes of the table are known; empty before the first read.
+    std::optional<SteadyTime> currentAsOf() const { return m_currentAsOf; }
+
     /// Records that the store does not respond.
     void recordStoreLost();
+    /// Returns whether the store does not respond.
+    bool isStoreLost() const { return m_isStoreLost; }
     /// Records that the store responds again. This starts the grace period for entries that expired during the outage.
     void recordStoreRegained();
 
@@ -128,6 +136,10 @@
 
     const UpstreamEntry* find(std::string_view id) const;
 
+    /// Returns whether the table listed this process of an upstream at the given time, as far as this instance knows.
+    /// A process that is still listed counts as running after the last read.
+    bool wasRunning(const std::string& id, std::uint64_t startedAt, SteadyTime time) const;
+
     /// Returns the entries of a service that can get new requests, sorted by id.
     std::vector<const UpstreamEntry*> usable(std::string_view service) const;
 
@@ -193,6 +205,7 @@
     /// Returns the rest of the grace period after a store outage; zero or less if it has ended.
     std::chrono::nanoseconds remainingOutageGrace() const;
     bool isHeldBack(const Record& record) const;
+    void recordEnd(const UpstreamEntry& entry);
     void recordRemoval(const UpstreamEntry& entry);
     /// Removes an entry at the end of the grace period; at once if the period is empty or the upstream is draining.
     void removeWithGrace(const std::string& id, std::chrono::nanoseconds grace);
@@ -203,8 +216,11 @@
     std::map<std::string, Announcement, std::less<>> m_announcements;
     /// Removed processes by id and start time, with the time of the removal.
     std::map<std::pair<std::string, std::uint64_t>, SteadyTime> m_removed;
+    /// Processes that are no longer listed, by id and start time, with the time until which they surely were.
+    std::map<std::pair<std::string, std::uint64_t>, SteadyTime> m_ended;
     /// Time until which each software version of a service was last known to be there.
     std::map<std::pair<std::string, std::string>, SteadyTime> m_versionsSeen;
+    std::optional<SteadyTime> m_currentAsOf;
     bool m_isStoreLost = false;
     std::optional<SteadyTime> m_storeRegained;
     std::uint64_t m_version = 0;
--- a/src/libfront/placement_messages.cpp
+++ b/src/libfront/placement_messages.cpp
@@ -114,10 +114,12 @@
     document.at("suspects").get_to(out.suspects);
 }
 
-/// A stream is an array [request, service, version], since many streams are reported at once.
+/// A stream is an array [request, service, version, upstream, start time, age in ms], since many streams are reported
+/// at once.
 void to_json(json& out, const StreamOrigin& origin)
 {
-    out = json::array({ origin.request, origin.service, origin.softwareVersion });
+    out = json::array({ origin.request, origin.service, origin.softwareVersion, origin.upstream, origin.startedAt,
+        origin.age.count() });
 }
 
 void from_json(const json& document, StreamOrigin& out)
@@ -125,6 +127,9 @@
     document.at(0).get_to(out.request);
     document.at(1).get_to(out.service);
     document.at(2).get_to(out.softwareVersion);
+    document.at(3).get_to(out.upstream);
+    document.at(4).get_to(out.startedAt);
+    out.age = std::chrono::milliseconds(document.at(5).get<std::uint32_t>());
 }
 
 // Instances of the previous version require the field "crashes", which held another type.
--- a/src/libfront/request_forwarder.cpp
+++ b/src/libfront/request_forwarder.cpp
@@ -143,7 +143,10 @@
             endAfterClientDisconnect(failure->detail);
             co_return;
         }
-        if (!mayRetry(*failure)) {
+        bool mayTryNext = mayRetry(*failure);
+        if (mayTryNext)
+            mayTryNext = co_await mayGoOn();
+        if (!mayTryNext) {
             co_await respondWithFailure(std::move(*failure));
             co_return;
         }
@@ -164,6 +167,9 @@
         m_streamVersion = m_state.directory().onlyVersion(m_service->name);
         co_return !reply.isVersionAmbiguous;
     }
+    const bool isConfirmed = co_await confirmOrigin(*reply.origin);
+    if (!isConfirmed)
+        co_return false;
     const auto& services = m_route->services;
     const bool isOnRoute = std::any_of(services.begin(), services.end(),
         [&](const WeightedService& it) { return it.service == reply.origin->service; });
@@ -181,8 +187,48 @@
     if (m_streamVersion)
         return;
     m_streamVersion = attempt.softwareVersion;
+    m_beganAt = m_state.clock().now();
+    m_origin = StreamOrigin { .request = m_request.id,
+        .service = m_service->name,
+        .softwareVersion = attempt.softwareVersion,
+        .upstream = attempt.upstreamId,
+        .startedAt = attempt.startedAt };
     if (m_route->isResumable)
-        m_dependencies.origins.recordOrigin({ m_request.id, m_service->name, attempt.softwareVersion });
+        m_dependencies.origins.recordOrigin(*m_origin);
+}
+
+/// Returns whether the response may go on at another upstream: its stream must have begun at a known software version.
+asio::awaitable<bool> RequestForwarder::mayGoOn()
+{
+    if (!m_isStreaming || !m_origin)
+        co_return true;
+    auto origin = *m_origin;
+    origin.age = millisecondsOf(m_state.clock().now() - m_beganAt);
+    co_return co_await confirmOrigin(std::move(origin));
+}
+
+/// Returns whether a stream began at the software version that its origin names. If the directory may not contain the
+/// last changes before the first event, for example since this instance was suspended, the upstream's row is read.
+/// While the store does not respond, the directory is trusted.
+asio::awaitable<bool> RequestForwarder::confirmOrigin(StreamOrigin origin)
+{
+    const auto now = m_state.clock().now();
+    const auto& directory = m_state.directory();
+    const auto currentAsOf = directory.currentAsOf();
+    const bool isCurrent = currentAsOf && *currentAsOf >= now - origin.age;
+    bool isDoubtful = isVersionDoubtful(origin, now, directory);
+    if (!isDoubtful && !isCurrent && !directory.isStoreLost()) {
+        const auto deadline = std::min(m_deadline, now + versionReadTimeout);
+        const auto row = co_await m_dependencies.upstreams.readUpstream(origin.upstream, deadline);
+        isDoubtful
+            = row && *row && (*row)->startedAt != origin.startedAt && (*row)->softwareVersion != origin.softwareVersion;
+    }
+    if (isDoubtful)
+        LOG(INFO) << "event=stream-origin-doubtful request=" << m_request.id << " stream=" << origin.request
+                  << " upstream=" << origin.upstream << " version=" << origin.softwareVersion
+                  << " started_at=" << origin.startedAt << " age_ms=" << origin.age.count()
+                  << " directory=" << directory.version();
+    co_return !isDoubtful;
 }
 
 /// A request that an upstream may have executed, or whose stream has begun, is always continued.
--- a/src/libfront/request_forwarder.h
+++ b/src/libfront/request_forwarder.h
@@ -106,6 +106,8 @@
     boost::asio::awaitable<std::optional<RankedUpstream>> approve(const RankedUpstream& candidate);
     bool mustConfirmVersion(const std::string& upstream) const;
     boost::asio::awaitable<bool> confirmVersion(std::string upstream);
+    boost::asio::awaitable<bool> confirmOrigin(StreamOrigin origin);
+    boost::asio::awaitable<bool> mayGoOn();
     bool mayAwaitSuspended(Milliseconds suspension) const;
     boost::asio::awaitable<bool> waitForResidency();
     boost::asio::awaitable<std::optional<Failure>> attempt(const RankedUpstream& chosen);
@@ -158,6 +160,9 @@
     bool m_isStreaming = false;
     /// Software version of the upstream that began the stream. Only upstreams with this version can continue it.
     std::optional<std::string> m_streamVersion;
+    /// Where the stream began, unless the request takes it up.
+    std::optional<StreamOrigin> m_origin;
+    SteadyTime m_beganAt {}; ///< Time of the first event of m_origin.
     /// Upstreams whose row in the store names the software version of the stream.
     std::set<std::string> m_confirmedUpstreams;
     EventSplitter m_eventSplitter;
--- a/src/libfront/software_version_test.cpp
+++ b/src/libfront/software_version_test.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// Start time of the processes that FrontFixture::addUpstream() adds.
+constexpr std::uint64_t firstStart = 1;
+
 const std::string firstEvent = "id: 1\ndata: a\n\n";
 const std::string secondEvent = "id: 2\ndata: b\n\n";
 const std::string brokenStream = streamResponseHead + chunk(firstEvent);
@@ -21,6 +24,17 @@
         state.directory().apply(std::move(entry));
     }
 
+    /// Tells the directory that a read of the table which began now still lists the upstream with this version, started
+    /// as another process.
+    void restart(const std::string& upstream, const std::string& version)
+    {
+        auto entry = *state.directory().find(upstream);
+        entry.softwareVersion = version;
+        ++entry.startedAt;
+        state.directory().apply(std::move(entry));
+        state.directory().recordRead(clock.now());
+    }
+
     /// Makes the service one of engines, whose requests wait until an upstream has loaded their model.
     void configureEngines()
     {
@@ -81,6 +95,19 @@
     BOOST_TEST(upstreams[1]->connections() == 0u);
 }
 
+// Guards against an instance that was suspended while an upstream was restarted with another version under its id: it
+// names the version of the process before.
+BOOST_AUTO_TEST_CASE(IsNotContinuedIfItsUpstreamWasRestartedBeforeIt)
+{
+    addUpstreamWithVersion("v1", brokenStream);
+    addUpstreamWithVersion("v1", restOfStream);
+    rows.isStoreAway = false;
+    rows.rows["u1"] = { .id = "u1", .service = "s", .softwareVersion = "v2", .startedAt = 9 };
+    rows.rows["u2"] = *state.directory().find("u2");
+    BOOST_TEST(call("/resumable/x").has_error());
+    BOOST_TEST(upstreams[1]->connections() == 0u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(ACallerTakesAStreamUp)
@@ -165,6 +192,42 @@
     BOOST_TEST(upstreams[1]->connections() == 1u);
 }
 
+// Guards against the version that an instance names which had not heard of the restart of the upstream.
+BOOST_AUTO_TEST_CASE(IsRejectedIfItsUpstreamWasRestartedBeforeIt)
+{
+    addUpstreamWithVersion("v1", restOfStream);
+    addUpstreamWithVersion("v1", restOfStream);
+    state.directory().recordRead(clock.now());
+    restart("u1", "v2");
+    origins.reply = { .origin = StreamOrigin { "6", "s", "v1", "u1", firstStart } };
+    BOOST_TEST(call("/resumable/x", "7", "6")->status == 503u);
+    BOOST_TEST(upstreams[1]->connections() == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(GoesOnIfItsUpstreamWasRestartedAfterIt)
+{
+    addUpstreamWithVersion("v1", restOfStream);
+    addUpstreamWithVersion("v1", restOfStream);
+    state.directory().recordRead(clock.now());
+    restart("u1", "v2");
+    origins.reply = { .origin = StreamOrigin { "6", "s", "v1", "u1", firstStart, std::chrono::seconds(10) } };
+    BOOST_TEST(call("/resumable/x", "7", "6")->body == secondEvent);
+    BOOST_TEST(upstreams[0]->connections() == 0u);
+}
+
+// Guards against an outdated directory at the instance at which the caller takes the stream up.
+BOOST_AUTO_TEST_CASE(IsRejectedIfTheRowOfItsUpstreamNamesAnotherProcess)
+{
+    addUpstreamWithVersion("v1", restOfStream);
+    addUpstreamWithVersion("v1", restOfStream);
+    rows.isStoreAway = false;
+    rows.rows["u1"] = { .id = "u1", .service = "s", .softwareVersion = "v2", .startedAt = 9 };
+    rows.rows["u2"] = *state.directory().find("u2");
+    origins.reply = { .origin = StreamOrigin { "6", "s", "v1", "u1", firstStart } };
+    BOOST_TEST(call("/resumable/x", "7", "6")->status == 503u);
+    BOOST_TEST(upstreams[1]->connections() == 0u);
+}
+
 BOOST_AUTO_TEST_CASE(GoesOnWhileTheStoreIsAway)
 {
     addUpstreamWithVersion("v1", restOfStream);
@@ -185,7 +248,7 @@
     addUpstreamWithVersion("v1", streamResponseHead + chunk(firstEvent) + "0\r\n\r\n");
     BOOST_TEST(call("/resumable/x")->status == 200u);
     BOOST_REQUIRE(origins.recorded.size() == 1u);
-    BOOST_TEST((origins.recorded[0] == StreamOrigin { "7", "s", "v1" }));
+    BOOST_TEST((origins.recorded[0] == StreamOrigin { "7", "s", "v1", "u1", firstStart }));
 }
 
 // Guards against a version that is kept although no event of it was forwarded.
--- a/src/libfront/store_synchronizer.cpp
+++ b/src/libfront/store_synchronizer.cpp
@@ -70,6 +70,7 @@
 
     void onStoreLost(const Failure&) override { m_synchronizer.m_metrics.recordStoreFailure(table()); }
 
+    void onRead(SteadyTime) override { }
     void onStoreRegained() override { }
     void onOutageReported() override { }
 
@@ -158,6 +159,12 @@
         onDirectoryChanged();
     }
 
+    void onRead(SteadyTime startedAt) override
+    {
+        const bool isRelayed = m_synchronizer.m_relay.feed().isRelayed();
+        directory().recordRead(isRelayed ? startedAt - maxRelayAge : startedAt);
+    }
+
     void onStoreLost(const Failure&) override
     {
         directory().recordStoreLost();
--- a/src/libfront/stream_origin_service.cpp
+++ b/src/libfront/stream_origin_service.cpp
@@ -80,8 +80,7 @@
 {
     OriginReply out { .isVersionAmbiguous
         = m_state.directory().servicesWithSeveralVersions().count(request.service) > 0 };
-    if (const auto* origin = m_origins.find(request.request))
-        out.origin = *origin;
+    out.origin = m_origins.find(request.request);
     return out;
 }
 
--- a/src/libfront/stream_origin_service_test.cpp
+++ b/src/libfront/stream_origin_service_test.cpp
@@ -81,7 +81,15 @@
     }
 };
 
-const StreamOrigin origin { .request = "7", .service = "s", .softwareVersion = "v2" };
+const StreamOrigin origin {
+    .request = "7", .service = "s", .softwareVersion = "v2", .upstream = "u", .startedAt = 1'700'000'000'000
+};
+
+bool isSameStream(StreamOrigin a, StreamOrigin b)
+{
+    a.age = b.age;
+    return a == b;
+}
 
 } // namespace
 
@@ -100,7 +108,8 @@
     for (std::size_t i = 1; i < nodes.size(); ++i) {
         const auto reply = find(*nodes[i], "7");
         BOOST_REQUIRE(reply.origin);
-        BOOST_TEST((*reply.origin == origin));
+        BOOST_TEST(isSameStream(*reply.origin, origin));
+        BOOST_TEST(reply.origin->age.count() >= 500);
     }
 }
 
@@ -143,7 +152,7 @@
 // Guards against the origin of another stream, in a late second copy of a response.
 BOOST_AUTO_TEST_CASE(IsNotTakenFromAResponseToAnotherRequest)
 {
-    const std::string body = R"({"isVersionAmbiguous":true,"origin":["6","s","v1"]})";
+    const std::string body = R"({"isVersionAmbiguous":true,"origin":["6","s","v1","u",1,0]})";
     RawServer faulty(
         context, { "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body });
     nodes[1]->service.setPeers({ { .instance = "front-9", .address = faulty.address() } });
--- a/src/libfront/table_follower.cpp
+++ b/src/libfront/table_follower.cpp
@@ -45,7 +45,7 @@
 {
     while (!m_isStopped) {
         const auto callStart = m_clock.now();
-        auto result = co_await poll();
+        auto result = co_await poll(callStart);
         if (result) {
             if (m_failures > 0) {
                 LOG(INFO) << "event=dependency-regained dependency=store table=" << m_options.table
@@ -71,7 +71,7 @@
     }
 }
 
-asio::awaitable<Result<void>> TableFollower::poll()
+asio::awaitable<Result<void>> TableFollower::poll(SteadyTime startedAt)
 {
     if (!m_isSynchronized) {
         auto snapshot = co_await m_feed.snapshot(m_options.table, readTimeouts);
@@ -82,6 +82,7 @@
         if (snapshot->isAfterOutage)
             m_observer.onOutageReported();
         m_observer.onSnapshot(*snapshot);
+        m_observer.onRead(startedAt);
         m_version = snapshot->version;
         m_isSynchronized = true;
         co_return Result<void>();
@@ -96,9 +97,11 @@
     if (changes->isAfterOutage)
         m_observer.onOutageReported();
     m_version = std::max(m_version, changes->version);
+    if (!changes->rows.empty())
+        m_observer.onChanges(*changes);
+    m_observer.onRead(startedAt);
     if (changes->rows.empty())
         co_return Result<void>();
-    m_observer.onChanges(*changes);
     co_await waitFor(m_timer, m_changeBatchDelay);
     co_return Result<void>();
 }
--- a/src/libfront/table_follower.h
+++ b/src/libfront/table_follower.h
@@ -26,6 +26,10 @@
     /// Called twice when the store responds again: before and after the data of the response is delivered.
     virtual void onStoreRegained() = 0;
 
+    /// Called after each successful read of the table or of its changes, with the time at which the read began. The
+    /// data that were delivered contain all changes up to that time, unless their source is another instance.
+    virtual void onRead(SteadyTime startedAt) = 0;
+
     /// Called before rows are delivered whose source, another instance, lost the store shortly before.
     virtual void onOutageReported() = 0;
 };
@@ -62,7 +66,7 @@
     void resynchronize() { m_isSynchronized = false; }
 
 private:
-    boost::asio::awaitable<Result<void>> poll();
+    boost::asio::awaitable<Result<void>> poll(SteadyTime startedAt);
     boost::asio::awaitable<void> backOffAfterFailure();
 
     const Clock& m_clock;
--- a/src/libfront/table_follower_test.cpp
+++ b/src/libfront/table_follower_test.cpp
@@ -49,6 +49,7 @@
 class Recorder final : public TableObserver {
 public:
     std::vector<std::string> recorded;
+    std::vector<SteadyTime> readsBegan;
     std::function<void()> onChange;
 
     void onSnapshot(const TableSnapshot& snapshot) override
@@ -63,6 +64,7 @@
     }
     void onStoreLost(const Failure&) override { recorded.push_back("lost"); }
     void onOutageReported() override { recorded.push_back("outage"); }
+    void onRead(SteadyTime startedAt) override { readsBegan.push_back(startedAt); }
     void onStoreRegained() override
     {
         if (recorded.empty() || recorded.back() != "regained")
@@ -108,6 +110,19 @@
     BOOST_TEST(run() == expected, boost::test_tools::per_element());
 }
 
+// Guards against data that count as newer than they are, since they were requested before an event and arrive after it.
+BOOST_AUTO_TEST_CASE(TellsWhenEachSuccessfulReadBegan)
+{
+    feed.snapshots = { TableSnapshot { .version = 5 } };
+    feed.changeResults = { storeUnavailable, changesTo(7), TableChanges { .version = 8 } };
+    const auto before = clock.now();
+    run();
+    BOOST_REQUIRE(recorder.readsBegan.size() == 4u); // the last one ends the test
+    BOOST_TEST((recorder.readsBegan.front() >= before));
+    BOOST_TEST(std::is_sorted(recorder.readsBegan.begin(), recorder.readsBegan.end()));
+    BOOST_TEST((recorder.readsBegan.back() <= clock.now()));
+}
+
 // Guards against rows that expired in an outage of the store being taken as gone by an instance that reads the table
 // from another one and has not noticed the outage.
 BOOST_AUTO_TEST_CASE(ReportsAnOutageOfTheSourceBeforeItsRows)
--- a/src/libserving/origin_replicator.cpp
+++ b/src/libserving/origin_replicator.cpp
@@ -94,6 +94,8 @@
     OwnStream& stream, const std::vector<Peer>& peers, std::map<std::string, OriginBatch>& batches)
 {
     stream.needsReplicas = false;
+    auto origin = stream.origin;
+    origin.age += millisecondsOf(m_clock.now() - stream.recordedAt);
     for (const auto& peer : rankPeers(stream.origin.request, peers, replicaCount)) {
         if (stream.rememberedBy.count(peer.instance))
             continue;
@@ -102,7 +104,7 @@
             stream.needsReplicas = true;
             continue;
         }
-        batch.origins.push_back(stream.origin);
+        batch.origins.push_back(origin);
         stream.rememberedBy.insert(peer.instance);
     }
 }
--- a/src/libserving/upstream_directory.cpp
+++ b/src/libserving/upstream_directory.cpp
@@ -16,6 +16,9 @@
 /// How long a software version without upstreams is remembered. It is longer than a stream lasts, retries included.
 constexpr std::chrono::minutes versionMemory { 1 };
 
+/// How long the end of a process is remembered. It is longer than a stream lasts, retries included.
+constexpr std::chrono::minutes endMemory { 1 };
+
 /// How long a removal is remembered. It is longer than the time by which a copy of the store is outdated.
 constexpr std::chrono::minutes removalMemory { 2 };
 
@@ -50,6 +53,8 @@
         it != m_announcements.end() && it->second.startedAt != entry.startedAt)
         m_announcements.erase(it);
     const bool isSameProcess = entry.startedAt != 0 && entry.startedAt == record.entry.startedAt;
+    if (!isSameProcess && !record.entry.id.empty())
+        recordEnd(record.entry);
     if (isSameProcess && record.entry.isDraining)
         entry.isDraining = true;
     if (!record.entry.service.empty())
@@ -138,9 +143,31 @@
     const auto now = m_clock.now();
     std::erase_if(m_removed, [now](const auto& it) { return now - it.second > removalMemory; });
     m_removed[{ entry.id, entry.startedAt }] = now;
+    recordEnd(entry);
     m_versionsSeen[{ entry.service, entry.softwareVersion }] = now;
 }
 
+void UpstreamDirectory::recordEnd(const UpstreamEntry& entry)
+{
+    const auto now = m_clock.now();
+    std::erase_if(m_ended, [now](const auto& it) { return now - it.second > endMemory; });
+    m_ended[{ entry.id, entry.startedAt }] = m_currentAsOf.value_or(now);
+}
+
+void UpstreamDirectory::recordRead(SteadyTime startedAt)
+{
+    m_currentAsOf = std::max(m_currentAsOf.value_or(startedAt), startedAt);
+}
+
+bool UpstreamDirectory::wasRunning(const std::string& id, std::uint64_t startedAt, SteadyTime time) const
+{
+    const auto* entry = find(id);
+    if (entry && entry->startedAt == startedAt)
+        return true;
+    const auto it = m_ended.find({ id, startedAt });
+    return it != m_ended.end() && time <= it->second;
+}
+
 void UpstreamDirectory::recordStoreLost() { m_isStoreLost = true; }
 
 void UpstreamDirectory::recordStoreRegained()
--- a/testsuite/software-versions/run.py
+++ b/testsuite/software-versions/run.py
@@ -2,7 +2,8 @@
 
 Guards against: a stream with events of two versions, in one response or over the tries of a caller; streams that are not
 continued although an engine of their version serves; both also when the instance is lost at which the stream began, or the
-lease holder with it, and the callers come back at once.
+lease holder with it, and the callers come back at once; the version that an instance names which was suspended while an engine
+was restarted with another one under the same id.
 """
 
 import concurrent.futures
@@ -58,6 +59,54 @@
         site.end_disruption(lost.name)
 
 
+def restart_engine(site, engine, version):
+    """Restarts an engine under its id with another version and with m-0 loaded."""
+    def load_and_announce():
+        engine.models = {"m-0": set()}
+        engine.announce()
+    engine.version = version
+    site.run_coroutine(engine.crash(restart_after=0.05))
+    site.call_on_loop(load_and_announce)
+
+
+def begin_streams_with_old_directory(site, instance, count):
+    """Suspends an instance while engine-2 restarts, and kills it after it woke and began streams there; returns those that
+    broke off."""
+    site.begin_disruption(instance.name)
+    instance.process.pause()
+    # The pending read of the entries ends with this one, so that the instance reads the others some time after it woke.
+    board = site.workers["plain-0"]
+    board.slots += 1
+    site.call_on_loop(board.announce)
+    time.sleep(0.1)
+    restart_engine(site, site.workers["engine-2"], "v1")
+    with concurrent.futures.ThreadPoolExecutor(count) as pool:
+        requests = [note_request("m-0", parts=((f"own{it}", 50),)) for it in range(count)]
+        calls = [pool.submit(site.call, instance, it) for it in requests]
+        time.sleep(REPORT_S)
+        instance.process.resume()
+        time.sleep(FIRST_EVENT_S)
+        instance.process.kill()
+        outcomes = [it.result() for it in calls]
+    return [it for it in outcomes if it.events and not it.is_complete]
+
+
+def suspend_instance(script, site, instances):
+    for engine in ("engine-0", "engine-1", "engine-2"):
+        site.workers[engine].event_interval = EVENT_INTERVAL_S
+    restart_engine(site, site.workers["engine-2"], "v2")
+    time.sleep(2 * REPORT_S)
+    broken = begin_streams_with_old_directory(site, instances[0], 12)
+    ran_at = {it.request: it.worker for it in site.runs}
+    at_restarted = [it for it in broken if ran_at[it.request] == "engine-2"]
+    for number, stream in enumerate(broken):
+        take_up(site, instances[1 + number % 2], stream, tries=1)
+    script.say(f"streams began at the restarted engine: {len(at_restarted) > 0}")
+    site.start_instance(instances[0].name, instances[0].zone)
+    site.wait_ready(instances[0])
+    site.end_disruption(instances[0].name)
+
+
 def take_up(site, instance, broken, tries=TAKE_UP_TRIES):
     """Takes a stream up as a caller does, with a few tries."""
     headers = (("Last-Event-Id", str(broken.events[-1][0])), ("Resumes", broken.request))
@@ -96,6 +145,8 @@
             site.end_disruption(lost.name)
         script.section("an instance is killed while it serves streams")
         lose_each_instance(script, site, instances)
+        script.section("an instance is suspended while an engine is restarted with another version")
+        suspend_instance(script, site, instances)
         script.section("the engines of one version leave")
         broken = break_streams(site, instances, 12)
         site.run_coroutine(site.workers["engine-1"].crash())
