Keep the handover pause over a restart of the holder that acquired the lease

Cause: a new process takes its instance's lease back without a pause, since its earlier process sends no orders any more; that the earlier process was still waiting for the end of another holder's was not in the row.

Change: the row says whether it was written before the end of the handover pause. A new process that finds such a row of its own begins the pause again; a process knows the pause of its own writes. Rows of earlier versions lack the field and count as before.

APlacementLease/KeepsTheHandoverPauseUntilItsEnd failed before.

--- a/src/include/bulrushstack/serving/placement_lease.h
+++ b/src/include/bulrushstack/serving/placement_lease.h
@@ -17,6 +17,9 @@
     /// Whether the row was restored from a copy and not written since, so that another instance may have held the lease
     /// after it.
     bool isFromCopy = false;
+    /// Whether the holder wrote the row before the end of its handover pause, so that the orders of another instance
+    /// may be recent.
+    bool isInHandover = false;
 
     friend bool operator==(const LeaseRecord&, const LeaseRecord&) = default;
 };
@@ -63,6 +66,9 @@
     /// Returns the row version that the conditional write must expect; 0 if the row must not exist.
     std::uint64_t expectedVersion() const { return m_record ? m_record->version : 0; }
 
+    /// Returns whether a row that is written now precedes the end of the handover pause.
+    bool isInHandover(SteadyTime now) const;
+
     /// Records a successful write. `version` is the new version of the row, `sentAt` the time before the write was
     /// sent.
     void recordWrite(std::uint64_t version, const Address& address, SteadyTime sentAt);
--- a/src/libfront/lease_manager.cpp
+++ b/src/libfront/lease_manager.cpp
@@ -167,7 +167,10 @@
 asio::awaitable<void> LeaseManager::writeLease()
 {
     const auto sentAt = m_state.clock().bootNow();
-    auto transaction = makeLeaseTransaction(m_lease.expectedVersion(), m_state.instanceId(), m_self.address.toString());
+    const LeaseRecord record {
+        .holder = m_state.instanceId(), .address = m_self.address, .isInHandover = m_lease.isInHandover(sentAt)
+    };
+    auto transaction = makeLeaseTransaction(m_lease.expectedVersion(), record);
     auto version
         = co_await m_binding.tableService().commit(std::move(transaction), m_state.clock().now() + leaseCallTimeout);
     if (version) {
@@ -196,7 +199,7 @@
     m_isReleased = true;
     if (!wasHolder)
         co_return;
-    auto transaction = makeLeaseTransaction(m_lease.expectedVersion(), "", "");
+    auto transaction = makeLeaseTransaction(m_lease.expectedVersion(), LeaseRecord());
     auto released
         = co_await m_binding.tableService().commit(std::move(transaction), m_state.clock().now() + leaseCallTimeout);
     LOG(INFO) << "event=lease-released fence=" << m_lease.fence() << " error=\""
--- a/src/libfront/lease_row.cpp
+++ b/src/libfront/lease_row.cpp
@@ -9,14 +9,17 @@
         return out;
     out.holder = row.value.value("holder", "");
     out.address = parseAddress(row.value.value("address", "")).value_or(Address());
-    // Instances of the previous version do not write the field.
+    // Instances of previous versions do not write these fields.
+    out.isInHandover = row.value.value("handover", false);
     out.isFromCopy = row.value.value("restorations", std::uint64_t { 0 }) != restorationsOf(row.version);
     return out;
 }
 
-Transaction makeLeaseTransaction(RowVersion version, const std::string& holder, const std::string& address)
+Transaction makeLeaseTransaction(RowVersion version, const LeaseRecord& record)
 {
-    nlohmann::json value { { "holder", holder }, { "address", address }, { "restorations", restorationsOf(version) } };
+    const std::string address = record.holder.empty() ? std::string() : record.address.toString();
+    nlohmann::json value { { "holder", record.holder }, { "address", address },
+        { "restorations", restorationsOf(version) }, { "handover", record.isInHandover } };
     return { .conditions = { { .id = leaseRowId, .version = version } },
         .writes = { { .id = leaseRowId, .value = std::move(value) } } };
 }
--- a/src/libfront/lease_row.h
+++ b/src/libfront/lease_row.h
@@ -14,8 +14,8 @@
 /// tell whether the store holds it only since it was restored from a copy.
 LeaseRecord decodeLeaseRow(const Row& row);
 
-/// Returns a transaction that writes the lease's row if the row has the given version. An empty holder releases the
-/// lease.
-Transaction makeLeaseTransaction(RowVersion version, const std::string& holder, const std::string& address);
+/// Returns a transaction that writes the lease's row if the row has the given version. A record without a holder
+/// releases the lease.
+Transaction makeLeaseTransaction(RowVersion version, const LeaseRecord& record);
 
 } // namespace bulrushstack
--- a/src/libfront/lease_row_test.cpp
+++ b/src/libfront/lease_row_test.cpp
@@ -9,9 +9,12 @@
 constexpr RowVersion afterOneRestoration = (RowVersion(1) << restorationShift) | 5;
 
 /// Returns the row that a holder writes, as the store holds it under another version afterwards.
-Row rowWritten(RowVersion expected, RowVersion version)
+Row rowWritten(RowVersion expected, RowVersion version, bool isInHandover = false)
 {
-    const auto transaction = makeLeaseTransaction(expected, "front-1", "10.0.0.1:7380");
+    const LeaseRecord record {
+        .holder = "front-1", .address = { .host = "10.0.0.1", .port = 7380 }, .isInHandover = isInHandover
+    };
+    const auto transaction = makeLeaseTransaction(expected, record);
     return { .id = leaseRowId, .version = version, .value = *transaction.writes.front().value };
 }
 
@@ -33,6 +36,19 @@
     BOOST_TEST(!decodeLeaseRow(rowWritten(afterOneRestoration, afterOneRestoration + 1)).isFromCopy);
 }
 
+BOOST_AUTO_TEST_CASE(TellsWhetherItsHolderMaySendOrders)
+{
+    BOOST_TEST(decodeLeaseRow(rowWritten(4, 5, true)).isInHandover);
+    BOOST_TEST(!decodeLeaseRow(rowWritten(4, 5, false)).isInHandover);
+}
+
+BOOST_AUTO_TEST_CASE(NamesNoHolderAfterItsRelease)
+{
+    const auto transaction = makeLeaseTransaction(4, LeaseRecord());
+    const auto record = decodeLeaseRow({ .id = leaseRowId, .version = 5, .value = *transaction.writes.front().value });
+    BOOST_CHECK((record == LeaseRecord { .version = 5 }));
+}
+
 BOOST_AUTO_TEST_CASE(OfAnotherProgramNamesNoHolder)
 {
     BOOST_TEST(decodeLeaseRow({ .id = leaseRowId, .version = 5, .value = "x" }).holder.empty());
--- a/src/libserving/placement_lease.cpp
+++ b/src/libserving/placement_lease.cpp
@@ -64,8 +64,15 @@
 
 bool PlacementLease::isHeldByOther() const { return m_record && !m_record->holder.empty() && !isOwn(); }
 
+bool PlacementLease::isInHandover(SteadyTime now) const
+{
+    const bool isAcquiredFromOther = !isHolder(now) && previousHolder(now) == LeaseOrigin::OtherInstance;
+    return isAcquiredFromOther || now < m_ordersAllowedFrom;
+}
+
 /// Returns from whom this instance acquires the lease. A restored store may name an earlier holder, or none, although
-/// another instance has held the lease since.
+/// another instance has held the lease since. An earlier process of this instance may have ended before it could send
+/// orders.
 LeaseOrigin PlacementLease::previousHolder(SteadyTime now) const
 {
     if (m_hasOtherHeld)
@@ -73,8 +80,8 @@
     if (!m_record)
         return LeaseOrigin::New;
     const bool isLeaseUnexpired = m_lastWriteSentAt && now < after(*m_lastWriteSentAt, m_options.validity);
-    const bool isLastHolder = isOwn() && (!m_record->isFromCopy || isLeaseUnexpired);
-    return isLastHolder ? LeaseOrigin::EarlierProcess : LeaseOrigin::OtherInstance;
+    const bool isOtherRecent = m_record->isFromCopy ? !isLeaseUnexpired : m_record->isInHandover && !m_lastWriteSentAt;
+    return isOwn() && !isOtherRecent ? LeaseOrigin::EarlierProcess : LeaseOrigin::OtherInstance;
 }
 
 void PlacementLease::recordLoss() { m_validUntil.reset(); }
--- a/src/libserving/placement_lease_test.cpp
+++ b/src/libserving/placement_lease_test.cpp
@@ -31,8 +31,17 @@
     /// Records a write by one instance and lets the other read the row.
     void write(Instance& writer, Instance& reader, std::uint64_t version)
     {
+        reader.lease.observe(write(writer, version), clock.bootNow());
+    }
+
+    /// Records a write by one instance and returns the row.
+    LeaseRecord write(Instance& writer, std::uint64_t version)
+    {
+        const bool isInHandover = writer.lease.isInHandover(clock.bootNow());
         writer.lease.recordWrite(version, address, clock.bootNow());
-        reader.lease.observe(writer.lease.record(), clock.bootNow());
+        auto out = *writer.lease.record();
+        out.isInHandover = isInHandover;
+        return out;
     }
 };
 
@@ -113,6 +122,59 @@
     BOOST_CHECK(first.lease.origin() == LeaseOrigin::EarlierProcess);
 }
 
+BOOST_AUTO_TEST_SUITE(WhenTheHolderIsRestarted)
+
+// Guards against orders of a new holder that is restarted during its handover pause, soon after those of the holder
+// before.
+BOOST_AUTO_TEST_CASE(KeepsTheHandoverPauseUntilItsEnd)
+{
+    second.lease.observe(LeaseRecord { .holder = "first", .version = 4 }, clock.bootNow());
+    clock.advance(3s);
+    const auto row = write(second, 5);
+    clock.advance(2s);
+    Instance restarted("second", clock);
+    restarted.lease.observe(row, clock.bootNow());
+    BOOST_TEST(restarted.shouldWrite());
+    const auto next = write(restarted, 6);
+    BOOST_TEST(next.isInHandover);
+    BOOST_CHECK(restarted.lease.origin() == LeaseOrigin::OtherInstance);
+    clock.advance(2s);
+    write(restarted, 7);
+    clock.advance(1299ms);
+    BOOST_TEST(!restarted.maySendOrders());
+    clock.advance(1ms);
+    BOOST_TEST(restarted.maySendOrders());
+}
+
+BOOST_AUTO_TEST_CASE(IsTakenBackAtOnceAfterThePause)
+{
+    second.lease.observe(LeaseRecord { .holder = "first", .version = 4 }, clock.bootNow());
+    clock.advance(3s);
+    write(second, 5);
+    clock.advance(2s);
+    write(second, 6);
+    clock.advance(1300ms);
+    const auto row = write(second, 7);
+    Instance restarted("second", clock);
+    restarted.lease.observe(row, clock.bootNow());
+    write(restarted, 8);
+    BOOST_TEST(restarted.maySendOrders());
+}
+
+// Guards against a pause that begins anew with each lost renewal.
+BOOST_AUTO_TEST_CASE(IsNotPausedAnewForTheSameProcess)
+{
+    second.lease.observe(LeaseRecord { .holder = "first", .version = 4 }, clock.bootNow());
+    clock.advance(3s);
+    second.lease.observe(write(second, 5), clock.bootNow());
+    clock.advance(3300ms);
+    BOOST_TEST(!second.lease.isHolder(clock.bootNow()));
+    write(second, 6);
+    BOOST_TEST(second.maySendOrders());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_CASE(IsFreeAfterItsReleaseButKeepsTheHandoverPause)
 {
     second.lease.observe(LeaseRecord { .holder = "", .version = 4 }, clock.bootNow());
--- a/testsuite/platform-faults/run.py
+++ b/testsuite/platform-faults/run.py
@@ -6,6 +6,7 @@
 unreachable.
 """
 
+import signal
 import time
 
 import serving_site
@@ -111,6 +112,24 @@
     script.say("served by orders of another instance, and by the thawed one")
 
 
+def restart_next_holder(script, site, instances):
+    script.section("the instance that gives the orders is stopped, and the next one is killed before it gives any")
+    holder, (successor, *_) = holder_of(site, instances)
+    site.wait_served(holder, brief_request("m-2/a0"), "an adapter is loaded")
+    holder.process.send_signal(signal.SIGTERM)
+    wait_until(lambda: "event=lease-released" in holder.log(), "the lease is released")
+    writes = len(site.store.writes)
+    wait_until(lambda: any(port == successor.name for _, port, _ in site.store.writes[writes:]), "the other instance holds the lease")
+    successor.process.kill()
+    site.start_instance(successor.name, successor.zone)
+    site.wait_ready(successor)
+    site.wait_served(successor, brief_request("m-2/a1"), "another adapter is loaded")
+    script.say("served by orders of its next process")
+    holder.process.wait()
+    site.start_instance(holder.name, holder.zone)
+    site.wait_ready(holder)
+
+
 def crash_upstreams(script, site, instances):
     script.section("a request that crashes whatever runs it comes again and again")
     crashing_request = brief_request("m-0", parts=(("dead", 50),))
@@ -177,6 +196,7 @@
         lose_store(script, site, instances)
         delay_orders(script, site, instances)
         lose_holder(script, site, instances)
+        restart_next_holder(script, site, instances)
         crash_upstreams(script, site, instances)
         worker_notices(script, site, instances)
         drain_upstream(script, site, instances)
