Send no order after the end of the lease, however long its connection took

The call's timeout of 0.7 s stands on a clock that stops with the machine, and without a suspension it still allowed an order 0.7 s after the end of the lease, 2.6 s before the first one of a successor.

Cause: the lease was checked once, before an asynchronous connect. Class: a permission that is not checked again at its use.

Change: HttpCallOptions::sendBy, a time on the clock that counts suspension, is checked after the connection is there, just before the request is written; orders carry the end of the lease. What is left is a pause between this check and the write itself, on which fence and expected count hold.

--- a/src/include/bulrushstack/front/front_binding.h
+++ b/src/include/bulrushstack/front/front_binding.h
@@ -107,13 +107,22 @@
     friend bool operator==(const OrderReply&, const OrderReply&) = default;
 };
 
+/// Times of an order.
+struct OrderTimes {
+    SteadyTime deadline {}; ///< Time by which the response must have arrived, as a reading of Clock::now().
+    SteadyTime sendBy {}; ///< End of the sender's lease, as a reading of Clock::bootNow(); the order is not sent later.
+
+    friend bool operator==(const OrderTimes&, const OrderTimes&) = default;
+};
+
 /// Sends orders to load and unload models and adapters to upstreams, and fetches reports of their state.
 class UpstreamControl {
 public:
     virtual ~UpstreamControl() = default;
 
-    /// Sends an order. The result is OrderResult::Unknown if it is uncertain whether the upstream accepted the order.
-    virtual boost::asio::awaitable<OrderReply> sendOrder(Address address, UpstreamOrder order, SteadyTime deadline) = 0;
+    /// Sends an order. The result is OrderResult::Unknown if it is uncertain whether the upstream accepted the order,
+    /// and OrderResult::Conflict if it was not sent in time.
+    virtual boost::asio::awaitable<OrderReply> sendOrder(Address address, UpstreamOrder order, OrderTimes times) = 0;
 
     /// Fetches a report of the upstream's state. Fails with the error of the call, with Errc::Unavailable for a
     /// response without a report, or with Errc::Malformed.
--- a/src/include/bulrushstack/net/http_client.h
+++ b/src/include/bulrushstack/net/http_client.h
@@ -38,6 +38,11 @@
     /// Time at which the call fails with Errc::Timeout, however far it has progressed.
     SteadyTime deadline = SteadyTime::max();
 
+    /// Reading of Clock::bootNow() from which on the request is no longer sent: the call then fails with Errc::Timeout
+    /// and Verdict::NotRun. For requests whose permission ends, also if the process or its machine is suspended while
+    /// the connection is being established.
+    std::optional<SteadyTime> sendBy;
+
     /// Time by which the complete response header must have arrived; `progressTimeout` then applies to the body only.
     /// Intended for long polling, where the server delays the response until an event occurs and then sends a long
     /// body.
--- a/src/include/bulrushstack/serving/placement_lease.h
+++ b/src/include/bulrushstack/serving/placement_lease.h
@@ -82,6 +82,10 @@
     /// Returns whether this instance holds a valid lease and the handover pause is over.
     bool maySendOrders(SteadyTime now) const;
 
+    /// Returns the time at which the lease ends unless it is renewed, as a reading of Clock::bootNow(); empty if this
+    /// instance does not hold it.
+    const std::optional<SteadyTime>& validUntil() const { return m_validUntil; }
+
     /// Returns the fencing token for the orders: the version of the row when this instance became the holder.
     std::uint64_t fence() const { return m_fence; }
 
--- a/src/libfront/placement_agent.cpp
+++ b/src/libfront/placement_agent.cpp
@@ -364,7 +364,8 @@
     order = placement->tracker.beginOrder(std::move(order));
     const auto sentAt = m_state.clock().now();
     const auto startedAt = entry->startedAt;
-    const auto reply = co_await m_binding.upstreamControl().sendOrder(entry->address, order, sentAt + orderTimeout);
+    const OrderTimes times { .deadline = sentAt + orderTimeout, .sendBy = *m_leaseManager.lease().validUntil() };
+    const auto reply = co_await m_binding.upstreamControl().sendOrder(entry->address, order, times);
     const auto result = reply.result;
     if (reply.isLeaving)
         m_state.markLeaving(order.upstreamId, startedAt, "order");
--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -112,6 +112,12 @@
 
     void closeIdle(const Address& address) { m_idle.erase(address); }
 
+    /// Returns whether a request may still be sent; see HttpCallOptions::sendBy.
+    bool maySend(const HttpCallOptions& options) const
+    {
+        return !options.sendBy || m_clock.bootNow() < *options.sendBy;
+    }
+
     /// Sets the timeout of the next operation on the stream from the deadline and the progress timeout. Returns false
     /// if the deadline has passed.
     bool setOperationTimeout(beast::tcp_stream& stream, const HttpCallOptions& options) const
@@ -462,6 +468,8 @@
             co_return cancellationFailure(Verdict::NotRun);
         options.cancellation->setCloseCallback(makeCloseCallback(connection));
     }
+    if (!pool->maySend(options))
+        co_return deadlineFailure(Verdict::NotRun);
     const bool isHead = request.method == "HEAD";
     ++connection->requests;
     auto ec = co_await sendRequest(connection, toMessage(address, std::move(request)));
--- a/src/libnet/http_client_test.cpp
+++ b/src/libnet/http_client_test.cpp
@@ -57,6 +57,23 @@
     BOOST_TEST(handler.requests() == 0);
 }
 
+// Guards against a request that is sent although the permission for it ended while its sender was suspended.
+BOOST_AUTO_TEST_CASE(SuspensionWhileConnectingSendsNothing)
+{
+    ManualClock suspendedClock;
+    HttpClient suspended(context, suspendedClock);
+    std::optional<Result<HttpResponse>> response;
+    boost::asio::co_spawn(context, suspended.call(address, HttpRequest(), { .sendBy = suspendedClock.bootNow() + 1s }),
+        [&](std::exception_ptr, Result<HttpResponse> result) { response.emplace(std::move(result)); });
+    boost::asio::post(context, [&] { suspendedClock.suspend(1s); });
+    context.restart();
+    context.run_for(100ms);
+    BOOST_REQUIRE(response.has_value());
+    BOOST_REQUIRE(response->has_error());
+    BOOST_TEST((response->error().verdict == Verdict::NotRun));
+    BOOST_TEST(handler.requests() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(OversizedResponseIsAFailure)
 {
     auto response = call("POST", "/echo", std::string(100, 'x'), { .bodyLimit = 10 });
