Send no request on a permit that became void while the request waited to be sent

Cause and class: as for orders, a permission that is not checked again at its use.

Change: a permit carries the time until which it may be used, and the attempt passes it on as HttpCallOptions::sendBy.

Result: RequestForwarderTests/GetsNothingOnAVoidPermit failed without it and passes.

--- a/src/libfront/front_test_support.h
+++ b/src/libfront/front_test_support.h
@@ -119,8 +119,10 @@
     unsigned left = 0;
     std::chrono::milliseconds retryAfter { 30'000 };
     unsigned asked = 0;
+    Permit permit; ///< The permits that are granted.
 
-    boost::asio::awaitable<bool> obtain(std::string upstream, std::uint64_t startedAt, SteadyTime) override
+    boost::asio::awaitable<std::optional<Permit>> obtain(
+        std::string upstream, std::uint64_t startedAt, SteadyTime) override
     {
         ++asked;
         const bool isGranted = left > 0;
@@ -128,7 +130,7 @@
             --left;
         else
             m_state.directory().recordNoPermit(upstream, startedAt, retryAfter);
-        co_return isGranted;
+        co_return isGranted ? std::optional(permit) : std::nullopt;
     }
 
 private:
--- a/src/libfront/permit_client.cpp
+++ b/src/libfront/permit_client.cpp
@@ -40,11 +40,12 @@
     return m_issuer.isExhausted(upstream.id, upstream.startedAt);
 }
 
-asio::awaitable<bool> PermitClient::obtain(std::string upstream, std::uint64_t startedAt, SteadyTime deadline)
+asio::awaitable<std::optional<Permit>> PermitClient::obtain(
+    std::string upstream, std::uint64_t startedAt, SteadyTime deadline)
 {
     const auto limit = m_state.directory().rateLimit(upstream);
     if (!limit)
-        co_return true;
+        co_return Permit();
     const PermitRequest request { .upstream = upstream,
         .startedAt = startedAt,
         .requestsPerSecond = limit->requestsPerSecond,
@@ -55,11 +56,12 @@
         LOG(INFO) << "event=permit-unavailable upstream=" << upstream << " error=\"" << reply.error().detail << "\"";
         reply = issueOwnShare(request);
     }
-    if (reply->isGranted && m_state.clock().bootNow() - askedAt <= permitLifetime)
-        co_return true;
+    const Permit permit { .sendBy = askedAt + permitLifetime };
+    if (reply->isGranted && m_state.clock().bootNow() < *permit.sendBy)
+        co_return permit;
     const auto retryAfter = reply->isGranted ? retryAfterHolderLost : reply->retryAfter;
     m_state.directory().recordNoPermit(upstream, startedAt, retryAfter);
-    co_return false;
+    co_return std::nullopt;
 }
 
 asio::awaitable<Result<PermitReply>> PermitClient::askHolder(PermitRequest request, SteadyTime deadline)
--- a/src/libfront/permit_client.h
+++ b/src/libfront/permit_client.h
@@ -22,7 +22,8 @@
 public:
     PermitClient(FrontState& state, HttpClient& client, const LeaseHolder& leaseHolder);
 
-    boost::asio::awaitable<bool> obtain(std::string upstream, std::uint64_t startedAt, SteadyTime deadline) override;
+    boost::asio::awaitable<std::optional<Permit>> obtain(
+        std::string upstream, std::uint64_t startedAt, SteadyTime deadline) override;
 
     /// Issues a permit as the holder of the placement lease.
     PermitReply issueAsHolder(const PermitRequest& request);
--- a/src/libfront/permit_client_test.cpp
+++ b/src/libfront/permit_client_test.cpp
@@ -34,7 +34,7 @@
         state.directory().recordRateLimit("a", 1, 2.0, clock.now());
     }
 
-    bool obtain() { return runAwaitable(context, permits.obtain("a", 1, clock.now() + 5s)); }
+    bool obtain() { return runAwaitable(context, permits.obtain("a", 1, clock.now() + 5s)).has_value(); }
     bool isUsable() { return state.directory().usable("s").size() == 1; }
 };
 
@@ -56,7 +56,9 @@
     BOOST_TEST(!isUsable());
     clock.advance(500ms);
     BOOST_TEST(isUsable());
-    BOOST_TEST(obtain());
+    const auto permit = runAwaitable(context, permits.obtain("a", 1, clock.now() + 5s));
+    BOOST_REQUIRE(permit.has_value());
+    BOOST_TEST((permit->sendBy == clock.bootNow() + 400ms));
 }
 
 BOOST_AUTO_TEST_SUITE(WithAnotherHolder)
--- a/src/libfront/request_attempt.cpp
+++ b/src/libfront/request_attempt.cpp
@@ -121,6 +121,7 @@
     options.isCloseDelimitedBodyAccepted = true;
     options.bodyLimit = m_configuration->limits().bodyBytes;
     options.cancellation = m_cancellation;
+    options.sendBy = m_permit.sendBy;
     auto stream = co_await m_dependencies.client.open(
         attempt.address, m_dependencies.format.encode(m_exchange.request(), forwardingFields), options);
     if (!stream) {
--- a/src/libfront/request_forwarder.cpp
+++ b/src/libfront/request_forwarder.cpp
@@ -300,12 +300,17 @@
     const auto startedAt = candidate.upstream->startedAt;
     const bool isUnconfirmed = mustConfirmVersion(id);
     const bool isLimited = m_state.directory().rateLimit(id).has_value();
+    m_permit = {};
     if (!isUnconfirmed && !isLimited)
         co_return candidate;
     if (isUnconfirmed && !co_await confirmVersion(id))
         co_return std::nullopt;
-    if (isLimited && !co_await m_dependencies.permits.obtain(id, startedAt, m_deadline))
-        co_return std::nullopt;
+    if (isLimited) {
+        const auto permit = co_await m_dependencies.permits.obtain(id, startedAt, m_deadline);
+        if (!permit)
+            co_return std::nullopt;
+        m_permit = *permit;
+    }
     // The directory may have changed meanwhile.
     const auto ranked = rankCandidates();
     const auto it
--- a/src/libfront/request_forwarder.h
+++ b/src/libfront/request_forwarder.h
@@ -28,15 +28,25 @@
     virtual boost::asio::awaitable<Result<std::string>> placeAdapter(AdapterDemand demand, SteadyTime deadline) = 0;
 };
 
+/// Permission to send one request to an upstream.
+struct Permit {
+    /// Reading of Clock::bootNow() from which on the permit is void; empty if the upstream states no rate limit.
+    std::optional<SteadyTime> sendBy;
+
+    friend bool operator==(const Permit&, const Permit&) = default;
+};
+
 /// Obtains permits for requests to upstreams that state a rate limit; implemented by PermitClient.
 class PermitSource {
 public:
     virtual ~PermitSource() = default;
 
-    /// Returns whether a request may be sent to the upstream at once. If not, the directory lists the upstream as
+    /// Returns a permit if a request may be sent to the upstream at once. If not, the directory lists the upstream as
     /// suspended until a permit can be expected. `startedAt` is the start time of the upstream's process, in Unix
     /// milliseconds.
-    virtual boost::asio::awaitable<bool> obtain(std::string upstream, std::uint64_t startedAt, SteadyTime deadline) = 0;
+    virtual boost::asio::awaitable<std::optional<Permit>> obtain(
+        std::string upstream, std::uint64_t startedAt, SteadyTime deadline)
+        = 0;
 };
 
 /// Remembers where streams began, and finds out where one began that a caller takes up again; implemented by
@@ -165,6 +175,8 @@
     SteadyTime m_beganAt {}; ///< Time of the first event of m_origin.
     /// Upstreams whose row in the store names the software version of the stream.
     std::set<std::string> m_confirmedUpstreams;
+    /// Permit for the next attempt.
+    Permit m_permit;
     EventSplitter m_eventSplitter;
     /// Framing of the last response whose body was read.
     std::optional<BodyFraming> m_responseFraming;
--- a/src/libfront/request_forwarder_test.cpp
+++ b/src/libfront/request_forwarder_test.cpp
@@ -88,6 +88,18 @@
     BOOST_TEST(permits.asked == 2u);
 }
 
+// Guards against a request that is sent on a permit which became void while this instance was paused.
+BOOST_AUTO_TEST_CASE(GetsNothingOnAVoidPermit)
+{
+    addUpstream({ okResponseWithLimit, okResponse });
+    addUpstream({ okResponse });
+    BOOST_TEST(call("/once/x")->status == 200u);
+    permits.left = 1;
+    permits.permit = { .sendBy = clock.bootNow() };
+    BOOST_TEST(call("/once/x")->status == 200u);
+    BOOST_TEST(upstreams[0]->received().size() == 1u);
+}
+
 // Guards against clients that wait, or that do not learn when to retry, while no upstream may get a request.
 BOOST_AUTO_TEST_CASE(RejectsAtOnceWhileAllUpstreamsLackAPermit)
 {
