--- a/src/include/bulrushstack/kernel/result.h
+++ b/src/include/bulrushstack/kernel/result.h
@@ -39,6 +39,9 @@
     friend bool operator==(const Failure&, const Failure&) = default;
 };
 
+/// Returns the failure of a call that certainly did not run because what it needs is not there.
+Failure unavailableFailure(std::string detail);
+
 /// Customization point of boost::system::result: Result<T>::value() calls it for a failure. Throws std::system_error.
 [[noreturn]] void throw_exception_from_error(const Failure& failure, const boost::source_location& location);
 
--- a/src/include/bulrushstack/net/http.h
+++ b/src/include/bulrushstack/net/http.h
@@ -71,6 +71,9 @@
 /// Returns a response with the given status and body and with Content-Type application/json.
 HttpResponse jsonResponse(unsigned status, std::string body);
 
+/// Returns the response of one instance to another one whose request it cannot answer.
+HttpResponse jsonErrorResponse(unsigned status, std::string_view reason);
+
 /// Decodes %XX escapes. Returns an empty optional if an escape is malformed or encodes a NUL byte.
 std::optional<std::string> percentDecode(std::string_view text);
 
--- a/src/include/bulrushstack/serving/placement_planner.h
+++ b/src/include/bulrushstack/serving/placement_planner.h
@@ -43,9 +43,9 @@
 /// It reacts to demand that shifts between models within seconds and to upstreams that restart empty. Models without a
 /// copy come first; after that, copies follow the demand, one change per upstream and plan. The last copy of a model is
 /// unloaded only for a model without a copy whose requests are being missed and whose need is greater by
-/// replacementNeedRatio. A model that streams wait for at one software version, which callers take up, counts as one
-/// without a copy while only upstreams of other versions have it. `leaving` names upstreams that are draining: their
-/// copies do not count and they get no orders.
+/// replacementNeedRatio. Streams that callers take up need a copy at the software version that began them; a model
+/// without such a copy counts as one without any. `leaving` names upstreams that are draining: their copies do not
+/// count and they get no orders.
 std::vector<PlannedChange> planPlacement(const std::string& service, const ResidencyTracker& tracker,
     const DemandEstimator& demand, const std::set<std::string>& leaving, const PlannerOptions& options);
 
--- a/src/libfront/permit_client.cpp
+++ b/src/libfront/permit_client.cpp
@@ -17,11 +17,6 @@
 /// them sends a first request at the same time, which upstreams with a rate limit tolerate only up to a few requests.
 constexpr double ownShareInstances = 4;
 
-Failure unavailableFailure(std::string detail)
-{
-    return { .code = Errc::Unavailable, .verdict = Verdict::NotRun, .detail = std::move(detail) };
-}
-
 } // namespace
 
 PermitClient::PermitClient(FrontState& state, HttpClient& client, const LeaseHolder& leaseHolder)
--- a/src/libfront/placement_agent.cpp
+++ b/src/libfront/placement_agent.cpp
@@ -30,16 +30,6 @@
 constexpr std::chrono::milliseconds adapterActivationDelay { 16 };
 constexpr std::chrono::milliseconds adapterPollInterval { 6 };
 
-Failure unavailableFailure(std::string detail)
-{
-    return { .code = Errc::Unavailable, .verdict = Verdict::NotRun, .detail = std::move(detail) };
-}
-
-HttpResponse jsonErrorResponse(unsigned status, std::string_view reason)
-{
-    return jsonResponse(status, nlohmann::json { { "error", reason } }.dump());
-}
-
 } // namespace
 
 PlacementAgent::PlacementAgent(FrontState& state, HttpClient& client, FrontBinding& binding, FrontMetrics& metrics,
@@ -79,42 +69,51 @@
 asio::awaitable<void> PlacementAgent::handle(HttpExchange& exchange)
 {
     const auto& request = exchange.request();
-    const bool isHolder = m_leaseManager.isHolder();
-    if (request.method == "POST" && request.path() == demandPath) {
-        auto message = decodeDemandMessage(request.body);
-        if (!message) {
-            co_await exchange.respond(jsonErrorResponse(400, message.error().detail));
-            co_return;
-        }
-        DemandReply reply;
-        if (isHolder)
-            reply = processDemand(*message);
-        else if (m_relay.tables().isActive())
-            reply = relayDemand(*message);
-        co_await exchange.respond(jsonResponse(200, encode(reply)));
-        co_return;
-    }
-    if (request.method == "POST" && request.path() == adapterPath) {
-        auto demand = decodeAdapterDemand(request.body);
-        if (!demand) {
-            co_await exchange.respond(jsonErrorResponse(400, demand.error().detail));
-            co_return;
-        }
-        auto placed = co_await placeAdapterAsHolder(std::move(*demand), m_state.clock().now() + orderTimeout);
-        auto response = placed ? jsonResponse(200, encode(AdapterReply { .upstream = *placed }))
-                               : jsonErrorResponse(503, placed.error().detail);
-        co_await exchange.respond(std::move(response));
-        co_return;
-    }
-    if (request.method == "POST" && request.path() == permitPath) {
-        auto permitRequest = decodePermitRequest(request.body);
-        auto response = !permitRequest ? jsonErrorResponse(400, permitRequest.error().detail)
-            : isHolder                 ? jsonResponse(200, encode(m_permits.issueAsHolder(*permitRequest)))
-                                       : jsonErrorResponse(503, "this instance does not hold the placement lease");
-        co_await exchange.respond(std::move(response));
-        co_return;
-    }
-    co_await exchange.respond(jsonErrorResponse(404, "unknown path"));
+    const bool isPost = request.method == "POST";
+    HttpResponse response;
+    if (isPost && request.path() == demandPath)
+        response = respondToDemand(request);
+    else if (isPost && request.path() == adapterPath)
+        response = co_await respondToAdapterDemand(request);
+    else if (isPost && request.path() == permitPath)
+        response = respondToPermitRequest(request);
+    else
+        response = jsonErrorResponse(404, "unknown path");
+    co_await exchange.respond(std::move(response));
+}
+
+HttpResponse PlacementAgent::respondToDemand(const HttpRequest& request)
+{
+    const auto message = decodeDemandMessage(request.body);
+    if (!message)
+        return jsonErrorResponse(400, message.error().detail);
+    DemandReply reply;
+    if (m_leaseManager.isHolder())
+        reply = processDemand(*message);
+    else if (m_relay.tables().isActive())
+        reply = relayDemand(*message);
+    return jsonResponse(200, encode(reply));
+}
+
+asio::awaitable<HttpResponse> PlacementAgent::respondToAdapterDemand(const HttpRequest& request)
+{
+    auto demand = decodeAdapterDemand(request.body);
+    if (!demand)
+        co_return jsonErrorResponse(400, demand.error().detail);
+    const auto placed = co_await placeAdapterAsHolder(std::move(*demand), m_state.clock().now() + orderTimeout);
+    if (!placed)
+        co_return jsonErrorResponse(503, placed.error().detail);
+    co_return jsonResponse(200, encode(AdapterReply { .upstream = *placed }));
+}
+
+HttpResponse PlacementAgent::respondToPermitRequest(const HttpRequest& request)
+{
+    const auto permitRequest = decodePermitRequest(request.body);
+    if (!permitRequest)
+        return jsonErrorResponse(400, permitRequest.error().detail);
+    if (!m_leaseManager.isHolder())
+        return jsonErrorResponse(503, "this instance does not hold the placement lease");
+    return jsonResponse(200, encode(m_permits.issueAsHolder(*permitRequest)));
 }
 
 asio::awaitable<Result<std::string>> PlacementAgent::placeAdapter(AdapterDemand demand, SteadyTime deadline)
--- a/src/libfront/placement_agent.h
+++ b/src/libfront/placement_agent.h
@@ -69,6 +69,10 @@
         SteadyTime lastReport {};
     };
 
+    HttpResponse respondToDemand(const HttpRequest& request);
+    boost::asio::awaitable<HttpResponse> respondToAdapterDemand(const HttpRequest& request);
+    HttpResponse respondToPermitRequest(const HttpRequest& request);
+
     boost::asio::awaitable<void> reportDemand();
     boost::asio::awaitable<void> keepQuarantine();
     boost::asio::awaitable<void> sendDemand();
@@ -76,7 +80,8 @@
     void handleReply(const DemandReply& reply, const std::optional<StoreReader>& reader);
     DemandMessage collectDemand();
     DemandReply relayDemand(const DemandMessage& message);
-    void offerPeers(const DemandMessage& message, DemandReply& reply, const std::vector<Peer>& peers) const;
+    bool arePeersNeeded() const;
+    static void offerPeers(const DemandMessage& message, DemandReply& reply, const std::vector<Peer>& peers);
     std::vector<Peer> allPeers();
     void exchangeCrashes(const DemandMessage& message, DemandReply& reply);
     bool knowsAllInstances();
--- a/src/libfront/placement_demand.cpp
+++ b/src/libfront/placement_demand.cpp
@@ -174,16 +174,19 @@
     out.reporters = static_cast<unsigned>(m_directReports.size());
     out.isReader = m_relay.isUsableReader();
     exchangeCrashes(message, out);
-    offerPeers(message, out, m_origins.peers());
+    out.peers.reset();
+    if (arePeersNeeded())
+        offerPeers(message, out, m_origins.peers());
     return out;
 }
 
-/// Adds the peers to the reply if instances have to remember streams for each other and the sender lacks some.
-void PlacementAgent::offerPeers(const DemandMessage& message, DemandReply& reply, const std::vector<Peer>& peers) const
+/// Returns whether instances have to remember streams for each other.
+bool PlacementAgent::arePeersNeeded() const { return !m_state.directory().servicesWithSeveralVersions().empty(); }
+
+/// Adds the peers to the reply if the sender of the message lacks some.
+void PlacementAgent::offerPeers(const DemandMessage& message, DemandReply& reply, const std::vector<Peer>& peers)
 {
-    reply.peers.reset();
-    const bool isNeeded = !peers.empty() && !m_state.directory().servicesWithSeveralVersions().empty();
-    if (isNeeded && message.peerFingerprint != fingerprintOf(peers))
+    if (!peers.empty() && message.peerFingerprint != fingerprintOf(peers))
         reply.peers = peers;
 }
 
@@ -277,7 +280,8 @@
         }
     }
     exchangeCrashes(message, out);
-    offerPeers(message, out, allPeers());
+    if (arePeersNeeded())
+        offerPeers(message, out, allPeers());
     if (knowsAllInstances())
         out.readers = chooseReaders(m_reporters[message.instance].member.zone);
     return out;
--- a/src/libfront/request_forwarder.cpp
+++ b/src/libfront/request_forwarder.cpp
@@ -103,10 +103,8 @@
     }
     if (isTakeUp() && !co_await findStreamVersion()) {
         m_retryAfter = unknownOriginRetryAfter;
-        Failure failure { .code = Errc::Unavailable,
-            .verdict = Verdict::NotRun,
-            .detail = "the stream cannot be taken up at the software version that began it" };
-        co_await respondWithFailure(std::move(failure));
+        co_await respondWithFailure(
+            unavailableFailure("the stream cannot be taken up at the software version that began it"));
         co_return;
     }
     if (m_streamVersion && m_service->engine && rankCandidates().empty())
@@ -125,10 +123,7 @@
             co_return;
         }
         if (!chosen) {
-            Failure failure {
-                .code = Errc::Unavailable, .verdict = Verdict::NotRun, .detail = "no upstream is available"
-            };
-            co_await respondWithFailure(std::move(failure));
+            co_await respondWithFailure(unavailableFailure("no upstream is available"));
             co_return;
         }
         if (auto problem = quarantineProblem()) {
@@ -318,6 +313,7 @@
     co_return it == ranked.end() ? std::nullopt : std::optional(*it);
 }
 
+/// Returns whether the upstream's row must be read before a stream goes on there.
 bool RequestForwarder::mustConfirmVersion(const std::string& upstream) const
 {
     if (!m_streamVersion || m_confirmedUpstreams.count(upstream))
@@ -451,8 +447,7 @@
         co_await sendError(std::move(problem), std::nullopt);
         co_return;
     }
-    co_await respondWithFailure(
-        { .code = Errc::Unavailable, .verdict = Verdict::NotRun, .detail = std::move(problem.detail) });
+    co_await respondWithFailure(unavailableFailure(std::move(problem.detail)));
 }
 
 asio::awaitable<void> RequestForwarder::sendError(Problem problem, std::optional<Milliseconds> retryAfter)
--- a/src/libfront/stream_origin_service.cpp
+++ b/src/libfront/stream_origin_service.cpp
@@ -15,16 +15,6 @@
 constexpr std::chrono::milliseconds sendTimeout { 300 };
 constexpr std::chrono::milliseconds askTimeout { 200 };
 
-Failure unavailableFailure(std::string detail)
-{
-    return { .code = Errc::Unavailable, .verdict = Verdict::NotRun, .detail = std::move(detail) };
-}
-
-HttpResponse errorResponse(unsigned status, const std::string& reason)
-{
-    return jsonResponse(status, nlohmann::json { { "error", reason } }.dump());
-}
-
 } // namespace
 
 StreamOriginService::StreamOriginService(FrontState& state, HttpClient& client, std::string ownInstance)
@@ -124,13 +114,13 @@
     if (request.path() == findOriginPath) {
         const auto originRequest = decodeOriginRequest(request.body);
         return originRequest ? jsonResponse(200, encode(knownOrigin(*originRequest)))
-                             : errorResponse(400, originRequest.error().detail);
+                             : jsonErrorResponse(400, originRequest.error().detail);
     }
     if (request.path() != rememberOriginsPath)
-        return errorResponse(404, "unknown path");
+        return jsonErrorResponse(404, "unknown path");
     auto origins = decodeStreamOrigins(request.body);
     if (!origins)
-        return errorResponse(400, origins.error().detail);
+        return jsonErrorResponse(400, origins.error().detail);
     for (auto& it : *origins)
         m_origins.record(std::move(it));
     return jsonResponse(200, "{}");
--- a/src/libkernel/result.cpp
+++ b/src/libkernel/result.cpp
@@ -52,6 +52,11 @@
 
 std::error_code make_error_code(Errc code) { return { static_cast<int>(code), errorCategory() }; }
 
+Failure unavailableFailure(std::string detail)
+{
+    return { .code = Errc::Unavailable, .verdict = Verdict::NotRun, .detail = std::move(detail) };
+}
+
 void throw_exception_from_error(const Failure& failure, const boost::source_location&)
 {
     throw std::system_error(failure.code, failure.detail);
--- a/src/libnet/http.cpp
+++ b/src/libnet/http.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <nlohmann/json.hpp>
 
 namespace bulrushstack {
 
@@ -78,6 +79,11 @@
     return response;
 }
 
+HttpResponse jsonErrorResponse(unsigned status, std::string_view reason)
+{
+    return jsonResponse(status, nlohmann::json { { "error", reason } }.dump());
+}
+
 std::optional<std::string> percentDecode(std::string_view text)
 {
     std::string out;
--- a/src/librelay/relayed_table_feed.cpp
+++ b/src/librelay/relayed_table_feed.cpp
@@ -21,10 +21,7 @@
 constexpr milliseconds maxStoreWaitWithReaders { 1000 };
 constexpr std::uint64_t maxReplySize = 16 * 1024 * 1024;
 
-Failure noReader()
-{
-    return { .code = Errc::Unavailable, .verdict = Verdict::NotRun, .detail = "no reader is usable" };
-}
+Failure noReader() { return unavailableFailure("no reader is usable"); }
 
 SteadyTime timeAfter(SteadyTime time, std::chrono::nanoseconds duration)
 {
--- a/src/librelay/table_relay.cpp
+++ b/src/librelay/table_relay.cpp
@@ -16,11 +16,6 @@
 /// expired in the outage for a while.
 constexpr std::chrono::seconds outageNoticeTime { 2 };
 
-HttpResponse errorResponse(unsigned status, std::string_view reason)
-{
-    return jsonResponse(status, R"({"error":")" + std::string(reason) + R"("})");
-}
-
 } // namespace
 
 TableRelay::TableRelay(asio::io_context& context, const Clock& clock, const RelayedTableFeed& feed)
@@ -86,14 +81,14 @@
 {
     const auto request = decodeRelayRequest(httpRequest.body);
     if (!request)
-        co_return errorResponse(400, "malformed request");
+        co_return jsonErrorResponse(400, "malformed request");
     const auto deadline = m_clock.now() + std::min(request->wait, maxWait);
     for (;;) {
         auto it = m_logs.find(request->table);
         if (it == m_logs.end() || !it->second.hasContent())
-            co_return errorResponse(409, "not a reader of this table");
+            co_return jsonErrorResponse(409, "not a reader of this table");
         if (m_feed.storeReadAge() > maxRelayAge)
-            co_return errorResponse(503, "cut off from the store");
+            co_return jsonErrorResponse(503, "cut off from the store");
         const bool isDue = request->isSnapshot || it->second.hasChangesAfter(request->after);
         if (isDue || m_clock.now() >= deadline)
             co_return reply(*request, it->second);
@@ -116,7 +111,7 @@
     }
     auto changes = log.changesAfter(request.after);
     if (!changes)
-        return errorResponse(410, "the history does not reach back to this version");
+        return jsonErrorResponse(410, "the history does not reach back to this version");
     out.rows = std::move(changes->rows);
     return jsonResponse(200, encode(out));
 }
