Keep the handover pause if a new process finds no row of the lease after a restoration

Cause: a missing row was taken for a lease without a previous holder, which holds only for a store that was never restored. Class: a copy outranked later knowledge.

Change: the version of the new row says whether the store was ever restored; if so, a process that has not held the lease before keeps the pause.

--- a/src/include/bulrushstack/serving/placement_lease.h
+++ b/src/include/bulrushstack/serving/placement_lease.h
@@ -76,6 +76,10 @@
     /// Records that another instance holds the lease.
     void recordLoss();
 
+    /// Records that the store was restored from a copy. The copy may be older than the row of a holder of which this
+    /// instance knows nothing.
+    void recordRestoration() { m_isStoreRestored = true; }
+
     /// Returns whether this instance holds a valid lease.
     bool isHolder(SteadyTime now) const;
 
@@ -108,6 +112,7 @@
     bool m_hasObservedRow = false;
     /// Whether a row named another holder since this instance last wrote the row.
     bool m_hasOtherHeld = false;
+    bool m_isStoreRestored = false;
     std::optional<SteadyTime> m_validUntil;
     SteadyTime m_ordersAllowedFrom {};
     std::optional<SteadyTime> m_lastWriteSentAt;
--- a/src/libfront/lease_manager.cpp
+++ b/src/libfront/lease_manager.cpp
@@ -174,6 +174,8 @@
     auto version
         = co_await m_binding.tableService().commit(std::move(transaction), m_state.clock().now() + leaseCallTimeout);
     if (version) {
+        if (restorationsOf(*version) > 0)
+            m_lease.recordRestoration();
         m_lease.recordWrite(*version, m_self.address, sentAt);
         co_return;
     }
--- a/src/libserving/placement_lease.cpp
+++ b/src/libserving/placement_lease.cpp
@@ -78,7 +78,7 @@
     if (m_hasOtherHeld)
         return LeaseOrigin::OtherInstance;
     if (!m_record)
-        return LeaseOrigin::New;
+        return m_isStoreRestored && !m_lastWriteSentAt ? LeaseOrigin::OtherInstance : LeaseOrigin::New;
     const bool isLeaseUnexpired = m_lastWriteSentAt && now < after(*m_lastWriteSentAt, m_options.validity);
     const bool isOtherRecent = m_record->isFromCopy ? !isLeaseUnexpired : m_record->isInHandover && !m_lastWriteSentAt;
     return isOwn() && !isOtherRecent ? LeaseOrigin::EarlierProcess : LeaseOrigin::OtherInstance;
--- a/src/libserving/placement_lease_test.cpp
+++ b/src/libserving/placement_lease_test.cpp
@@ -221,6 +221,27 @@
     BOOST_TEST(!second.maySendOrders());
 }
 
+// Guards against two holders in turn because a process that was started after the restoration finds no row.
+BOOST_AUTO_TEST_CASE(KeepsTheHandoverPauseIfANewProcessFindsNoRow)
+{
+    first.lease.observe(std::nullopt, clock.bootNow());
+    first.lease.recordRestoration();
+    write(first, 9);
+    BOOST_TEST(first.lease.isHolder(clock.bootNow()));
+    BOOST_TEST(!first.maySendOrders());
+    BOOST_CHECK(first.lease.origin() == LeaseOrigin::OtherInstance);
+}
+
+BOOST_AUTO_TEST_CASE(IsAcquiredAtOnceByItsLastHolderIfTheCopyHasNoRow)
+{
+    write(first, second, 5);
+    first.lease.recordLoss();
+    first.lease.observe(std::nullopt, clock.bootNow());
+    first.lease.recordRestoration();
+    write(first, 9);
+    BOOST_TEST(first.maySendOrders());
+}
+
 // Guards against two holders in turn because the last holder that the copy names did not see its successor.
 BOOST_AUTO_TEST_CASE(KeepsTheHandoverPauseForAHolderWhoseLeaseHadExpired)
 {
