End the use of entries that vanish together before the end of the drain period

Cause: entries of a service that disappear together are used for 1.5 s from when their removal is read, up to 0.54 s after it there, and until the next check every 0.2 s. Ruled out: a lost store (no dependency-lost line). Class: two delays bounded one by one.

Change: the grace period is what the platform's drain period, a new setting, leaves after the time in which changes are collected and 0.2 s for requests on their way; an entry is unusable from its end on.

Result: SendsThemNothingFromTheEndOfTheGrace failed without the second part and passes.

--- a/src/include/bulrushstack/serving/upstream_directory.h
+++ b/src/include/bulrushstack/serving/upstream_directory.h
@@ -50,7 +50,7 @@
     std::chrono::nanoseconds storeOutageGrace = std::chrono::seconds(2);
 
     /// How long entries that disappear together are still used. It is more likely that their registrations expired than
-    /// that all these upstreams shut down at the same moment.
+    /// that all these upstreams shut down at the same moment. See simultaneousLossGrace().
     std::chrono::nanoseconds simultaneousLossGrace = std::chrono::milliseconds(1500);
 
     /// How long a removed entry that a restored copy contains is held back. It is longer than the registration of a
@@ -58,12 +58,21 @@
     std::chrono::nanoseconds restoredEntryDelay = std::chrono::seconds(6);
 };
 
+/// Returns how long entries that disappear together may still be used, so that upstreams which did shut down get no
+/// requests too late. `drainPeriod` is the time after the removal of an entry in which its upstream may get requests,
+/// `changeDelay` the maximum time until this instance reads a removal.
+std::chrono::nanoseconds simultaneousLossGrace(
+    std::chrono::nanoseconds drainPeriod, std::chrono::nanoseconds changeDelay);
+
 /// The upstreams known to this instance, from the rows that they publish about themselves and from announcements in
 /// their responses. Performs no I/O.
 class UpstreamDirectory {
 public:
     explicit UpstreamDirectory(const Clock& clock, DirectoryGracePeriods gracePeriods = {});
 
+    /// Sets the grace period of entries that will disappear together.
+    void setSimultaneousLossGrace(std::chrono::nanoseconds grace) { m_gracePeriods.simultaneousLossGrace = grace; }
+
     /// Adds or replaces an entry. A process that is draining stays so. Returns whether anything changed.
     bool apply(UpstreamEntry entry);
 
@@ -205,6 +214,7 @@
     /// Returns the rest of the grace period after a store outage; zero or less if it has ended.
     std::chrono::nanoseconds remainingOutageGrace() const;
     bool isHeldBack(const Record& record) const;
+    bool hasGraceEnded(const Record& record) const;
     void recordEnd(const UpstreamEntry& entry);
     void recordRemoval(const UpstreamEntry& entry);
     /// Removes an entry at the end of the grace period; at once if the period is empty or the upstream is draining.
--- a/src/libfront/front_service.cpp
+++ b/src/libfront/front_service.cpp
@@ -40,6 +40,7 @@
     out.stablePeriod = settings.duration("stable-period");
     out.configurationPeriod = settings.duration("configuration-period");
     out.leasePeriod = settings.duration("lease-period");
+    out.drainPeriod = settings.duration("drain-period");
     out.gracePeriod = settings.duration("grace-period");
     return out;
 }
@@ -367,6 +368,13 @@
             .minimum = "100ms",
             .maximum = "1m",
             .isReloadable = true },
+        { .name = "drain-period",
+            .kind = SettingKind::Duration,
+            .defaultValue = "2s",
+            .help = "time after an upstream's departure in which it may still get requests",
+            .minimum = "100ms",
+            .maximum = "1m",
+            .isReloadable = true },
         { .name = "grace-period",
             .kind = SettingKind::Duration,
             .defaultValue = "8s",
--- a/src/libfront/front_state.h
+++ b/src/libfront/front_state.h
@@ -29,6 +29,8 @@
     std::chrono::nanoseconds configurationPeriod = std::chrono::seconds(2);
     /// Minimum time between orders of two holders of the placement lease.
     std::chrono::nanoseconds leasePeriod = std::chrono::seconds(3);
+    /// Time after an upstream announced its departure, or its entry was removed, in which it may still get requests.
+    std::chrono::nanoseconds drainPeriod = std::chrono::seconds(2);
     /// Time between SIGTERM and SIGKILL.
     std::chrono::nanoseconds gracePeriod = std::chrono::seconds(8);
 
--- a/src/libfront/store_synchronizer.cpp
+++ b/src/libfront/store_synchronizer.cpp
@@ -31,6 +31,8 @@
 constexpr std::chrono::milliseconds maxPollTimeOfReaders { 2000 };
 /// The reader has already collected the changes that it passes on.
 constexpr std::chrono::milliseconds relayedChangeBatchDelay { 20 };
+/// Maximum time that a change takes from a reader to an instance that waits for it.
+constexpr std::chrono::milliseconds relayTravelTime { 100 };
 
 /// A long poll that gets no response from a failed store must end before a change that follows the store's recovery is
 /// due.
@@ -260,6 +262,11 @@
     m_upstreamFollower.setChangeBatchDelay(isReader ? readerChangeBatchDelay
             : m_relay.feed().isRelayed()            ? relayedChangeBatchDelay
                                                     : storeDelay);
+    const auto changeDelay = isReader ? readerChangeBatchDelay
+        : m_relay.feed().isRelayed()  ? readerChangeBatchDelay + relayTravelTime
+                                      : storeDelay;
+    m_state.directory().setSimultaneousLossGrace(
+        simultaneousLossGrace(m_state.platformLimits().drainPeriod, changeDelay));
     // A short wait lets an instance that becomes a reader read the tables anew soon.
     const bool maybeReader = m_state.instanceCount() >= m_relay.readerChoice().minInstances;
     const auto pollTime = maybeReader ? std::min(longPollTime(m_state), maxPollTimeOfReaders) : longPollTime(m_state);
--- a/src/libserving/upstream_directory.cpp
+++ b/src/libserving/upstream_directory.cpp
@@ -9,6 +9,11 @@
 
 constexpr std::chrono::nanoseconds noGrace { 0 };
 
+/// Longest use of entries that disappear together. By then, upstreams that are alive have registered again.
+constexpr std::chrono::milliseconds maxSimultaneousLossGrace { 1500 };
+/// Time for requests that were accepted at the end of a grace period to reach their upstream.
+constexpr std::chrono::milliseconds requestTravelTime { 200 };
+
 /// How long an announcement is kept after the entry of its upstream is gone. It is longer than a row stays missing in a
 /// store outage.
 constexpr std::chrono::minutes announcementLifetime { 5 };
@@ -24,6 +29,13 @@
 
 } // namespace
 
+std::chrono::nanoseconds simultaneousLossGrace(
+    std::chrono::nanoseconds drainPeriod, std::chrono::nanoseconds changeDelay)
+{
+    const auto left = drainPeriod - changeDelay - requestTravelTime;
+    return std::clamp<std::chrono::nanoseconds>(left, noGrace, maxSimultaneousLossGrace);
+}
+
 const LoadedModel* UpstreamEntry::findModel(std::string_view model) const
 {
     auto it
@@ -138,6 +150,11 @@
     return record.heldBackUntil && *record.heldBackUntil > m_clock.now();
 }
 
+bool UpstreamDirectory::hasGraceEnded(const Record& record) const
+{
+    return record.graceEnd && *record.graceEnd <= m_clock.now();
+}
+
 void UpstreamDirectory::recordRemoval(const UpstreamEntry& entry)
 {
     const auto now = m_clock.now();
@@ -275,7 +292,7 @@
 {
     std::vector<std::string> out;
     for (auto it = m_records.begin(); it != m_records.end();) {
-        if (it->second.graceEnd && *it->second.graceEnd <= m_clock.now()) {
+        if (hasGraceEnded(it->second)) {
             out.push_back(it->first);
             it = m_records.erase(it);
             ++m_version;
@@ -307,7 +324,7 @@
 {
     std::vector<const UpstreamEntry*> out;
     for (const auto& [id, record] : m_records) {
-        if (record.entry.service == service && !isHeldBack(record) && !isLeaving(record.entry)
+        if (record.entry.service == service && !isHeldBack(record) && !hasGraceEnded(record) && !isLeaving(record.entry)
             && suspendedUntil(id).has_value() == isSuspended)
             out.push_back(&record.entry);
     }
--- a/src/libserving/upstream_directory_test.cpp
+++ b/src/libserving/upstream_directory_test.cpp
@@ -319,4 +319,33 @@
     BOOST_TEST(directory.expire().size() == 3u);
 }
 
+BOOST_AUTO_TEST_SUITE(WhenEntriesThatVanishTogetherDidLeave)
+
+// Guards against requests to upstreams that left until the next check for ended grace periods.
+BOOST_AUTO_TEST_CASE(SendsThemNothingFromTheEndOfTheGrace)
+{
+    directory.setSimultaneousLossGrace(1260ms);
+    directory.remove({ "a", "b", "c" });
+    clock.advance(1259ms);
+    BOOST_TEST(usable() == 4u);
+    clock.advance(1ms);
+    BOOST_TEST(usable() == 1u);
+}
+
+// Guards against a grace period after which requests arrive later than the platform allows.
+BOOST_AUTO_TEST_CASE(EndsTheGraceInTimeHoweverLateTheRemovalIsRead)
+{
+    for (const auto drainPeriod : { 500ms, 2000ms, 3000ms }) {
+        for (const auto changeDelay : { 20ms, 400ms, 540ms, 1000ms }) {
+            const auto grace = simultaneousLossGrace(drainPeriod, changeDelay);
+            BOOST_TEST((grace >= 0ms && grace <= 1500ms));
+            BOOST_TEST((grace == 0ms || changeDelay + grace + 200ms <= drainPeriod));
+        }
+    }
+    BOOST_TEST((simultaneousLossGrace(2000ms, 540ms) == 1260ms));
+    BOOST_TEST((simultaneousLossGrace(3000ms, 540ms) == 1500ms));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
