Take a stream of unknown origin up only at the version that the store lists

What callers saw: a stream that had begun at the first engine of a new version broke off, was taken up at an instance that was suspended while that engine joined, and went on at the old version (ORDER).

Cause: an instance that does not know where a stream began trusted its own directory if it lists one version, and counted as confirmed if it knew no other instance to ask. Other instances were named only while a service has several versions, so that the first engine of a version always met instances without a list. Class: outdated knowledge used as proof of absence.

Change: for a stream of unknown origin, the instance reads from the store what changed after its directory. It goes on only if one version remains. While the store does not respond, another instance must have answered; each instance now knows the holder at least, and the holder those that report to it. A take-up with no upstream in the directory went on at any version that appeared while it waited, and is refused now.

The check of an instance that reaches no other one moved from the lookup to the request, where the store is asked first.

Price: two reads of the store at most for each stream that is taken up at an instance which does not know its origin.

--- a/src/include/bulrushstack/serving/upstream_directory.h
+++ b/src/include/bulrushstack/serving/upstream_directory.h
@@ -45,6 +45,9 @@
     friend bool operator==(const UpstreamEntry&, const UpstreamEntry&) = default;
 };
 
+/// Software versions by service.
+using SoftwareVersions = std::map<std::string, std::set<std::string>, std::less<>>;
+
 struct DirectoryGracePeriods {
     /// How long an entry that expired during a store outage is still used after the store is back.
     std::chrono::nanoseconds storeOutageGrace = std::chrono::seconds(2);
@@ -171,8 +174,11 @@
     };
     AnnouncementCounts countAnnouncements() const;
 
-    /// Returns the services whose upstreams have several software versions, those of the last minute included, so that
-    /// the version of a recent stream is among them.
+    /// Returns the software versions of the upstreams, those of the last minute included, so that the version of a
+    /// recent stream is among them.
+    SoftwareVersions recentVersions() const;
+
+    /// Returns the services that have several recent versions.
     std::set<std::string> servicesWithSeveralVersions() const;
 
     /// Returns the software version of all upstreams of a service; empty if there are several or none.
--- a/src/libfront/front_test_support.h
+++ b/src/libfront/front_test_support.h
@@ -86,11 +86,15 @@
 class FixedOrigin final : public StreamOriginSource {
 public:
     OriginReply reply;
+    bool isPeerReached = true;
     std::vector<StreamOrigin> recorded;
 
     void recordOrigin(StreamOrigin origin) override { recorded.push_back(std::move(origin)); }
 
-    boost::asio::awaitable<OriginReply> findOrigin(OriginRequest, SteadyTime) override { co_return reply; }
+    boost::asio::awaitable<OriginLookup> findOrigin(OriginRequest, SteadyTime) override
+    {
+        co_return OriginLookup { .reply = reply, .isPeerReached = isPeerReached };
+    }
 };
 
 /// Reads the rows of upstreams from a map instead of the store.
@@ -106,6 +110,18 @@
         const auto it = rows.find(id);
         co_return it == rows.end() ? std::nullopt : std::optional(it->second);
     }
+
+    boost::asio::awaitable<Result<std::set<std::string>>> readVersions(std::string service, SteadyTime) override
+    {
+        if (isStoreAway)
+            co_return Failure { .code = Errc::Unavailable };
+        std::set<std::string> out;
+        for (const auto& [id, entry] : rows) {
+            if (entry.service == service)
+                out.insert(entry.softwareVersion);
+        }
+        co_return out;
+    }
 };
 
 /// Grants a number of permits and then tells each request that the next one comes after a time.
--- a/src/libfront/placement_agent.h
+++ b/src/libfront/placement_agent.h
@@ -91,6 +91,7 @@
 
     void recordHolderLost(const std::string& holder, const std::string& reason);
     void applyReply(const DemandReply& reply);
+    void applyPeers(const DemandReply& reply);
     void beginTerm();
     void assumeLoadsOfPreviousHolder(ServicePlacement& placement);
     void updateTracker(const ServiceSpec& service);
@@ -118,6 +119,7 @@
     DemandCollector m_collector;
     /// Last reply of the holder, which is passed on to the instances that report to this one.
     DemandReply m_holderReply;
+    bool m_hasPeerList = false; ///< Whether a holder has named the instances that remember streams.
     /// Fingerprint of the crashes known to the instance that last replied to a demand message.
     std::uint64_t m_peerCrashFingerprint = 0;
     /// State of the connection to the lease holder as last logged.
--- a/src/libfront/placement_demand.cpp
+++ b/src/libfront/placement_demand.cpp
@@ -155,8 +155,20 @@
     m_state.setRetiringReplicas(reply.retiring);
     if (reply.readers)
         m_relay.setReaders(*reply.readers);
-    if (reply.peers)
+    applyPeers(reply);
+}
+
+/// Applies the instances that remember streams. Until the holder has named them, an instance knows only the holder; the
+/// holder knows those that report to it.
+void PlacementAgent::applyPeers(const DemandReply& reply)
+{
+    if (reply.holder == m_relay.self().instance)
+        m_origins.setPeers(allPeers());
+    else if (reply.peers)
         m_origins.setPeers(*reply.peers);
+    else if (!m_hasPeerList && !reply.holder.empty())
+        m_origins.setPeers({ { .instance = reply.holder, .address = reply.holderAddress } });
+    m_hasPeerList = m_hasPeerList || reply.peers.has_value();
 }
 
 /// Collects the demand of an instance that reports to this reader, and passes on what the holder last replied.
--- a/src/libfront/request_forwarder.cpp
+++ b/src/libfront/request_forwarder.cpp
@@ -153,14 +153,14 @@
 asio::awaitable<bool> RequestForwarder::findStreamVersion()
 {
     OriginRequest request { .request = m_request.resumedRequest, .service = m_service->name };
-    const auto reply = co_await m_dependencies.origins.findOrigin(std::move(request), m_deadline);
+    const auto lookup = co_await m_dependencies.origins.findOrigin(std::move(request), m_deadline);
+    const auto& reply = lookup.reply;
     LOG(INFO) << "event=stream-origin request=" << m_request.id << " resumed=" << m_request.resumedRequest
               << " version=" << (reply.origin ? reply.origin->softwareVersion : "unknown")
-              << " ambiguous=" << reply.isVersionAmbiguous;
+              << " ambiguous=" << reply.isVersionAmbiguous << " peer=" << lookup.isPeerReached;
     if (!reply.origin) {
-        // Another version may appear while the request waits.
-        m_streamVersion = m_state.directory().onlyVersion(m_service->name);
-        co_return !reply.isVersionAmbiguous;
+        m_streamVersion = co_await findOnlyVersion(lookup);
+        co_return m_streamVersion.has_value();
     }
     const bool isConfirmed = co_await confirmOrigin(*reply.origin);
     if (!isConfirmed)
@@ -176,6 +176,25 @@
     co_return true;
 }
 
+/// Returns the version at which a stream of unknown origin goes on: the only one that its service had lately. This
+/// instance may not have read of another one yet, for example since it was suspended. While the store does not respond,
+/// it must reach another instance, since it may be the only one that is cut off.
+asio::awaitable<std::optional<std::string>> RequestForwarder::findOnlyVersion(OriginLookup lookup)
+{
+    if (lookup.reply.isVersionAmbiguous)
+        co_return std::nullopt;
+    const auto deadline = std::min(m_deadline, m_state.clock().now() + versionReadTimeout);
+    const auto versions = co_await m_dependencies.upstreams.readVersions(m_service->name, deadline);
+    if (!versions && lookup.isPeerReached)
+        co_return m_state.directory().onlyVersion(m_service->name);
+    const bool isOnlyOne = versions && versions->size() == 1;
+    if (!isOnlyOne)
+        LOG(INFO) << "event=stream-version-unknown request=" << m_request.id << " service=" << m_service->name
+                  << " versions=" << (versions ? std::to_string(versions->size()) : "unread")
+                  << " directory=" << m_state.directory().version();
+    co_return isOnlyOne ? std::optional(*versions->begin()) : std::nullopt;
+}
+
 /// Keeps the software version of the first event for the rest of the stream and for later requests that take it up.
 void RequestForwarder::recordStreamOrigin(const Attempt& attempt)
 {
--- a/src/libfront/request_forwarder.h
+++ b/src/libfront/request_forwarder.h
@@ -49,6 +49,12 @@
         = 0;
 };
 
+/// What the instances know of a stream.
+struct OriginLookup {
+    OriginReply reply;
+    bool isPeerReached = false; ///< Whether another instance answered.
+};
+
 /// Remembers where streams began, and finds out where one began that a caller takes up again; implemented by
 /// StreamOriginService.
 class StreamOriginSource {
@@ -59,10 +65,10 @@
     virtual void recordOrigin(StreamOrigin origin) = 0;
 
     /// Returns what this instance and the others that remember the stream know of it.
-    virtual boost::asio::awaitable<OriginReply> findOrigin(OriginRequest request, SteadyTime deadline) = 0;
+    virtual boost::asio::awaitable<OriginLookup> findOrigin(OriginRequest request, SteadyTime deadline) = 0;
 };
 
-/// Reads the rows of upstreams; implemented by StoreSynchronizer.
+/// Reads from the store what the directory may not contain yet; implemented by StoreSynchronizer.
 class UpstreamReader {
 public:
     virtual ~UpstreamReader() = default;
@@ -72,6 +78,11 @@
     virtual boost::asio::awaitable<Result<std::optional<UpstreamEntry>>> readUpstream(
         std::string id, SteadyTime deadline)
         = 0;
+
+    /// Returns the recent software versions of a service, those included that the store lists by now. Fails if the
+    /// store does not respond in time.
+    virtual boost::asio::awaitable<Result<std::set<std::string>>> readVersions(std::string service, SteadyTime deadline)
+        = 0;
 };
 
 /// Objects that the forwarders of all requests share.
@@ -111,6 +122,7 @@
     /// Returns whether the request takes up a stream that broke off.
     bool isTakeUp() const { return !m_request.resumedRequest.empty(); }
     boost::asio::awaitable<bool> findStreamVersion();
+    boost::asio::awaitable<std::optional<std::string>> findOnlyVersion(OriginLookup lookup);
     void recordStreamOrigin(const Attempt& attempt);
     boost::asio::awaitable<std::optional<RankedUpstream>> chooseUpstream();
     boost::asio::awaitable<std::optional<RankedUpstream>> approve(const RankedUpstream& candidate);
--- a/src/libfront/software_version_test.cpp
+++ b/src/libfront/software_version_test.cpp
@@ -235,6 +235,43 @@
     BOOST_TEST(call("/resumable/x", "7", "6")->body == secondEvent);
 }
 
+// Guards against an instance that was suspended while the first upstream of another version joined.
+BOOST_AUTO_TEST_CASE(IsRejectedIfTheStoreListsAnotherVersion)
+{
+    addUpstreamWithVersion("v1", restOfStream);
+    rows.isStoreAway = false;
+    rows.rows["u1"] = *state.directory().find("u1");
+    rows.rows["u2"] = { .id = "u2", .service = "s", .softwareVersion = "v2" };
+    BOOST_TEST(call("/resumable/x", "7", "6")->status == 503u);
+    BOOST_TEST(upstreams[0]->connections() == 0u);
+}
+
+// Guards against an instance that is cut off from the store and the others, and knows one version only.
+BOOST_AUTO_TEST_CASE(IsRejectedIfNeitherTheStoreNorAnotherInstanceAnswers)
+{
+    addUpstreamWithVersion("v1", restOfStream);
+    origins.isPeerReached = false;
+    BOOST_TEST(call("/resumable/x", "7", "6")->status == 503u);
+    BOOST_TEST(upstreams[0]->connections() == 0u);
+}
+
+// Guards against any version for a stream that is taken up before an upstream of its service is known.
+BOOST_AUTO_TEST_CASE(IsRejectedIfNoUpstreamIsKnown)
+{
+    configureEngines();
+    const auto status = takeUpStream([] {});
+    BOOST_TEST(status.value_or(0) == 503u);
+}
+
+BOOST_AUTO_TEST_CASE(GoesOnIfTheStoreListsOneVersion)
+{
+    addUpstreamWithVersion("v1", restOfStream);
+    origins.isPeerReached = false;
+    rows.isStoreAway = false;
+    rows.rows["u1"] = *state.directory().find("u1");
+    BOOST_TEST(call("/resumable/x", "7", "6")->body == secondEvent);
+}
+
 BOOST_AUTO_TEST_CASE(GoesOnIfThereIsOnlyOneVersion)
 {
     addUpstreamWithVersion("v1", restOfStream);
--- a/src/libfront/store_synchronizer.cpp
+++ b/src/libfront/store_synchronizer.cpp
@@ -9,6 +9,7 @@
 
 namespace asio = boost::asio;
 
+constexpr std::chrono::milliseconds noWait { 0 };
 constexpr std::chrono::milliseconds maintenanceInterval { 200 };
 /// Hints and loads of upstreams that are gone are removed only once in this number of maintenance rounds.
 constexpr unsigned maintenanceRoundsPerCleanup = 25;
@@ -238,6 +239,36 @@
     co_return entry ? std::optional(std::move(*entry)) : std::nullopt;
 }
 
+asio::awaitable<Result<std::set<std::string>>> StoreSynchronizer::readVersions(std::string service, SteadyTime deadline)
+{
+    const auto& format = m_binding.rowFormat();
+    const TableReadTimeouts timeouts { .responseStart = millisecondsOf(deadline - m_state.clock().now()) };
+    const auto rows = co_await readNewRows(format.upstreamTable(), timeouts);
+    if (!rows)
+        co_return rows.error();
+    auto out = m_state.directory().recentVersions()[service];
+    for (const auto& row : *rows) {
+        const auto entry = row.version > 0 ? format.decodeUpstream(row) : Failure { .code = Errc::NotFound };
+        if (entry && entry->service == service)
+            out.insert(entry->softwareVersion);
+    }
+    co_return out;
+}
+
+/// Returns the rows that changed since the directory was read, or all rows if the store no longer has the history.
+asio::awaitable<Result<std::vector<Row>>> StoreSynchronizer::readNewRows(std::string table, TableReadTimeouts timeouts)
+{
+    auto changes = co_await m_binding.tableFeed().changes(table, m_upstreamFollower.version(), noWait, timeouts);
+    if (changes)
+        co_return std::move(changes->rows);
+    if (changes.error().code != Errc::NotFound)
+        co_return changes.error();
+    auto snapshot = co_await m_binding.tableFeed().snapshot(std::move(table), timeouts);
+    if (!snapshot)
+        co_return snapshot.error();
+    co_return std::move(snapshot->rows);
+}
+
 void StoreSynchronizer::start()
 {
     spawnLogged(m_state.context(), m_configurationFollower.run(), "configuration-follower");
--- a/src/libfront/store_synchronizer.h
+++ b/src/libfront/store_synchronizer.h
@@ -7,6 +7,8 @@
 #include "table_follower.h"
 
 #include <functional>
+#include <set>
+#include <string>
 
 namespace bulrushstack {
 
@@ -21,6 +23,8 @@
 
     boost::asio::awaitable<Result<std::optional<UpstreamEntry>>> readUpstream(
         std::string id, SteadyTime deadline) override;
+    boost::asio::awaitable<Result<std::set<std::string>>> readVersions(
+        std::string service, SteadyTime deadline) override;
 
     /// Called once, after the first snapshot of the upstreams was read.
     std::function<void()> onUpstreamsLoaded;
@@ -31,6 +35,7 @@
     class ConfigurationObserver;
     class UpstreamObserver;
 
+    boost::asio::awaitable<Result<std::vector<Row>>> readNewRows(std::string table, TableReadTimeouts timeouts);
     boost::asio::awaitable<void> runMaintenance();
     void adaptPolling();
 
--- a/src/libfront/stream_origin_service.cpp
+++ b/src/libfront/stream_origin_service.cpp
@@ -74,23 +74,19 @@
     return out;
 }
 
-asio::awaitable<OriginReply> StreamOriginService::findOrigin(OriginRequest request, SteadyTime deadline)
+asio::awaitable<OriginLookup> StreamOriginService::findOrigin(OriginRequest request, SteadyTime deadline)
 {
-    auto out = knownOrigin(request);
-    const auto peers = m_replicator.peersToAsk(request.request);
-    bool isAnswered = peers.empty();
-    for (const auto& it : peers) {
-        if (out.origin)
+    OriginLookup out { .reply = knownOrigin(request) };
+    for (const auto& it : m_replicator.peersToAsk(request.request)) {
+        if (out.reply.origin)
             break;
         const auto reply = co_await ask(it.address, request, std::min(deadline, m_state.clock().now() + askTimeout));
         if (!reply)
             continue;
-        isAnswered = true;
-        out.origin = reply->origin;
-        out.isVersionAmbiguous = out.isVersionAmbiguous || reply->isVersionAmbiguous;
+        out.isPeerReached = true;
+        out.reply.origin = reply->origin;
+        out.reply.isVersionAmbiguous = out.reply.isVersionAmbiguous || reply->isVersionAmbiguous;
     }
-    // An instance that is cut off may have missed another version.
-    out.isVersionAmbiguous = out.isVersionAmbiguous || (!out.origin && !isAnswered);
     co_return out;
 }
 
--- a/src/libfront/stream_origin_service.h
+++ b/src/libfront/stream_origin_service.h
@@ -31,7 +31,7 @@
     const std::vector<Peer>& peers() const { return m_peers; }
 
     void recordOrigin(StreamOrigin origin) override;
-    boost::asio::awaitable<OriginReply> findOrigin(OriginRequest request, SteadyTime deadline) override;
+    boost::asio::awaitable<OriginLookup> findOrigin(OriginRequest request, SteadyTime deadline) override;
     boost::asio::awaitable<void> handle(HttpExchange& exchange) override;
 
 private:
--- a/src/libfront/stream_origin_service_test.cpp
+++ b/src/libfront/stream_origin_service_test.cpp
@@ -74,11 +74,13 @@
 
     void lose(std::size_t i) { runAwaitable(context, nodes[i]->server.drain()); }
 
-    OriginReply find(Node& node, const std::string& request)
+    OriginLookup lookUp(Node& node, const std::string& request)
     {
         const OriginRequest question { .request = request, .service = "s" };
         return runAwaitable(context, node.service.findOrigin(question, clock.now() + 5s));
     }
+
+    OriginReply find(Node& node, const std::string& request) { return lookUp(node, request).reply; }
 };
 
 const StreamOrigin origin {
@@ -176,13 +178,15 @@
 }
 
 // Guards against an instance that is cut off and has not heard of another version.
-BOOST_AUTO_TEST_CASE(MayBeOfAnotherOneIfNoOtherInstanceAnswers)
+BOOST_AUTO_TEST_CASE(IsNotConfirmedIfNoOtherInstanceAnswers)
 {
     addUpstreams({ "v2" });
+    BOOST_TEST(!lookUp(*nodes[0], "7").isPeerReached);
     tellPeers();
+    BOOST_TEST(lookUp(*nodes[0], "7").isPeerReached);
     for (std::size_t i = 1; i < nodes.size(); ++i)
         lose(i);
-    BOOST_TEST(find(*nodes[0], "7").isVersionAmbiguous);
+    BOOST_TEST(!lookUp(*nodes[0], "7").isPeerReached);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libfront/table_follower.h
+++ b/src/libfront/table_follower.h
@@ -62,6 +62,9 @@
     /// Sets the maximum time that the store may wait for changes, from the next call on.
     void setLongPollTime(std::chrono::milliseconds time) { m_options.longPollTime = time; }
 
+    /// Returns the version of the table up to which its changes were delivered.
+    RowVersion version() const { return m_version; }
+
     /// Makes the next call read the whole table.
     void resynchronize() { m_isSynchronized = false; }
 
--- a/src/libserving/upstream_directory.cpp
+++ b/src/libserving/upstream_directory.cpp
@@ -362,19 +362,24 @@
     return entry.isDraining || (it != m_announcements.end() && it->second.isLeaving);
 }
 
-std::set<std::string> UpstreamDirectory::servicesWithSeveralVersions() const
+SoftwareVersions UpstreamDirectory::recentVersions() const
 {
-    std::map<std::string_view, std::set<std::string_view>> versions;
+    SoftwareVersions out;
     for (const auto& [key, seenAt] : m_versionsSeen) {
         if (m_clock.now() - seenAt <= versionMemory)
-            versions[key.first].insert(key.second);
+            out[key.first].insert(key.second);
     }
     for (const auto& [id, record] : m_records)
-        versions[record.entry.service].insert(record.entry.softwareVersion);
+        out[record.entry.service].insert(record.entry.softwareVersion);
+    return out;
+}
+
+std::set<std::string> UpstreamDirectory::servicesWithSeveralVersions() const
+{
     std::set<std::string> out;
-    for (const auto& [service, names] : versions) {
-        if (names.size() > 1)
-            out.emplace(service);
+    for (const auto& [service, versions] : recentVersions()) {
+        if (versions.size() > 1)
+            out.insert(service);
     }
     return out;
 }
