Keep the recent software versions in the store over the loss of all instances

What callers saw: all instances were killed when the last engine of an old version had just left. Streams that had begun there were taken up, answered 200, and went on at the new version (ORDER).

Cause: which versions were there lately stood only in the memory of the instances. A new process saw one version in the table and counted it as the only one. Class: knowledge that is needed after a loss of all is kept in memory only.

Change: the holder of the lease writes the recent versions of each service to a row, when they change; a new holder merges the row of its predecessor. Whoever takes up a stream of unknown origin reads that row with the table. The conditional write is shared with the quarantine's row (HolderRow).

--- a/src/include/bulrushstack/serving/upstream_directory.h
+++ b/src/include/bulrushstack/serving/upstream_directory.h
@@ -178,6 +178,9 @@
     /// recent stream is among them.
     SoftwareVersions recentVersions() const;
 
+    /// Records versions that the services had lately according to another source, as seen now.
+    void recordVersions(const SoftwareVersions& versions);
+
     /// Returns the services that have several recent versions.
     std::set<std::string> servicesWithSeveralVersions() const;
 
--- a/src/libfront/placement_agent.cpp
+++ b/src/libfront/placement_agent.cpp
@@ -23,8 +23,8 @@
 constexpr std::chrono::milliseconds reachabilityTimeout { 250 };
 constexpr std::chrono::milliseconds reachabilityInterval { 700 };
 
-/// Interval of the checks whether the quarantine has to be written to the store.
-constexpr std::chrono::milliseconds quarantineSaveInterval { 300 };
+/// Interval of the checks whether a row of the holder has to be written to the store.
+constexpr std::chrono::milliseconds rowSaveInterval { 300 };
 
 /// Time between an accepted order and the moment when the upstream accepts requests for the adapter.
 constexpr std::chrono::milliseconds adapterActivationDelay { 16 };
@@ -43,6 +43,7 @@
     , m_leaseManager(state, binding, metrics, relay.self())
     , m_permits(state, client, m_leaseManager)
     , m_quarantineStore(state, binding, m_leaseManager)
+    , m_versionHistory(state, binding, m_leaseManager)
     , m_demandEstimator(state.clock())
 {
 }
@@ -50,19 +51,21 @@
 void PlacementAgent::start()
 {
     spawnLogged(m_state.context(), m_leaseManager.run(), "placement-lease");
-    spawnLogged(m_state.context(), keepQuarantine(), "quarantine-store");
+    spawnLogged(m_state.context(), keepHolderRows(), "holder-rows");
     spawnLogged(m_state.context(), reportDemand(), "placement-demand");
     spawnLogged(m_state.context(), runPlanning(), "placement-plan");
 }
 
 asio::awaitable<void> PlacementAgent::stop() { return m_leaseManager.release(); }
 
-asio::awaitable<void> PlacementAgent::keepQuarantine()
+/// Keeps the rows of the store up to date that only the holder writes.
+asio::awaitable<void> PlacementAgent::keepHolderRows()
 {
     co_await m_quarantineStore.load();
     while (!m_leaseManager.isReleased()) {
         co_await m_quarantineStore.saveIfChanged();
-        co_await sleepFor(m_state.context(), quarantineSaveInterval);
+        co_await m_versionHistory.saveIfChanged();
+        co_await sleepFor(m_state.context(), rowSaveInterval);
     }
 }
 
--- a/src/libfront/placement_agent.h
+++ b/src/libfront/placement_agent.h
@@ -13,6 +13,7 @@
 #include "quarantine_store.h"
 #include "request_forwarder.h"
 #include "stream_origin_service.h"
+#include "version_history.h"
 
 #include <map>
 #include <memory>
@@ -74,7 +75,7 @@
     HttpResponse respondToPermitRequest(const HttpRequest& request);
 
     boost::asio::awaitable<void> reportDemand();
-    boost::asio::awaitable<void> keepQuarantine();
+    boost::asio::awaitable<void> keepHolderRows();
     boost::asio::awaitable<void> sendDemand();
     boost::asio::awaitable<void> sendDemandTo(Address address, std::optional<StoreReader> reader);
     void handleReply(const DemandReply& reply, const std::optional<StoreReader>& reader);
@@ -116,6 +117,7 @@
     LeaseManager m_leaseManager;
     PermitClient m_permits;
     QuarantineStore m_quarantineStore;
+    VersionHistory m_versionHistory;
     DemandCollector m_collector;
     /// Last reply of the holder, which is passed on to the instances that report to this one.
     DemandReply m_holderReply;
--- a/src/libfront/quarantine_store.h
+++ b/src/libfront/quarantine_store.h
@@ -1,8 +1,6 @@
 #pragma once
 
-#include "bulrushstack/front/front_binding.h"
-#include "front_state.h"
-#include "lease_manager.h"
+#include "holder_row.h"
 
 #include <map>
 
@@ -10,8 +8,7 @@
 
 /// Keeps what is quarantined in the platform's store, so that it survives the loss of all instances at once.
 ///
-/// Every instance reads the row when it starts; only the holder of the placement lease writes it. A write is
-/// conditional on the lease's row, so that an instance which was suspended cannot replace the row of its successor.
+/// Every instance reads the row when it starts; only the holder of the placement lease writes it.
 class QuarantineStore {
 public:
     QuarantineStore(FrontState& state, FrontBinding& binding, const LeaseManager& leaseManager);
@@ -26,11 +23,8 @@
 
 private:
     FrontState& m_state;
-    FrontBinding& m_binding;
-    const LeaseManager& m_leaseManager;
+    HolderRow m_row;
     std::map<SuspectId, unsigned> m_saved;
-    /// Number of restorations of the store at the last write, or when there was nothing to write.
-    std::uint64_t m_restorations = 0;
 };
 
 } // namespace bulrushstack
--- a/src/libfront/store_synchronizer.cpp
+++ b/src/libfront/store_synchronizer.cpp
@@ -1,6 +1,7 @@
 #include "store_synchronizer.h"
 
 #include "bulrushstack/kernel/tasks.h"
+#include "version_history.h"
 #include <glog/logging.h>
 
 namespace bulrushstack {
@@ -246,7 +247,12 @@
     const auto rows = co_await readNewRows(format.upstreamTable(), timeouts);
     if (!rows)
         co_return rows.error();
+    const auto history = co_await m_binding.tableService().read(versionHistoryRowId, deadline);
+    if (!history)
+        co_return history.error();
     auto out = m_state.directory().recentVersions()[service];
+    if (*history)
+        out.merge(decodeVersions((*history)->value)[service]);
     for (const auto& row : *rows) {
         const auto entry = row.version > 0 ? format.decodeUpstream(row) : Failure { .code = Errc::NotFound };
         if (entry && entry->service == service)
--- a/src/libserving/upstream_directory.cpp
+++ b/src/libserving/upstream_directory.cpp
@@ -374,6 +374,14 @@
     return out;
 }
 
+void UpstreamDirectory::recordVersions(const SoftwareVersions& versions)
+{
+    for (const auto& [service, names] : versions) {
+        for (const auto& it : names)
+            m_versionsSeen[{ service, it }] = m_clock.now();
+    }
+}
+
 std::set<std::string> UpstreamDirectory::servicesWithSeveralVersions() const
 {
     std::set<std::string> out;
