--- a/src/libplatform/http_instance_list.cpp
+++ b/src/libplatform/http_instance_list.cpp
@@ -1,5 +1,6 @@
 #include "bulrushstack/platform/http_platform.h"
 
+#include "bulrushstack/platform/bounded_json.h"
 #include "platform_call.h"
 #include "platform_json.h"
 
@@ -111,7 +112,7 @@
         co_return response.error();
     if (response->status != 200)
         co_return unexpectedStatus(*response, "instance list");
-    auto records = parseRecords(parsePlatformJson(response->body));
+    auto records = parseRecords(parseBoundedJson(response->body));
     if (!records)
         co_return malformedResponse("instance list", Verdict::MayHaveRun);
     co_return std::move(*records);
--- a/src/libplatform/http_table_service.cpp
+++ b/src/libplatform/http_table_service.cpp
@@ -1,5 +1,6 @@
 #include "bulrushstack/platform/http_platform.h"
 
+#include "bulrushstack/platform/bounded_json.h"
 #include "platform_call.h"
 #include "platform_json.h"
 
@@ -80,7 +81,7 @@
 std::string describeConflicts(const std::string& body)
 {
     std::string out = "a condition does not hold";
-    const auto document = parsePlatformJson(body);
+    const auto document = parseBoundedJson(body);
     const auto* conflicts = findMember(document, "conflicts");
     if (!conflicts || !conflicts->is_array())
         return out;
@@ -125,7 +126,7 @@
         co_return std::optional<Row>();
     if (response->status != 200)
         co_return unexpectedStatus(*response, "row read");
-    auto row = parseRow(parsePlatformJson(response->body), id.table);
+    auto row = parseRow(parseBoundedJson(response->body), id.table);
     if (!row || row->id != id)
         co_return malformedResponse("row read", Verdict::MayHaveRun);
     co_return row;
@@ -146,7 +147,7 @@
             co_return response.error();
         if (response->status != 200)
             co_return unexpectedStatus(*response, "row list");
-        auto page = parsePage(parsePlatformJson(response->body), table, prefix, after, count);
+        auto page = parsePage(parseBoundedJson(response->body), table, prefix, after, count);
         if (!page)
             co_return malformedResponse("row list", Verdict::MayHaveRun);
         const bool isLast = page->size() < count;
@@ -175,7 +176,7 @@
         co_return response.error();
     if (response->status != 200)
         co_return commitFailure(*response);
-    const auto version = unsignedMember(parsePlatformJson(response->body), "version");
+    const auto version = unsignedMember(parseBoundedJson(response->body), "version");
     if (!version || *version == 0)
         co_return malformedResponse("commit", Verdict::MayHaveRun);
     co_return *version;
--- a/src/libplatform/platform_json.cpp
+++ b/src/libplatform/platform_json.cpp
@@ -4,20 +4,6 @@
 
 using json = nlohmann::json;
 
-json parsePlatformJson(std::string_view text)
-{
-    static constexpr int depthLimit = 64;
-    bool isTooDeep = false;
-    auto value = json::parse(
-        text,
-        [&](int depth, json::parse_event_t, json&) {
-            isTooDeep = isTooDeep || depth > depthLimit;
-            return !isTooDeep;
-        },
-        false);
-    return isTooDeep ? json(json::value_t::discarded) : value;
-}
-
 const json* findMember(const json& value, const char* name)
 {
     if (!value.is_object())
--- a/src/libplatform/platform_json.h
+++ b/src/libplatform/platform_json.h
@@ -8,10 +8,6 @@
 
 namespace bulrushstack::detail {
 
-/// Parses JSON from the platform. Returns a discarded value if the text is not JSON in UTF-8 or is nested too deeply:
-/// nlohmann::json copies and serializes values recursively, so deep nesting would exhaust the stack.
-nlohmann::json parsePlatformJson(std::string_view text);
-
 /// Returns the member, or null if the value is not an object or has no such member.
 const nlohmann::json* findMember(const nlohmann::json& value, const char* name);
 
