Hand requests to another instance while this one is cut off from the upstreams

Cause: nothing told the loss of an instance's own path from a loss of upstreams, and a request could only be served through that path. Class: a partial partition treated as a failure of the other side.

Its requests go to other instances over the control address, with the runs that they may have had and the version of the configuration in force; one that is cut off, is shutting down or has another configuration refuses, and the next is asked. A planned stop waits for handed-over requests. The holder names all instances to all. The same cause elsewhere: a cut-off holder leaves the lease to others, and a crash is recorded only if another upstream accepts connections.

--- a/src/include/bulrushstack/front/front_binding.h
+++ b/src/include/bulrushstack/front/front_binding.h
@@ -67,6 +67,9 @@
     /// Returns the request to send to an upstream.
     virtual HttpRequest encode(const HttpRequest& request, const ForwardingFields& forwardingFields) const = 0;
 
+    /// Returns the request to send to another instance, which handles it like one of a client with the given time left.
+    virtual HttpRequest encodeForPeer(const HttpRequest& request, std::chrono::milliseconds timeLeft) const = 0;
+
     virtual UpstreamResponseHead decodeResponseHead(unsigned status, const HttpHeaders& headers) const = 0;
 
     /// Returns the headers of an upstream's response that are forwarded to the client.
--- a/src/libfront/front_service.cpp
+++ b/src/libfront/front_service.cpp
@@ -4,7 +4,9 @@
 #include "bulrushstack/net/metrics_response.h"
 #include "bulrushstack/net/net_services.h"
 #include "loop_monitor.h"
+#include "peer_relay.h"
 #include "placement_agent.h"
+#include "reachability_monitor.h"
 #include "request_forwarder.h"
 #include "store_synchronizer.h"
 #include <boost/asio/as_tuple.hpp>
@@ -31,6 +33,9 @@
 constexpr std::size_t controlConnectionLimit = 1000;
 /// Maximum size in bytes of a request body on the ports other than the one for clients.
 constexpr std::uint64_t controlBodyLimit = 256 * 1024;
+/// Maximum size in bytes of the headers that an instance adds to a request that it hands on.
+constexpr std::size_t relayHeaderSize = 1024;
+constexpr std::chrono::milliseconds drainCheckInterval { 20 };
 
 PlatformLimits readPlatformLimits(const Settings& settings)
 {
@@ -59,11 +64,13 @@
     return out;
 }
 
-HttpServerOptions controlOptions(const Address& address)
+/// Other instances hand requests of clients on, with their own headers beside those of the client.
+HttpServerOptions controlOptions(const Address& address, const RequestLimits& limits = {})
 {
     HttpServerOptions out;
     out.address = address;
-    out.bodyLimit = controlBodyLimit;
+    out.headerLimit = limits.headerBytes + relayHeaderSize;
+    out.bodyLimit = std::max(controlBodyLimit, limits.bodyBytes);
     out.connectionLimit = controlConnectionLimit;
     return out;
 }
@@ -131,12 +138,13 @@
     RuntimeService& m_runtime;
 };
 
-/// Handles the requests of other instances: for tables of the store, for origins of streams, and for the placement
-/// agent.
+/// Handles the requests of other instances: those of clients that they hand on, for tables of the store, for origins of
+/// streams, and for the placement agent.
 class ControlHandler final : public HttpHandler {
 public:
-    ControlHandler(TableRelay& tables, HttpHandler& origins, HttpHandler& agent)
-        : m_tables(tables)
+    ControlHandler(TableRelay& tables, HttpHandler& origins, HttpHandler& agent, HttpHandler& relayedRequests)
+        : m_relayedRequests(relayedRequests)
+        , m_tables(tables)
         , m_origins(origins)
         , m_agent(agent)
     {
@@ -146,7 +154,9 @@
     {
         const bool isPost = exchange.request().method == "POST";
         const auto path = exchange.request().path();
-        if (isPost && path == relayPath) {
+        if (RelayedRequestHandler::isRelayed(exchange.request())) {
+            co_await m_relayedRequests.handle(exchange);
+        } else if (isPost && path == relayPath) {
             auto response = co_await m_tables.handle(exchange.request());
             co_await exchange.respond(std::move(response));
         } else if (isPost && (path == rememberOriginsPath || path == findOriginPath)) {
@@ -157,6 +167,7 @@
     }
 
 private:
+    HttpHandler& m_relayedRequests;
     TableRelay& m_tables;
     HttpHandler& m_origins;
     HttpHandler& m_agent;
@@ -195,17 +206,13 @@
         , relay(context, client, runtime.clock(), relayOptions(runtime, settings, state.random()), binding->tableFeed())
         , origins(state, client, runtime.identity().id)
         , agent(state, client, *binding, metrics, relay, origins)
-        , controlHandler(relay.tables(), origins, agent)
         , storeSynchronizer(state, *binding, metrics, relay)
         , loopMonitor(state, metrics)
-        , ingress({ .state = state,
-              .client = client,
-              .format = binding->requestFormat(),
-              .adapters = agent,
-              .permits = agent.permits(),
-              .origins = origins,
-              .upstreams = storeSynchronizer,
-              .metrics = metrics })
+        , reachabilityMonitor(state, client)
+        , peerRelay(state, client, origins)
+        , ingress(requestDependencies(client))
+        , relayedRequests(requestDependencies(client))
+        , controlHandler(relay.tables(), origins, agent, relayedRequests)
         , readiness(runtime, binding->readinessPath())
         , metricsHandler(runtime)
         , ingressServer(context, ingressOptions(settings.address("listen-address"), {}), ingress)
@@ -217,9 +224,23 @@
         storeSynchronizer.onConfigurationApplied = [this](const ServingConfiguration& configuration) {
             runtime.setReady("configuration", true);
             ingressServer.setLimits(ingressOptions(settings.address("listen-address"), configuration.limits()));
+            controlServer.setLimits(controlOptions(settings.address("control-address"), configuration.limits()));
         };
     }
 
+    RequestDependencies requestDependencies(HttpClient& client)
+    {
+        return { .state = state,
+            .client = client,
+            .format = binding->requestFormat(),
+            .adapters = agent,
+            .permits = agent.permits(),
+            .origins = origins,
+            .upstreams = storeSynchronizer,
+            .relay = peerRelay,
+            .metrics = metrics };
+    }
+
     RuntimeService& runtime;
     asio::io_context& context;
     Settings settings;
@@ -229,10 +250,13 @@
     StoreRelay relay;
     StreamOriginService origins;
     PlacementAgent agent;
-    ControlHandler controlHandler;
     StoreSynchronizer storeSynchronizer;
     LoopMonitor loopMonitor;
+    ReachabilityMonitor reachabilityMonitor;
+    PeerRelay peerRelay;
     Ingress ingress;
+    RelayedRequestHandler relayedRequests;
+    ControlHandler controlHandler;
     ReadinessHandler readiness;
     MetricsHandler metricsHandler;
     HttpServer ingressServer;
@@ -264,6 +288,7 @@
     m_components->storeSynchronizer.start();
     spawnLogged(m_components->context, m_components->loopMonitor.run(), "loop-monitor");
     spawnLogged(m_components->context, m_components->origins.run(), "stream-origins");
+    spawnLogged(m_components->context, m_components->reachabilityMonitor.run(), "reachability-monitor");
     m_components->agent.start();
 }
 
@@ -273,6 +298,7 @@
     const auto deadline = components.runtime.clock().now() + components.state.platformLimits().gracePeriod - exitMargin;
     components.runtime.setReady("shutdown", false, "shutting down");
     components.ingressServer.disableKeepAlive();
+    components.relayedRequests.stop();
     spawnLogged(components.context, components.agent.stop(), "placement-stop");
     co_await sleepFor(components.context, balancerDelay);
     asio::steady_timer timer(components.context, deadline);
@@ -285,10 +311,14 @@
     spawnLogged(components.context, drain(components.ingressServer, timer, isDrained), "ingress-drain");
     if (!*isDrained)
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-    LOG(INFO) << "event=drained complete=" << *isDrained << " left=" << components.ingressServer.activeRequests();
+    while (components.relayedRequests.activeRequests() > 0 && components.runtime.clock().now() < deadline)
+        co_await sleepFor(components.context, drainCheckInterval);
+    LOG(INFO) << "event=drained complete=" << *isDrained << " left=" << components.ingressServer.activeRequests()
+              << " relayed=" << components.relayedRequests.activeRequests();
     components.storeSynchronizer.stop();
     components.loopMonitor.stop();
     components.origins.stop();
+    components.reachabilityMonitor.stop();
 }
 
 void FrontService::reload(const Settings& settings)
--- a/src/libfront/front_state.h
+++ b/src/libfront/front_state.h
@@ -6,6 +6,7 @@
 #include "bulrushstack/serving/crash_suspects.h"
 #include "bulrushstack/serving/residency_hints.h"
 #include "bulrushstack/serving/retry_budget.h"
+#include "bulrushstack/serving/upstream_reachability.h"
 #include "table_follower.h"
 
 #include <boost/asio/io_context.hpp>
@@ -59,6 +60,8 @@
 
     UpstreamDirectory& directory() { return m_directory; }
     UpstreamLoads& upstreamLoads() { return m_upstreamLoads; }
+    UpstreamReachability& reachability() { return m_reachability; }
+    const UpstreamReachability& reachability() const { return m_reachability; }
     ResidencyHints& residencyHints() { return m_residencyHints; }
     RetryBudget& retryBudget(const std::string& service);
     const CrashSuspects& crashSuspects() const { return m_crashSuspects; }
@@ -141,6 +144,7 @@
     ServingConfigurationPtr m_configuration;
     UpstreamDirectory m_directory;
     UpstreamLoads m_upstreamLoads;
+    UpstreamReachability m_reachability;
     ResidencyHints m_residencyHints;
     CrashSuspects m_crashSuspects;
     std::map<std::string, RetryBudget> m_retryBudgets;
--- a/src/libfront/front_test_support.h
+++ b/src/libfront/front_test_support.h
@@ -2,6 +2,7 @@
 
 #include "bulrushstack/kernel/run_awaitable.h"
 #include "bulrushstack/serving/retry_after.h"
+#include "peer_relay.h"
 #include "raw_server.h"
 #include "request_forwarder.h"
 
@@ -50,6 +51,8 @@
             .rateLimit = headers.find("X-Limit") ? std::optional(std::stod(*headers.find("X-Limit"))) : std::nullopt };
     }
 
+    HttpRequest encodeForPeer(const HttpRequest& request, std::chrono::milliseconds) const override { return request; }
+
     HttpHeaders forwardedResponseHeaders(const HttpHeaders& headers) const override
     {
         HttpHeaders out;
@@ -124,6 +127,14 @@
     }
 };
 
+/// Names the peers that a test sets.
+class FixedPeers final : public PeerSource {
+public:
+    std::vector<Peer> list;
+
+    const std::vector<Peer>& peers() const override { return list; }
+};
+
 /// Grants a number of permits and then tells each request that the next one comes after a time.
 class CountedPermits final : public PermitSource {
 public:
@@ -222,6 +233,8 @@
     CountedPermits permits { state };
     FixedOrigin origins;
     FixedRows rows;
+    FixedPeers peers;
+    PeerRelay relay { state, client, peers };
     prometheus::Registry registry;
     FrontMetrics metrics { registry };
     Ingress ingress { { .state = state,
@@ -231,6 +244,7 @@
         .permits = permits,
         .origins = origins,
         .upstreams = rows,
+        .relay = relay,
         .metrics = metrics } };
     HttpServer server { context, { .address = { .host = "127.0.0.1", .port = 0 } }, ingress };
     std::vector<std::unique_ptr<RawServer>> upstreams;
--- a/src/libfront/lease_manager.cpp
+++ b/src/libfront/lease_manager.cpp
@@ -124,7 +124,8 @@
 {
     const auto now = m_state.clock().bootNow();
     const bool mayClaim = !hasRecentHolderContact() && !hasRecentReaderContact() && now >= m_earliestClaim;
-    return m_lease.shouldWrite(now) && (m_lease.isOwn() || mayClaim);
+    // A holder that cannot reach the upstreams leaves the lease to another instance.
+    return !m_state.reachability().isCutOff() && m_lease.shouldWrite(now) && (m_lease.isOwn() || mayClaim);
 }
 
 std::optional<LeaseRecord> LeaseManager::otherHolder() const
--- a/src/libfront/placement_agent.h
+++ b/src/libfront/placement_agent.h
@@ -81,7 +81,6 @@
     void handleReply(const DemandReply& reply, const std::optional<StoreReader>& reader);
     DemandMessage collectDemand();
     DemandReply relayDemand(const DemandMessage& message);
-    bool arePeersNeeded() const;
     static void offerPeers(const DemandMessage& message, DemandReply& reply, const std::vector<Peer>& peers);
     std::vector<Peer> allPeers();
     void exchangeCrashes(const DemandMessage& message, DemandReply& reply);
--- a/src/libfront/placement_demand.cpp
+++ b/src/libfront/placement_demand.cpp
@@ -187,14 +187,10 @@
     out.isReader = m_relay.isUsableReader();
     exchangeCrashes(message, out);
     out.peers.reset();
-    if (arePeersNeeded())
-        offerPeers(message, out, m_origins.peers());
+    offerPeers(message, out, m_origins.peers());
     return out;
 }
 
-/// Returns whether instances have to remember streams for each other.
-bool PlacementAgent::arePeersNeeded() const { return !m_state.directory().servicesWithSeveralVersions().empty(); }
-
 /// Adds the peers to the reply if the sender of the message lacks some.
 void PlacementAgent::offerPeers(const DemandMessage& message, DemandReply& reply, const std::vector<Peer>& peers)
 {
@@ -292,7 +288,8 @@
         }
     }
     exchangeCrashes(message, out);
-    if (arePeersNeeded())
+    // A list that is not complete yet would be sent again soon.
+    if (knowsAllInstances() || !m_state.directory().servicesWithSeveralVersions().empty())
         offerPeers(message, out, allPeers());
     if (knowsAllInstances())
         out.readers = chooseReaders(m_reporters[message.instance].member.zone);
--- a/src/libfront/request_attempt.cpp
+++ b/src/libfront/request_attempt.cpp
@@ -1,6 +1,7 @@
 #include "request_forwarder.h"
 
 #include "bulrushstack/kernel/tasks.h"
+#include "reachability_monitor.h"
 #include <glog/logging.h>
 
 // One attempt to serve a request from one upstream: sends the request, validates the head of the response, relays the
@@ -33,6 +34,8 @@
 /// Time between two probes of an upstream that closed a connection. The connections of a process that crashes may end
 /// before its listening socket.
 constexpr Milliseconds crashProbeInterval { 50 };
+/// Other upstreams that are probed to tell a crash from a loss of this instance's path.
+constexpr std::size_t otherUpstreamsProbed = 2;
 constexpr unsigned mismatchedResponseLimit = 3;
 /// Maximum size of one event of a stream, in bytes.
 constexpr std::size_t maxEventSize = 1024 * 1024;
@@ -64,6 +67,22 @@
     co_return isListening;
 }
 
+/// Returns whether this instance can connect to another upstream than the given one, or whether there is no other one.
+/// If it cannot, its own path is at fault, and no upstream has crashed.
+asio::awaitable<bool> isConnected(RequestDependencies dependencies, std::string except)
+{
+    auto others = upstreamsToProbe(dependencies.state, otherUpstreamsProbed + 1);
+    std::erase_if(others, [&](const UpstreamEntry* it) { return it->id == except; });
+    std::vector<std::pair<std::string, Address>> targets;
+    for (const auto* it : others)
+        targets.emplace_back(it->id, it->address);
+    for (const auto& [id, address] : targets) {
+        if (co_await probeUpstream(dependencies.state, dependencies.client, id, address))
+            co_return true;
+    }
+    co_return targets.empty();
+}
+
 } // namespace
 
 SteadyTime RequestForwarder::attemptDeadline() const
@@ -123,15 +142,19 @@
     options.cancellation = m_cancellation;
     options.sendBy = m_permit.sendBy;
     auto stream = co_await m_dependencies.client.open(
-        attempt.address, m_dependencies.format.encode(m_exchange.request(), forwardingFields), options);
+        attempt.address, m_dependencies.format.encode(clientRequest(), forwardingFields), options);
     if (!stream) {
         attempt.wasSent = stream.error().verdict != Verdict::NotRun;
+        if (!attempt.wasSent && !m_cancellation->isCancelled() && !m_permit.sendBy)
+            m_state.reachability().recordConnectFailure(attempt.upstreamId);
         m_attemptsSent += attempt.wasSent ? 1 : 0;
         co_return stream.error();
     }
     attempt.wasSent = true;
     ++m_attemptsSent;
     attempt.stream = std::move(*stream);
+    if (attempt.stream->isOnNewConnection())
+        m_state.reachability().recordConnected();
     co_return std::nullopt;
 }
 
@@ -377,6 +400,9 @@
                      std::vector<CrashSuspect> suspects, std::string request) -> asio::awaitable<void> {
         if (co_await isStillListening(dependencies, address))
             co_return;
+        dependencies.state.reachability().recordConnectFailure(upstream);
+        if (!co_await isConnected(dependencies, upstream))
+            co_return;
         LOG(WARNING) << "event=crash-suspected request=" << request << " upstream=" << upstream
                      << " started_at=" << startedAt << suspectsForLog(suspects);
         dependencies.state.recordCrash(upstream, startedAt, suspects);
--- a/src/libfront/request_forwarder.cpp
+++ b/src/libfront/request_forwarder.cpp
@@ -32,12 +32,18 @@
 
 } // namespace
 
-RequestForwarder::RequestForwarder(RequestDependencies dependencies, HttpExchange& exchange)
+RequestForwarder::RequestForwarder(
+    RequestDependencies dependencies, HttpExchange& exchange, std::optional<RelayedRequest> relayed)
     : m_dependencies(dependencies)
     , m_state(dependencies.state)
     , m_exchange(exchange)
+    , m_relayed(std::move(relayed))
     , m_receivedAt(dependencies.state.clock().now())
 {
+    if (!m_relayed || m_relayed->possibleRuns == 0)
+        return;
+    m_attemptsMaybeExecuted = m_relayed->possibleRuns;
+    m_verdict = Verdict::MayHaveRun;
 }
 
 asio::awaitable<void> RequestForwarder::run()
@@ -61,7 +67,7 @@
 
 std::optional<Problem> RequestForwarder::admissionProblem()
 {
-    auto request = m_dependencies.format.decode(m_exchange.request());
+    auto request = m_dependencies.format.decode(clientRequest());
     if (!request)
         return Problem { .code = ProblemCode::MalformedRequest, .detail = request.error().detail };
     m_request = std::move(*request);
@@ -77,8 +83,7 @@
     const auto timeout
         = m_request.callerTimeout ? std::min(*m_request.callerTimeout, m_route->timeout) : m_route->timeout;
     m_deadline = m_receivedAt + timeout;
-    m_crashSuspects
-        = suspectsOf(m_request, requestDigest(m_request, m_exchange.request().target, m_exchange.request().body));
+    m_crashSuspects = suspectsOf(m_request, requestDigest(m_request, clientRequest().target, clientRequest().body));
     return quarantineProblem();
 }
 
@@ -95,6 +100,8 @@
 
 asio::awaitable<void> RequestForwarder::runAdmitted()
 {
+    if (mayRelay() && co_await relayToPeer())
+        co_return;
     m_state.retryBudget(m_service->name).recordRequest();
     if (m_service->engine) {
         const double workMs = estimateWorkMs(m_request, *m_service->engine, m_state.prefillMsPerToken(m_request.model));
@@ -141,6 +148,8 @@
         bool mayTryNext = mayRetry(*failure);
         if (mayTryNext)
             mayTryNext = co_await mayGoOn();
+        if (mayTryNext && mayRelay() && co_await relayToPeer())
+            co_return;
         if (!mayTryNext) {
             co_await respondWithFailure(std::move(*failure));
             co_return;
--- a/src/libfront/request_forwarder.h
+++ b/src/libfront/request_forwarder.h
@@ -4,6 +4,7 @@
 #include "bulrushstack/net/http_client.h"
 #include "bulrushstack/net/http_server.h"
 #include "bulrushstack/serving/admission.h"
+#include "bulrushstack/serving/origin_replicator.h"
 #include "bulrushstack/serving/retry_policy.h"
 #include "bulrushstack/serving/upstream_selection.h"
 #include "event_splitter.h"
@@ -55,6 +56,15 @@
     bool isPeerReached = false; ///< Whether another instance answered.
 };
 
+/// Names the instances that this one knows; implemented by StreamOriginService.
+class PeerSource {
+public:
+    virtual ~PeerSource() = default;
+
+    /// Returns the instances; the own one may be among them.
+    virtual const std::vector<Peer>& peers() const = 0;
+};
+
 /// Remembers where streams began, and finds out where one began that a caller takes up again; implemented by
 /// StreamOriginService.
 class StreamOriginSource {
@@ -85,6 +95,31 @@
         = 0;
 };
 
+struct RelayOptions {
+    SteadyTime deadline {};
+    unsigned possibleRuns = 0; ///< Number of upstreams that may have run the request.
+    std::shared_ptr<HttpCancellation> cancellation;
+};
+
+/// Hands requests to other instances; implemented by PeerRelay.
+class RequestRelay {
+public:
+    virtual ~RequestRelay() = default;
+
+    /// Sends the request to another instance that takes it, and returns its response. Fails with Verdict::NotRun if
+    /// none takes it, and with Verdict::MayHaveRun if the one that may have taken it does not respond.
+    virtual boost::asio::awaitable<Result<std::unique_ptr<HttpStream>>> open(HttpRequest request, RelayOptions options)
+        = 0;
+};
+
+/// A request that another instance handed to this one.
+struct RelayedRequest {
+    HttpRequest request; ///< as the client sent it, with the time that is left
+    unsigned possibleRuns = 0; ///< Number of upstreams that may have run it before.
+
+    friend bool operator==(const RelayedRequest&, const RelayedRequest&) = default;
+};
+
 /// Objects that the forwarders of all requests share.
 struct RequestDependencies {
     FrontState& state;
@@ -94,13 +129,15 @@
     PermitSource& permits;
     StreamOriginSource& origins;
     UpstreamReader& upstreams;
+    RequestRelay& relay;
     FrontMetrics& metrics;
 };
 
 /// Handles one request of a client: admission, choice of upstreams, attempts, and relaying of the response.
 class RequestForwarder {
 public:
-    RequestForwarder(RequestDependencies dependencies, HttpExchange& exchange);
+    RequestForwarder(
+        RequestDependencies dependencies, HttpExchange& exchange, std::optional<RelayedRequest> relayed = {});
 
     boost::asio::awaitable<void> run();
 
@@ -119,6 +156,12 @@
     };
 
     boost::asio::awaitable<void> runAdmitted();
+    /// Returns the request as the client sent it.
+    const HttpRequest& clientRequest() const { return m_relayed ? m_relayed->request : m_exchange.request(); }
+    bool mayRelay() const;
+    boost::asio::awaitable<bool> relayToPeer();
+    boost::asio::awaitable<std::optional<Failure>> relayPeerResponse(HttpStream& stream);
+    boost::asio::awaitable<std::optional<Failure>> relayPeerStream(HttpStream& stream);
     /// Returns whether the request takes up a stream that broke off.
     bool isTakeUp() const { return !m_request.resumedRequest.empty(); }
     boost::asio::awaitable<bool> findStreamVersion();
@@ -166,6 +209,9 @@
     RequestDependencies m_dependencies;
     FrontState& m_state;
     HttpExchange& m_exchange;
+    /// The request if another instance handed it to this one. It is not handed on.
+    std::optional<RelayedRequest> m_relayed;
+    bool m_isRelayTried = false;
     SteadyTime m_receivedAt;
     SteadyTime m_deadline {};
     ServingRequest m_request;
--- a/src/libfront/stream_origin_service.h
+++ b/src/libfront/stream_origin_service.h
@@ -18,7 +18,7 @@
 /// Remembers on two other instances where the streams of this one began, while their service has upstreams of several
 /// software versions, and asks other instances where a stream began. Other instances reach it over HTTP, through
 /// HttpHandler.
-class StreamOriginService final : public StreamOriginSource, public HttpHandler {
+class StreamOriginService final : public StreamOriginSource, public PeerSource, public HttpHandler {
 public:
     StreamOriginService(FrontState& state, HttpClient& client, std::string ownInstance);
 
@@ -28,7 +28,7 @@
 
     /// Replaces the instances that remember streams.
     void setPeers(std::vector<Peer> peers);
-    const std::vector<Peer>& peers() const { return m_peers; }
+    const std::vector<Peer>& peers() const override { return m_peers; }
 
     void recordOrigin(StreamOrigin origin) override;
     boost::asio::awaitable<OriginLookup> findOrigin(OriginRequest request, SteadyTime deadline) override;
