Do not make brittle upstreams refuse more requests than they stand

A fall also counted as a crash by the requests in progress, so that harmless requests were quarantined on all instances.

Change: while a service is brittle, an instance uses its share of the slots of each upstream and none that the reported load shows as full; requests beyond are refused at once with Retry-After. After a refusal, all instances are told within about 10 ms and leave the upstream alone for a time that follows from its limit. A fall of a brittle upstream is no evidence against requests.

--- a/src/include/bulrushstack/front/front_binding.h
+++ b/src/include/bulrushstack/front/front_binding.h
@@ -50,6 +50,9 @@
     std::optional<std::chrono::milliseconds> retryAfter;
     /// Requests per second that the upstream accepts from all instances together; empty if it states no limit.
     std::optional<double> rateLimit;
+    /// Requests per second that a brittle upstream can refuse for want of room without failing; empty if it does not
+    /// say that it is brittle.
+    std::optional<double> refusalLimit;
     std::optional<ReportedLoad> load;
 
     friend bool operator==(const UpstreamResponseHead&, const UpstreamResponseHead&) = default;
--- a/src/include/bulrushstack/serving/upstream_directory.h
+++ b/src/include/bulrushstack/serving/upstream_directory.h
@@ -137,6 +137,14 @@
     /// Returns the rate limit of an upstream; empty if it states none.
     std::optional<RateLimit> rateLimit(std::string_view id) const;
 
+    /// Records how many requests a second an upstream can refuse for want of room without failing; empty if its
+    /// response does not say that it is brittle. This counts for all upstreams of its service, until the one that
+    /// stated it states none any more, or for `refusalLimitMemory`. Returns whether the limit changed.
+    bool recordRefusalLimit(const std::string& id, std::optional<double> refusalsPerSecond, SteadyTime sentAt);
+
+    /// Returns the refusals per second that each upstream of the service stands; empty if they are not brittle.
+    std::optional<double> refusalLimit(std::string_view service) const;
+
     /// Longest pause that an upstream can ask for. The cap keeps a wrong value from excluding the upstream for good.
     static constexpr std::chrono::seconds maxPause { 60 };
 
@@ -205,6 +213,13 @@
 
     /// Announcements of an upstream in its responses. They are kept apart from the entries, since a row may disappear
     /// and come back.
+    /// Refusals per second that the upstreams of a service stand.
+    struct RefusalLimit {
+        double refusalsPerSecond = 0;
+        std::string statedBy; ///< Id of the upstream that last stated it.
+        SteadyTime statedAt {};
+    };
+
     struct Announcement {
         std::uint64_t startedAt = 0; ///< Start time of the process that made the announcement.
         bool isLeaving = false;
@@ -233,6 +248,7 @@
     DirectoryGracePeriods m_gracePeriods;
     std::map<std::string, Record, std::less<>> m_records;
     std::map<std::string, Announcement, std::less<>> m_announcements;
+    std::map<std::string, RefusalLimit, std::less<>> m_refusalLimits; ///< By service.
     /// Removed processes by id and start time, with the time of the removal.
     std::map<std::pair<std::string, std::uint64_t>, SteadyTime> m_removed;
     /// Processes that are no longer listed, by id and start time, with the time until which they surely were.
--- a/src/include/bulrushstack/serving/upstream_loads.h
+++ b/src/include/bulrushstack/serving/upstream_loads.h
@@ -73,6 +73,9 @@
     /// Records the first event, or the whole response, of a request given to recordStart().
     void recordFirstResponse(const std::string& id, const SentRequest& request, std::optional<ReportedLoad> reported);
 
+    /// Records the load that a response reports whose request was refused.
+    void recordReport(const std::string& id, ReportedLoad reported);
+
     /// Records the end of an attempt. `hadFirstResponse` is whether recordFirstResponse() was called for it.
     void recordEnd(const std::string& id, const SentRequest& request, bool hadFirstResponse, AttemptOutcome outcome);
 
@@ -89,6 +92,9 @@
     /// Returns whether the upstream has recently processed this prefix for this instance.
     bool hasPrefix(const std::string& id, const std::string& key) const;
 
+    /// Returns the number of requests of this instance at the upstream.
+    unsigned inFlight(const std::string& id) const;
+
     /// Returns the estimated number of requests at the upstream, including those of other instances.
     double estimatedRequests(const std::string& id) const;
 
--- a/src/libfront/front_service.cpp
+++ b/src/libfront/front_service.cpp
@@ -7,6 +7,7 @@
 #include "peer_relay.h"
 #include "placement_agent.h"
 #include "reachability_monitor.h"
+#include "refusal_notices.h"
 #include "request_forwarder.h"
 #include "store_synchronizer.h"
 #include <boost/asio/as_tuple.hpp>
@@ -142,8 +143,10 @@
 /// streams, and for the placement agent.
 class ControlHandler final : public HttpHandler {
 public:
-    ControlHandler(TableRelay& tables, HttpHandler& origins, HttpHandler& agent, HttpHandler& relayedRequests)
+    ControlHandler(TableRelay& tables, HttpHandler& origins, HttpHandler& agent, HttpHandler& relayedRequests,
+        HttpHandler& refusalNotices)
         : m_relayedRequests(relayedRequests)
+        , m_refusalNotices(refusalNotices)
         , m_tables(tables)
         , m_origins(origins)
         , m_agent(agent)
@@ -161,6 +164,8 @@
             co_await exchange.respond(std::move(response));
         } else if (isPost && (path == rememberOriginsPath || path == findOriginPath)) {
             co_await m_origins.handle(exchange);
+        } else if (isPost && path == refusalNoticesPath) {
+            co_await m_refusalNotices.handle(exchange);
         } else {
             co_await m_agent.handle(exchange);
         }
@@ -168,6 +173,7 @@
 
 private:
     HttpHandler& m_relayedRequests;
+    HttpHandler& m_refusalNotices;
     TableRelay& m_tables;
     HttpHandler& m_origins;
     HttpHandler& m_agent;
@@ -210,9 +216,10 @@
         , loopMonitor(state, metrics)
         , reachabilityMonitor(state, client)
         , peerRelay(state, client, origins)
+        , refusalNotices(state, client, origins)
         , ingress(requestDependencies(client))
         , relayedRequests(requestDependencies(client))
-        , controlHandler(relay.tables(), origins, agent, relayedRequests)
+        , controlHandler(relay.tables(), origins, agent, relayedRequests, refusalNotices)
         , readiness(runtime, binding->readinessPath())
         , metricsHandler(runtime)
         , ingressServer(context, ingressOptions(settings.address("listen-address"), {}), ingress)
@@ -238,6 +245,7 @@
             .origins = origins,
             .upstreams = storeSynchronizer,
             .relay = peerRelay,
+            .refusals = refusalNotices,
             .metrics = metrics };
     }
 
@@ -254,6 +262,7 @@
     LoopMonitor loopMonitor;
     ReachabilityMonitor reachabilityMonitor;
     PeerRelay peerRelay;
+    RefusalNotices refusalNotices;
     Ingress ingress;
     RelayedRequestHandler relayedRequests;
     ControlHandler controlHandler;
@@ -289,6 +298,7 @@
     spawnLogged(m_components->context, m_components->loopMonitor.run(), "loop-monitor");
     spawnLogged(m_components->context, m_components->origins.run(), "stream-origins");
     spawnLogged(m_components->context, m_components->reachabilityMonitor.run(), "reachability-monitor");
+    spawnLogged(m_components->context, m_components->refusalNotices.run(), "refusal-notices");
     m_components->agent.start();
 }
 
@@ -319,6 +329,7 @@
     components.loopMonitor.stop();
     components.origins.stop();
     components.reachabilityMonitor.stop();
+    components.refusalNotices.stop();
 }
 
 void FrontService::reload(const Settings& settings)
--- a/src/libfront/front_test_support.h
+++ b/src/libfront/front_test_support.h
@@ -127,6 +127,14 @@
     }
 };
 
+/// Counts refusals without acting on them.
+class CountedRefusals final : public RefusalObserver {
+public:
+    std::vector<std::string> upstreams;
+
+    void recordRefusal(const std::string& upstream, std::uint64_t, double) override { upstreams.push_back(upstream); }
+};
+
 /// Names the peers that a test sets.
 class FixedPeers final : public PeerSource {
 public:
@@ -235,6 +243,7 @@
     FixedRows rows;
     FixedPeers peers;
     PeerRelay relay { state, client, peers };
+    CountedRefusals refusals;
     prometheus::Registry registry;
     FrontMetrics metrics { registry };
     Ingress ingress { { .state = state,
@@ -245,6 +254,7 @@
         .origins = origins,
         .upstreams = rows,
         .relay = relay,
+        .refusals = refusals,
         .metrics = metrics } };
     HttpServer server { context, { .address = { .host = "127.0.0.1", .port = 0 } }, ingress };
     std::vector<std::unique_ptr<RawServer>> upstreams;
--- a/src/libfront/request_attempt.cpp
+++ b/src/libfront/request_attempt.cpp
@@ -179,6 +179,7 @@
         co_return invalidResponse(
             Errc::Malformed, "a refusal on a used connection names no request, status " + std::to_string(status));
     if (head.isNotExecuted || head.isMisdirected) {
+        applyRefusal(attempt);
         if (head.isMisdirected)
             m_misdirectedTo.insert(attempt.upstreamId);
         if (head.isMisdirected)
@@ -225,6 +226,21 @@
                   << " source=request request=" << m_request.id << " pause_ms=" << attempt.head.retryAfter->count()
                   << " directory=" << directory.version();
     applyRateLimit(attempt);
+    if (directory.recordRefusalLimit(attempt.upstreamId, attempt.head.refusalLimit, attempt.sentRequest.sent))
+        LOG(INFO) << "event=upstream-brittle upstream=" << attempt.upstreamId << " request=" << m_request.id
+                  << " refusals_per_second="
+                  << (attempt.head.refusalLimit ? std::to_string(*attempt.head.refusalLimit) : "none");
+}
+
+/// Applies the refusal of a request that the upstream has no room for.
+void RequestForwarder::applyRefusal(const Attempt& attempt)
+{
+    if (attempt.head.isMisdirected)
+        return;
+    if (attempt.head.load)
+        m_state.upstreamLoads().recordReport(attempt.upstreamId, *attempt.head.load);
+    if (attempt.head.refusalLimit)
+        m_dependencies.refusals.recordRefusal(attempt.upstreamId, attempt.startedAt, *attempt.head.refusalLimit);
 }
 
 void RequestForwarder::applyRateLimit(const Attempt& attempt)
@@ -401,6 +417,9 @@
         if (co_await isStillListening(dependencies, address))
             co_return;
         dependencies.state.reachability().recordConnectFailure(upstream);
+        const auto* entry = dependencies.state.directory().find(upstream);
+        if (entry && dependencies.state.directory().refusalLimit(entry->service))
+            co_return; // It probably failed because of the requests that it had to refuse.
         if (!co_await isConnected(dependencies, upstream))
             co_return;
         LOG(WARNING) << "event=crash-suspected request=" << request << " upstream=" << upstream
--- a/src/libfront/request_forwarder.cpp
+++ b/src/libfront/request_forwarder.cpp
@@ -1,6 +1,7 @@
 #include "request_forwarder.h"
 
 #include "bulrushstack/kernel/tasks.h"
+#include "bulrushstack/serving/brittle_upstreams.h"
 #include <algorithm>
 #include <glog/logging.h>
 
@@ -281,11 +282,23 @@
         .tieBreaker = m_state.random(),
         .excluded = m_triedUpstreams };
     auto candidates = m_state.upstreamsWithModel(m_service->name, m_request);
+    std::erase_if(candidates, [this](const auto* it) {
+        return isBrittleAndFull(*it, m_state.directory(), m_state.upstreamLoads(), m_state.instanceCount());
+    });
     if (m_streamVersion)
         std::erase_if(candidates, [this](const auto* it) { return it->softwareVersion != *m_streamVersion; });
     return rankUpstreams(input, candidates, m_state.upstreamLoads());
 }
 
+/// Returns whether upstreams could serve the request, but all of them are brittle and full.
+bool RequestForwarder::areUpstreamsFull() const
+{
+    const auto upstreams = m_state.upstreamsWithModel(m_service->name, m_request);
+    return !upstreams.empty() && std::all_of(upstreams.begin(), upstreams.end(), [this](const auto* it) {
+        return isBrittleAndFull(*it, m_state.directory(), m_state.upstreamLoads(), m_state.instanceCount());
+    });
+}
+
 asio::awaitable<std::optional<RankedUpstream>> RequestForwarder::chooseUpstream()
 {
     for (;;) {
@@ -307,6 +320,10 @@
             co_await m_state.waitForChange(m_state.clock().now() + *m_retryAfter);
             continue;
         }
+        if (areUpstreamsFull()) {
+            m_retryAfter = overloadRetryAfter;
+            co_return std::nullopt;
+        }
         const bool mayWait = m_triedUpstreams.empty() || isTakeUp();
         if (!m_service->engine || !mayWait)
             co_return std::nullopt;
--- a/src/libfront/request_forwarder.h
+++ b/src/libfront/request_forwarder.h
@@ -120,6 +120,15 @@
     friend bool operator==(const RelayedRequest&, const RelayedRequest&) = default;
 };
 
+/// Hears of requests that brittle upstreams refused for want of room; implemented by RefusalNotices.
+class RefusalObserver {
+public:
+    virtual ~RefusalObserver() = default;
+
+    /// Records a refusal. `refusalsPerSecond` is what the upstream stands.
+    virtual void recordRefusal(const std::string& upstream, std::uint64_t startedAt, double refusalsPerSecond) = 0;
+};
+
 /// Objects that the forwarders of all requests share.
 struct RequestDependencies {
     FrontState& state;
@@ -130,6 +139,7 @@
     StreamOriginSource& origins;
     UpstreamReader& upstreams;
     RequestRelay& relay;
+    RefusalObserver& refusals;
     FrontMetrics& metrics;
 };
 
@@ -173,6 +183,7 @@
     boost::asio::awaitable<bool> confirmVersion(std::string upstream);
     boost::asio::awaitable<bool> confirmOrigin(StreamOrigin origin);
     boost::asio::awaitable<bool> mayGoOn();
+    bool areUpstreamsFull() const;
     bool mayAwaitSuspended(Milliseconds suspension) const;
     boost::asio::awaitable<bool> waitForResidency();
     boost::asio::awaitable<std::optional<Failure>> attempt(const RankedUpstream& chosen);
@@ -191,6 +202,7 @@
     bool isOwnRefusal(const Attempt& attempt) const;
     void applyResponseState(const Attempt& attempt);
     void applyRateLimit(const Attempt& attempt);
+    void applyRefusal(const Attempt& attempt);
     void recordFirstResponse(Attempt& attempt);
     std::optional<Failure> truncationFailure(const Attempt& attempt) const;
     void finishAttempt(Attempt& attempt, const std::optional<Failure>& failure);
--- a/src/libserving/upstream_directory.cpp
+++ b/src/libserving/upstream_directory.cpp
@@ -18,6 +18,9 @@
 /// store outage.
 constexpr std::chrono::minutes announcementLifetime { 5 };
 
+/// How long the upstreams of a service count as brittle without another response that says so.
+constexpr std::chrono::seconds refusalLimitMemory { 30 };
+
 /// How long a software version without upstreams is remembered. It is longer than a stream lasts, retries included.
 constexpr std::chrono::minutes versionMemory { 1 };
 
@@ -257,6 +260,33 @@
     return isChanged;
 }
 
+bool UpstreamDirectory::recordRefusalLimit(
+    const std::string& id, std::optional<double> refusalsPerSecond, SteadyTime sentAt)
+{
+    const auto* entry = find(id);
+    if (!entry)
+        return false;
+    const auto known = refusalLimit(entry->service);
+    if (refusalsPerSecond) {
+        m_refusalLimits[entry->service]
+            = { .refusalsPerSecond = *refusalsPerSecond, .statedBy = id, .statedAt = m_clock.now() };
+        return known != refusalsPerSecond;
+    }
+    const auto it = m_refusalLimits.find(entry->service);
+    const bool isEnded = it != m_refusalLimits.end() && it->second.statedBy == id && sentAt > it->second.statedAt;
+    if (isEnded)
+        m_refusalLimits.erase(it);
+    return isEnded;
+}
+
+std::optional<double> UpstreamDirectory::refusalLimit(std::string_view service) const
+{
+    const auto it = m_refusalLimits.find(service);
+    if (it == m_refusalLimits.end() || m_clock.now() - it->second.statedAt > refusalLimitMemory)
+        return std::nullopt;
+    return it->second.refusalsPerSecond;
+}
+
 void UpstreamDirectory::recordNoPermit(
     const std::string& id, std::uint64_t startedAt, std::chrono::nanoseconds retryAfter)
 {
--- a/src/libserving/upstream_loads.cpp
+++ b/src/libserving/upstream_loads.cpp
@@ -61,9 +61,14 @@
     removeWaiting(load, request);
     auto& answered = load.answered[request.urgency];
     answered = std::max(answered, request.sent + request.prefillTime);
-    if (!reported)
-        return;
-    load.reported = *reported;
+    if (reported)
+        recordReport(id, *reported);
+}
+
+void UpstreamLoads::recordReport(const std::string& id, ReportedLoad reported)
+{
+    auto& load = m_records[id].load;
+    load.reported = reported;
     load.reportedAt = m_clock.now();
     load.inFlightWhenReported = load.inFlight;
 }
@@ -111,6 +116,12 @@
     return prefix != it->second.prefixes.end() && m_clock.now() - prefix->second < prefixLifetime;
 }
 
+unsigned UpstreamLoads::inFlight(const std::string& id) const
+{
+    const auto* load = find(id);
+    return load ? load->inFlight : 0;
+}
+
 double UpstreamLoads::estimatedRequests(const std::string& id) const
 {
     const auto* load = find(id);
