Do not free a failure twice when the instance that took a request is lost

Cause: g++ 12 destroys the temporary of a conditional operator twice if one of its operands awaits. The operands are now in an if statement; no other place has this form. The wait between rounds applies only if the other instances have another configuration, so that a request is served or refused at once if all are cut off (IsServedHereAtOnceIfAllRefuse).

--- a/src/libfront/peer_relay.cpp
+++ b/src/libfront/peer_relay.cpp
@@ -64,14 +64,15 @@
 {
     for (unsigned i = 1;; ++i) {
         auto stream = co_await openAnywhere(request, options);
-        const bool isFinal = stream || stream.error().verdict != Verdict::NotRun;
+        const bool isFinal = stream || stream.error().code != Errc::Conflict;
         if (isFinal || i == maxRounds || m_state.clock().now() + roundInterval >= options.deadline)
             co_return stream;
         co_await sleepFor(m_state.context(), roundInterval);
     }
 }
 
-/// Offers the request to a few instances, until one takes it.
+/// Offers the request to a few instances, until one takes it. Fails with Errc::Conflict if only their configuration
+/// keeps them from it.
 asio::awaitable<Result<std::unique_ptr<HttpStream>>> PeerRelay::openAnywhere(HttpRequest request, RelayOptions options)
 {
     request.headers.set(relayedAttemptsHeader, std::to_string(options.possibleRuns));
@@ -82,6 +83,7 @@
     callOptions.connectTimeout = connectTimeout;
     callOptions.tcpKeepAliveTimeout = tcpKeepAliveTimeout;
     callOptions.cancellation = options.cancellation;
+    bool isOtherConfiguration = false;
     for (const auto& peer : usablePeers()) {
         auto stream = co_await m_client.open(peer.address, request, callOptions);
         if (!stream) {
@@ -94,11 +96,16 @@
         const auto reason = (*stream)->headers().find(relayRefusedHeader);
         if (!reason)
             co_return std::move(*stream);
-        if (*reason != otherConfiguration)
+        if (*reason == otherConfiguration)
+            isOtherConfiguration = true;
+        else
             avoid(peer, *reason);
         (void)co_await (*stream)->readAll(); // If the body cannot be read, only the connection is lost.
     }
-    co_return unavailableFailure("no other instance takes the request");
+    auto failure = unavailableFailure("no other instance takes the request");
+    if (isOtherConfiguration)
+        failure.code = Errc::Conflict;
+    co_return failure;
 }
 
 bool RelayedRequestHandler::isRelayed(const HttpRequest& request)
--- a/src/libfront/request_relay.cpp
+++ b/src/libfront/request_relay.cpp
@@ -40,7 +40,11 @@
               << (stream ? "" : stream.error().detail) << "\"";
     if (!stream && stream.error().verdict == Verdict::NotRun && !m_isClientGone)
         co_return false;
-    auto failure = stream ? co_await relayPeerResponse(**stream) : std::optional<Failure>(stream.error());
+    std::optional<Failure> failure;
+    if (stream)
+        failure = co_await relayPeerResponse(**stream);
+    else
+        failure = stream.error();
     if (!failure)
         co_return true;
     m_verdict = join(m_verdict, Verdict::MayHaveRun);
@@ -85,11 +89,13 @@
         if (!m_isStreaming) {
             m_isStreaming = true;
             const auto headers = m_dependencies.format.forwardedResponseHeaders(stream.headers());
-            m_isClientGone = bool(co_await m_exchange.beginStream(stream.status(), headers)) || m_isClientGone;
+            const auto ec = co_await m_exchange.beginStream(stream.status(), headers);
+            m_isClientGone = m_isClientGone || ec;
         }
         if (*part && !m_isClientGone) {
             const std::string events = m_eventSplitter.extractEvents(**part);
-            m_isClientGone = bool(co_await m_exchange.write(events)) || m_isClientGone;
+            const auto ec = co_await m_exchange.write(events);
+            m_isClientGone = m_isClientGone || ec;
         }
         if (m_isClientGone)
             co_return Failure {
