--- a/src/libfront/request_attempt.cpp
+++ b/src/libfront/request_attempt.cpp
@@ -74,6 +74,7 @@
     auto others = upstreamsToProbe(dependencies.state, otherUpstreamsProbed + 1);
     std::erase_if(others, [&](const UpstreamEntry* it) { return it->id == except; });
     std::vector<std::pair<std::string, Address>> targets;
+    targets.reserve(others.size());
     for (const auto* it : others)
         targets.emplace_back(it->id, it->address);
     for (const auto& [id, address] : targets) {
