--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,8 +1,12 @@
 """One of three board workers spoils some of its answers: the head names a length that no answer has, and the connection
-ends after a few bytes. Counts requests that sound engines were given, and whose kept connection ended without an answer."""
+ends after a few bytes. Counts requests that sound engines were given, and whose kept connection ended without an answer.
+
+TROUBLE=0: the worker spoils no answer; the rest is the same.
+"""
 
 import asyncio
 import dataclasses
+import os
 import pathlib
 import sys
 import time
@@ -18,6 +22,7 @@
 from platform_site import BOARD_SERVICE, Site  # noqa: E402
 from processes import free_port  # noqa: E402
 
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 GARBLE_S = 6.0  # seconds for which the worker spoils answers
 GARBLE_EVERY = 36  # one answer in 36: x = 0.028
 LENGTH = 10**15  # bytes that the spoilt head announces
@@ -86,7 +91,7 @@
 
     async def trouble():
         await asyncio.sleep(2)
-        garbling.is_garbling = deployment.has_trouble()
+        garbling.is_garbling = HAS_TROUBLE
         await asyncio.sleep(GARBLE_S)
         garbling.is_garbling = False
 
