Do not allocate the announced length of a body

Cause: Beast's string_body reserves the announced length when the body begins. The exception leaves the read operation outside of any coroutine and io_context::run(). The limit of the client was only compared with what had been received.

Change: bodies of requests and responses grow with the bytes received, and a response that announces more than its reader accepts is rejected at once. The server's limit held already; it reserves nothing any more. Every other garbled response of the test workers has such a length.

Wire formats and rows are not touched.

--- a/src/libnet/http_beast.h
+++ b/src/libnet/http_beast.h
@@ -25,6 +25,39 @@
     return out;
 }
 
+/// Body type of messages whose sender may be faulty: a string that grows with the bytes received. Unlike
+/// http::string_body it reserves nothing for the length that the header announces, which may be any number.
+struct ReceivedBody {
+    using value_type = std::string;
+
+    class Reader {
+    public:
+        template <bool isRequest, typename Fields>
+        Reader(http::header<isRequest, Fields>&, value_type& body)
+            : m_body(body)
+        {
+        }
+
+        void init(const boost::optional<std::uint64_t>&, beast::error_code& ec) { ec = {}; }
+
+        template <typename Buffers> std::size_t put(const Buffers& buffers, beast::error_code& ec)
+        {
+            const std::size_t sizeBefore = m_body.size();
+            for (const asio::const_buffer it : beast::buffers_range_ref(buffers))
+                m_body.append(static_cast<const char*>(it.data()), it.size());
+            ec = {};
+            return m_body.size() - sizeBefore;
+        }
+
+        void finish(beast::error_code& ec) { ec = {}; }
+
+    private:
+        value_type& m_body;
+    };
+
+    using reader = Reader;
+};
+
 /// Shuts down sending, then reads and discards input for up to 1 second before closing. Closing a socket with unread
 /// input sends a TCP reset, which could destroy the response before the client has read it.
 asio::awaitable<void> lingeringClose(beast::tcp_stream& stream);
--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -203,7 +203,7 @@
 
 class PooledStream final : public HttpStream {
 public:
-    using Parser = http::response_parser<http::string_body>;
+    using Parser = http::response_parser<ReceivedBody>;
 
     PooledStream(
         std::shared_ptr<ConnectionPool> pool, Address address, HttpCallOptions options, ClientConnectionPtr connection)
@@ -302,6 +302,9 @@
 
     asio::awaitable<Result<std::string>> readAll() override
     {
+        const auto announced = m_parser->content_length();
+        if (!m_parser->is_done() && announced && *announced > m_options.bodyLimit)
+            co_return oversizedBodyFailure();
         std::string out;
         for (;;) {
             auto part = co_await read();
@@ -311,9 +314,7 @@
                 co_return out;
             out += **part;
             if (out.size() > m_options.bodyLimit)
-                co_return Failure { .code = Errc::TooLarge,
-                    .verdict = Verdict::MayHaveRun,
-                    .detail = "the response body exceeds " + std::to_string(m_options.bodyLimit) + " bytes" };
+                co_return oversizedBodyFailure();
         }
     }
 
@@ -339,6 +340,13 @@
     }
 
 private:
+    Failure oversizedBodyFailure() const
+    {
+        return { .code = Errc::TooLarge,
+            .verdict = Verdict::MayHaveRun,
+            .detail = "the response body exceeds " + std::to_string(m_options.bodyLimit) + " bytes" };
+    }
+
     void releaseConnection()
     {
         if (m_options.cancellation)
--- a/src/libnet/http_client_test.cpp
+++ b/src/libnet/http_client_test.cpp
@@ -217,6 +217,49 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against an exception that ends the process: a faulty server announces a body that cannot be allocated.
+BOOST_FIXTURE_TEST_SUITE(AnnouncedLengthsThatCannotBeAllocated, RawFixture)
+
+const std::vector<std::string> impossibleLengths { "1000000000000", "1000000000000000", "9223372036854775807",
+    "18446744073709551614" };
+
+std::string announcing(const std::string& length)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\nwhole";
+}
+
+BOOST_AUTO_TEST_CASE(AreRejectedWithoutWaitingForTheBody)
+{
+    for (const auto& length : impossibleLengths) {
+        RawServer server(context, { announcing(length) });
+        const auto response = call(server);
+        BOOST_REQUIRE(response.has_error());
+        BOOST_TEST((response.error().code == Errc::TooLarge), length);
+        BOOST_TEST((response.error().verdict == Verdict::MayHaveRun));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(AreTruncationsOfAStream)
+{
+    for (const auto& length : impossibleLengths) {
+        RawServer server(context, { announcing(length) }, true);
+        auto stream = runAwaitable(context, client.open(server.address(), HttpRequest(), {}));
+        BOOST_REQUIRE(stream);
+        BOOST_TEST(runAwaitable(context, (*stream)->read()).value().value() == "whole");
+        BOOST_TEST((runAwaitable(context, (*stream)->read()).error().code == Errc::ConnectionClosed));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(OfStaleResponsesEndTheCall)
+{
+    RawServer server(context, { announcing(impossibleLengths.back()) });
+    auto stream = runAwaitable(context, client.open(server.address(), HttpRequest(), {}));
+    BOOST_REQUIRE(stream);
+    BOOST_TEST(runAwaitable(context, (*stream)->nextResponse()).has_error());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(StaleResponses, RawFixture)
 
 // Guards against returning the late response to an earlier request to the caller of this request.
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -356,7 +356,7 @@
         connection.buffer.commit(n);
     }
 
-    http::request_parser<http::string_body> parser;
+    http::request_parser<ReceivedBody> parser;
     parser.header_limit(static_cast<std::uint32_t>(options.headerLimit));
     parser.body_limit(options.bodyLimit);
     stream.expires_after(options.readTimeout);
--- a/src/libnet/http_server_test.cpp
+++ b/src/libnet/http_server_test.cpp
@@ -113,6 +113,14 @@
     BOOST_TEST(sendRaw("GET / HTTP/1.1\r\nX-Long: " + std::string(4000, 'x') + "\r\n\r\n").starts_with("HTTP/1.1 431"));
 }
 
+// Guards against an exception that ends the process: a client announces a body that cannot be allocated.
+BOOST_AUTO_TEST_CASE(BodyThatCannotBeAllocatedGets413)
+{
+    for (const std::string length : { "1000000000000000", "9223372036854775807" })
+        BOOST_TEST(sendRaw("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + length + "\r\n\r\nx")
+                       .starts_with("HTTP/1.1 413"));
+}
+
 BOOST_AUTO_TEST_CASE(OversizedBodyGets413)
 {
     BOOST_TEST(sendRaw("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\n" + std::string(5000, 'x'))
--- a/testsuite/platform-faults/run.py
+++ b/testsuite/platform-faults/run.py
@@ -1,9 +1,9 @@
 """Two instances on the users' platform while its store, its workers and the instances themselves fail.
 
 Guards against: a request that runs twice or is refused after it ran; a truncated response that looks complete; two
-instances that hold the placement lease at once; an upstream that is ordered to exceed its memory after the response to an
-order was lost; a request that crashes one upstream after the other; an instance that stops serving because the store is
-unreachable.
+instances that hold the placement lease at once; a process that ends when an upstream announces a body that cannot be
+allocated; an upstream that is ordered to exceed its memory after the response to an order was lost; a request that crashes
+one upstream after the other; an instance that stops serving because the store is unreachable.
 """
 
 import signal
@@ -33,7 +33,8 @@
     script.say(f"read, one upstream loses answers: {describe(site.call(instance, lookup_request()))}")
     site.workers["plain-0"].lose_share = 0.0
     site.workers["plain-0"].garble_share = site.workers["plain-1"].garble_share = 1.0
-    script.say(f"once, answer spoiled: {describe(site.call(instance, checkout_request()))}")
+    for _ in range(2):
+        script.say(f"once, answer spoiled: {describe(site.call(instance, checkout_request()))}")
     site.workers["plain-0"].garble_share = site.workers["plain-1"].garble_share = 0.0
     site.workers["engine-2"].cut_share = 1.0
     script.say(f"stream, cut: complete={site.call(instance, brief_request('m-3')).is_complete}")
