Suspect prompt parts of a crash also after the first event

Cause: the parts of a request whose first event had arrived were no longer suspected. Sound requests on the same upstream had no event yet and were.

Change: the parts of a request stay suspect until its stream has run for one second. Longer streams show that the upstream can write on them.

What instances tell each other about crashes keeps its form.

--- a/src/libfront/front_test_support.h
+++ b/src/libfront/front_test_support.h
@@ -12,8 +12,8 @@
 
 namespace bulrushstack {
 
-/// Minimal request format of the tests, with the headers X-Id, X-Seal, X-Not-Run, X-Model, X-Leaving, X-Pause, X-Limit,
-/// X-Resumes and X-Retry-Ms.
+/// Minimal request format of the tests, with the headers X-Id, X-Seal, X-Not-Run, X-Model, X-Parts, X-Leaving, X-Pause,
+/// X-Limit, X-Resumes and X-Retry-Ms.
 class TestFormat final : public RequestFormat {
 public:
     Result<ServingRequest> decode(const HttpRequest& request) const override
@@ -24,6 +24,9 @@
         out.path = std::string(request.path());
         out.model = request.headers.find("X-Model").value_or("");
         out.resumedRequest = request.headers.find("X-Resumes").value_or("");
+        std::istringstream parts(request.headers.find("X-Parts").value_or(""));
+        for (std::string part; std::getline(parts, part, ',');)
+            out.prompt.push_back({ .id = part, .tokens = 10 });
         if (out.id.empty())
             return Failure { .code = Errc::Malformed, .detail = "no id" };
         return out;
--- a/src/libfront/request_attempt.cpp
+++ b/src/libfront/request_attempt.cpp
@@ -36,6 +36,8 @@
 constexpr Milliseconds crashProbeInterval { 50 };
 /// Other upstreams that are probed to tell a crash from a loss of this instance's path.
 constexpr std::size_t otherUpstreamsProbed = 2;
+/// Time for which an upstream may produce events of a stream before its prompt crashes it.
+constexpr Milliseconds crashOnset { 1000 };
 constexpr unsigned mismatchedResponseLimit = 3;
 /// Maximum size of one event of a stream, in bytes.
 constexpr std::size_t maxEventSize = 1024 * 1024;
@@ -325,6 +327,7 @@
         }
         if (events.empty())
             continue;
+        recordEvents(attempt);
         co_await beginClientStream(attempt);
         if (!m_isClientGone) {
             const auto ec = co_await m_exchange.write(events);
@@ -337,6 +340,20 @@
     }
 }
 
+void RequestForwarder::recordEvents(Attempt& attempt)
+{
+    attempt.lastEventAt = m_state.clock().now();
+    if (!attempt.hasFirstResponse)
+        attempt.firstEventAt = attempt.lastEventAt;
+}
+
+/// Returns whether a prompt part can be the cause if the upstream has crashed. Such a part crashes each upstream that
+/// begins to write a response to it; some events may arrive before.
+bool RequestForwarder::Attempt::mayPromptHaveCrashedUpstream() const
+{
+    return !hasFirstResponse || lastEventAt - firstEventAt < crashOnset;
+}
+
 /// Returns a failure if the stream is truncated although the end of its body looks complete. A body that ends
 /// with its connection needs at least one event as evidence that the upstream did not crash before it.
 std::optional<Failure> RequestForwarder::truncationFailure(const Attempt& attempt) const
@@ -407,11 +424,11 @@
 }
 
 /// Suspects the contents of the request of a crash if the upstream no longer accepts connections. A connection that
-/// broke for another reason says nothing about the request. Prompt parts crash an upstream before its first event.
+/// broke for another reason says nothing about the request.
 void RequestForwarder::probeForCrash(const Attempt& attempt)
 {
     auto suspects = m_crashSuspects;
-    if (attempt.hasFirstResponse)
+    if (!attempt.mayPromptHaveCrashedUpstream())
         std::erase_if(suspects, [](const auto& it) { return it.suspect.kind == SuspectKind::PromptPart; });
     auto probe = [](RequestDependencies dependencies, Address address, std::string upstream, std::uint64_t startedAt,
                      std::vector<CrashSuspect> suspects, std::string request) -> asio::awaitable<void> {
--- a/src/libfront/request_forwarder.h
+++ b/src/libfront/request_forwarder.h
@@ -163,6 +163,11 @@
         UpstreamResponseHead head;
         bool hasFirstResponse = false;
         bool wasSent = false;
+        /// Times of the first and of the last events of a stream.
+        SteadyTime firstEventAt {};
+        SteadyTime lastEventAt {};
+
+        bool mayPromptHaveCrashedUpstream() const;
     };
 
     boost::asio::awaitable<void> runAdmitted();
@@ -204,6 +209,7 @@
     void applyRateLimit(const Attempt& attempt);
     void applyRefusal(const Attempt& attempt);
     void recordFirstResponse(Attempt& attempt);
+    void recordEvents(Attempt& attempt);
     std::optional<Failure> truncationFailure(const Attempt& attempt) const;
     void finishAttempt(Attempt& attempt, const std::optional<Failure>& failure);
     bool isRejectedForOverload(const RankedUpstream& chosen);
--- /dev/null
+++ b/src/libfront/upstream_crash_test.cpp
@@ -0,0 +1,76 @@
+#include "front_test_support.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace bulrushstack;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string firstEvent = "id: 1\ndata: a\n\n";
+const std::string laterEvents = "id: 2\ndata: b\n\nid: 3\ndata: c\n\n";
+
+/// A front whose requests share the prompt parts "house" and "crashing".
+struct CrashFixture : FrontFixture {
+    void call(const std::string& target)
+    {
+        HttpRequest request { .method = "POST", .target = target };
+        request.headers.set("X-Id", "7");
+        request.headers.set("X-Parts", "house,crashing,own");
+        const Address address { .host = "127.0.0.1", .port = server.port() };
+        (void)runAwaitable(
+            context, client.call(address, std::move(request), { .deadline = clock.now() + std::chrono::seconds(10) }));
+        runFor(300ms);
+    }
+
+    /// Adds an upstream that sends these bytes and is gone then.
+    void addCrashingUpstream(const std::string& response, RawServerPace pace = {})
+    {
+        addUpstream({ response }, true, pace).stopListeningAfterFirstConnection();
+    }
+
+    /// Returns the prompt parts that are suspected of the only crash.
+    std::vector<std::string> suspectedParts()
+    {
+        const auto crashes = state.crashSuspects().crashes();
+        BOOST_REQUIRE_EQUAL(crashes.size(), 1U);
+        std::vector<std::string> out;
+        for (const auto& it : crashes.front().suspects) {
+            if (it.suspect.kind == SuspectKind::PromptPart && !it.isCleared)
+                out.push_back(it.suspect.id);
+        }
+        return out;
+    }
+};
+
+const std::vector<std::string> sharedParts { "crashing", "house" };
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(APromptPartThatCrashesItsUpstream, CrashFixture)
+
+BOOST_AUTO_TEST_CASE(IsSuspectedBeforeTheFirstEvent)
+{
+    addCrashingUpstream(streamResponseHead);
+    call("/events/x");
+    BOOST_TEST(suspectedParts() == sharedParts);
+}
+
+// Guards against a crashing part that is not suspected because its upstream had begun to write the response.
+BOOST_AUTO_TEST_CASE(IsSuspectedAfterTheFirstEvent)
+{
+    addCrashingUpstream(streamResponseHead + chunk(firstEvent));
+    call("/events/x");
+    BOOST_TEST(suspectedParts() == sharedParts);
+}
+
+// Guards against parts that are suspected although their upstream wrote on them for long.
+BOOST_AUTO_TEST_CASE(IsNotSuspectedOnceTheStreamRuns)
+{
+    const std::string begun = streamResponseHead + chunk(firstEvent);
+    addCrashingUpstream(begun + chunk(laterEvents), { .pieceSize = begun.size(), .pause = 1200ms });
+    call("/events/x");
+    BOOST_TEST(suspectedParts().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/libnet/testing/raw_server.h
+++ b/src/libnet/testing/raw_server.h
@@ -50,6 +50,9 @@
     /// Closes the listening socket; open connections stay open.
     void stopListening() { m_acceptor.close(); }
 
+    /// The same, as soon as it has accepted its first connection.
+    void stopListeningAfterFirstConnection() { m_acceptsOneConnection = true; }
+
 private:
     using Socket = boost::asio::ip::tcp::socket;
 
@@ -63,6 +66,8 @@
                 co_return;
             ++m_connections;
             boost::asio::co_spawn(m_acceptor.get_executor(), serve(std::move(socket)), boost::asio::detached);
+            if (m_acceptsOneConnection)
+                stopListening();
         }
     }
 
@@ -94,6 +99,7 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::vector<std::string> m_responses;
     bool m_closesAfterLastResponse;
+    bool m_acceptsOneConnection = false;
     std::size_t m_responsesPerConnection;
     RawServerPace m_pace;
     std::size_t m_next = 0;
--- a/testsuite/crashing-prompt-part/run.py
+++ b/testsuite/crashing-prompt-part/run.py
@@ -1,8 +1,8 @@
 """Three instances receive requests of which some share a prompt part that crashes every engine that runs them.
 
 Guards against: requests that differ in everything but one prompt part and crash one engine after the other; requests that
-are refused because they share their other prompt parts with the crashing ones; a quarantine that is forgotten when all
-instances are killed.
+are refused because they share their other prompt parts with the crashing ones, in particular if the engines crash after the
+first event; a quarantine that is forgotten when all instances are killed.
 """
 
 import time
@@ -56,24 +56,35 @@
     script.say(f"crashing requests that reach engines again: {len(crashing_runs(site)) - before}")
 
 
-def run(folder):
-    script = Transcript()
+def check_quarantine(script, site, instances):
+    """Sends crashing requests and others, and checks that only the former end up refused."""
+    served = []
+    for number in range(ROUNDS):
+        started = time.monotonic()
+        served.append(sum(it.is_served for it in send_round(site, instances, number)))
+        time.sleep(max(0.0, started + ROUND_S - time.monotonic()))
+    crashes = crashing_runs(site)
+    late = [it for it in crashes[5:] if it > crashes[4] + STABLE_S]
+    script.say(f"engines crashed: {len(crashes) > 0}")
+    script.say(f"at most {LATE_RUN_LIMIT} such requests ran later than {STABLE_S:g} s after the fifth crash: {len(late) <= LATE_RUN_LIMIT}")
+    settled = served[-SETTLED_ROUNDS:]
+    script.say(f"requests that share the other parts are served: {settled == [len(instances)] * SETTLED_ROUNDS}")
+
+
+def play(script, folder, title, restarts_all=False, **engine_attributes):
+    script.section(title)
     with serving_site.open_site(folder, placed=PLACED, models=MODELS) as site:
         instances = serving_site.start_instances(site, 3)
         for number in range(3):
-            site.workers[f"engine-{number}"].crashing_prompt_parts = {"crashing"}
-        served = []
-        for number in range(ROUNDS):
-            started = time.monotonic()
-            served.append(sum(it.is_served for it in send_round(site, instances, number)))
-            time.sleep(max(0.0, started + ROUND_S - time.monotonic()))
-        crashes = crashing_runs(site)
-        late = [it for it in crashes[5:] if it > crashes[4] + STABLE_S]
-        script.section("one prompt part crashes every engine that runs it; no two requests with it are alike")
-        script.say(f"engines crashed: {len(crashes) > 0}")
-        script.say(f"at most {LATE_RUN_LIMIT} such requests ran later than {STABLE_S:g} s after the fifth crash: {len(late) <= LATE_RUN_LIMIT}")
-        settled = served[-SETTLED_ROUNDS:]
-        script.say(f"requests that share the other parts are served: {settled == [len(instances)] * SETTLED_ROUNDS}")
-        restart_all(script, site, instances)
+            vars(site.workers[f"engine-{number}"]).update(crashing_prompt_parts={"crashing"}, **engine_attributes)
+        check_quarantine(script, site, instances)
+        if restarts_all:
+            restart_all(script, site, instances)
         serving_site.report_violations(script, site)
+
+
+def run(folder):
+    script = Transcript()
+    play(script, folder / "at-once", "one prompt part crashes every engine that runs it; no two requests with it are alike", restarts_all=True)
+    play(script, folder / "after-events", "the engines crash after the first event", events_before_crash=1)
     return script.text()
