Suspect requests of crashes of brittle upstreams that refused little

Cause: every failure of a brittle upstream counted as one because of its refusals, whether it had refused anything or not.

Change: instances count the refusals of each process, their own and those that others report, and put a failure down to refusals only if at least half of those that the upstream stands are known from the last 2 s. The notice of a refusal carries their number.

Compatibility: earlier builds ignore the new field and send none, which counts as one refusal.

--- a/src/libfront/front_state.h
+++ b/src/libfront/front_state.h
@@ -4,6 +4,7 @@
 #include "bulrushstack/front/placement_messages.h"
 #include "bulrushstack/kernel/clock.h"
 #include "bulrushstack/serving/crash_suspects.h"
+#include "bulrushstack/serving/recent_refusals.h"
 #include "bulrushstack/serving/residency_hints.h"
 #include "bulrushstack/serving/retry_budget.h"
 #include "bulrushstack/serving/upstream_reachability.h"
@@ -65,6 +66,7 @@
     ResidencyHints& residencyHints() { return m_residencyHints; }
     RetryBudget& retryBudget(const std::string& service);
     const CrashSuspects& crashSuspects() const { return m_crashSuspects; }
+    RecentRefusals& recentRefusals() { return m_recentRefusals; }
 
     /// Records what was in progress on a process of an upstream when it crashed. The lease holder hears of it soon.
     void recordCrash(const std::string& upstream, std::uint64_t startedAt, const std::vector<CrashSuspect>& suspects);
@@ -147,6 +149,7 @@
     UpstreamReachability m_reachability;
     ResidencyHints m_residencyHints;
     CrashSuspects m_crashSuspects;
+    RecentRefusals m_recentRefusals;
     std::map<std::string, RetryBudget> m_retryBudgets;
     /// Number of instances that share the retry budgets; 0 while it is unknown.
     unsigned m_instanceCount = 0;
--- a/src/libfront/front_test_support.h
+++ b/src/libfront/front_test_support.h
@@ -13,7 +13,7 @@
 namespace bulrushstack {
 
 /// Minimal request format of the tests, with the headers X-Id, X-Seal, X-Not-Run, X-Model, X-Parts, X-Leaving, X-Pause,
-/// X-Limit, X-Resumes and X-Retry-Ms.
+/// X-Limit, X-Brittle, X-Resumes and X-Retry-Ms.
 class TestFormat final : public RequestFormat {
 public:
     Result<ServingRequest> decode(const HttpRequest& request) const override
@@ -51,7 +51,9 @@
             .isLeaving = headers.find("X-Leaving").has_value(),
             .retryAfter
             = headers.find("X-Pause") ? std::optional(parseRetryAfter(*headers.find("X-Pause"))) : std::nullopt,
-            .rateLimit = headers.find("X-Limit") ? std::optional(std::stod(*headers.find("X-Limit"))) : std::nullopt };
+            .rateLimit = headers.find("X-Limit") ? std::optional(std::stod(*headers.find("X-Limit"))) : std::nullopt,
+            .refusalLimit
+            = headers.find("X-Brittle") ? std::optional(std::stod(*headers.find("X-Brittle"))) : std::nullopt };
     }
 
     HttpRequest encodeForPeer(const HttpRequest& request, std::chrono::milliseconds) const override { return request; }
--- a/src/libfront/refusal_notices.cpp
+++ b/src/libfront/refusal_notices.cpp
@@ -47,7 +47,7 @@
     auto document = nlohmann::json::array();
     for (const auto& [upstream, refusal] : m_unsent)
         document.push_back({ { "upstream", upstream }, { "startedAt", refusal.startedAt },
-            { "refusalsPerSecond", refusal.refusalsPerSecond } });
+            { "refusalsPerSecond", refusal.refusalsPerSecond }, { "refusals", refusal.refusals } });
     return document.dump();
 }
 
@@ -62,13 +62,17 @@
 
 void RefusalNotices::recordRefusal(const std::string& upstream, std::uint64_t startedAt, double refusalsPerSecond)
 {
-    const Refusal refusal { .startedAt = startedAt, .refusalsPerSecond = refusalsPerSecond };
-    pause(upstream, refusal, "request");
+    Refusal refusal { .startedAt = startedAt, .refusalsPerSecond = refusalsPerSecond };
+    apply(upstream, refusal, "request");
+    const auto unsent = m_unsent.find(upstream);
+    if (unsent != m_unsent.end() && unsent->second.startedAt == startedAt)
+        refusal.refusals += unsent->second.refusals;
     m_unsent[upstream] = refusal;
 }
 
-void RefusalNotices::pause(const std::string& upstream, const Refusal& refusal, std::string_view source)
+void RefusalNotices::apply(const std::string& upstream, const Refusal& refusal, std::string_view source)
 {
+    m_state.recentRefusals().record(upstream, refusal.startedAt, refusal.refusals);
     const auto duration = pauseAfterRefusal(refusal.refusalsPerSecond, m_state.randomFraction());
     if (m_state.directory().recordPause(upstream, refusal.startedAt, duration))
         LOG(INFO) << "event=upstream-pause upstream=" << upstream << " source=" << source
@@ -83,9 +87,11 @@
         return jsonErrorResponse(400, "the body is not a list");
     try {
         for (const auto& it : document) {
+            // Instances of an earlier version do not send the number of refusals.
             const Refusal refusal { .startedAt = it.at("startedAt").get<std::uint64_t>(),
-                .refusalsPerSecond = it.at("refusalsPerSecond").get<double>() };
-            pause(it.at("upstream").get<std::string>(), refusal, "instance");
+                .refusalsPerSecond = it.at("refusalsPerSecond").get<double>(),
+                .refusals = it.value("refusals", 1U) };
+            apply(it.at("upstream").get<std::string>(), refusal, "instance");
         }
     } catch (const nlohmann::json::exception& error) {
         return jsonErrorResponse(400, error.what());
--- a/src/libfront/refusal_notices.h
+++ b/src/libfront/refusal_notices.h
@@ -32,10 +32,11 @@
     struct Refusal {
         std::uint64_t startedAt = 0; ///< Start time of the upstream's process, in Unix milliseconds.
         double refusalsPerSecond = 0; ///< Refusals that the upstream stands.
+        unsigned refusals = 1; ///< Number of refusals since the last notice.
     };
 
     HttpResponse respond(const HttpRequest& request);
-    void pause(const std::string& upstream, const Refusal& refusal, std::string_view source);
+    void apply(const std::string& upstream, const Refusal& refusal, std::string_view source);
     std::string encodeRefusals() const;
     boost::asio::awaitable<void> send(Peer peer, std::string body);
 
--- a/src/libfront/request_attempt.cpp
+++ b/src/libfront/request_attempt.cpp
@@ -36,6 +36,8 @@
 constexpr Milliseconds crashProbeInterval { 50 };
 /// Other upstreams that are probed to tell a crash from a loss of this instance's path.
 constexpr std::size_t otherUpstreamsProbed = 2;
+/// Time within which this instance hears of the requests that an upstream refused to other instances.
+constexpr Milliseconds refusalNoticePeriod { 200 };
 /// Time for which an upstream may produce events of a stream before its prompt crashes it.
 constexpr Milliseconds crashOnset { 1000 };
 constexpr unsigned mismatchedResponseLimit = 3;
@@ -69,6 +71,20 @@
     co_return isListening;
 }
 
+/// Returns whether an upstream is brittle and may have failed because of the requests that it had to refuse.
+asio::awaitable<bool> mayHaveFailedByRefusals(
+    RequestDependencies dependencies, std::string service, std::string upstream, std::uint64_t startedAt)
+{
+    const auto limit = dependencies.state.directory().refusalLimit(service);
+    if (!limit)
+        co_return false;
+    co_await sleepFor(dependencies.state.context(), refusalNoticePeriod);
+    const bool isExplained = dependencies.state.recentRefusals().mayExplainFailure(upstream, startedAt, *limit);
+    LOG(INFO) << "event=brittle-upstream-failed upstream=" << upstream << " started_at=" << startedAt
+              << " refusals_per_second=" << *limit << " by_refusals=" << isExplained;
+    co_return isExplained;
+}
+
 /// Returns whether this instance can connect to another upstream than the given one, or whether there is no other one.
 /// If it cannot, its own path is at fault, and no upstream has crashed.
 asio::awaitable<bool> isConnected(RequestDependencies dependencies, std::string except)
@@ -430,14 +446,14 @@
     auto suspects = m_crashSuspects;
     if (!attempt.mayPromptHaveCrashedUpstream())
         std::erase_if(suspects, [](const auto& it) { return it.suspect.kind == SuspectKind::PromptPart; });
-    auto probe = [](RequestDependencies dependencies, Address address, std::string upstream, std::uint64_t startedAt,
-                     std::vector<CrashSuspect> suspects, std::string request) -> asio::awaitable<void> {
+    auto probe = [](RequestDependencies dependencies, Address address, std::string service, std::string upstream,
+                     std::uint64_t startedAt, std::vector<CrashSuspect> suspects,
+                     std::string request) -> asio::awaitable<void> {
         if (co_await isStillListening(dependencies, address))
             co_return;
         dependencies.state.reachability().recordConnectFailure(upstream);
-        const auto* entry = dependencies.state.directory().find(upstream);
-        if (entry && dependencies.state.directory().refusalLimit(entry->service))
-            co_return; // It probably failed because of the requests that it had to refuse.
+        if (co_await mayHaveFailedByRefusals(dependencies, service, upstream, startedAt))
+            co_return;
         if (!co_await isConnected(dependencies, upstream))
             co_return;
         LOG(WARNING) << "event=crash-suspected request=" << request << " upstream=" << upstream
@@ -445,8 +461,8 @@
         dependencies.state.recordCrash(upstream, startedAt, suspects);
     };
     spawnLogged(m_state.context(),
-        probe(
-            m_dependencies, attempt.address, attempt.upstreamId, attempt.startedAt, std::move(suspects), m_request.id),
+        probe(m_dependencies, attempt.address, m_service->name, attempt.upstreamId, attempt.startedAt,
+            std::move(suspects), m_request.id),
         "crash-probe");
 }
 
--- a/testsuite/crashing-prompt-part/run.py
+++ b/testsuite/crashing-prompt-part/run.py
@@ -2,7 +2,7 @@
 
 Guards against: requests that differ in everything but one prompt part and crash one engine after the other; requests that
 are refused because they share their other prompt parts with the crashing ones, in particular if the engines crash after the
-first event; a quarantine that is forgotten when all instances are killed.
+first event, or say that they are brittle; a quarantine that is forgotten when all instances are killed.
 """
 
 import time
@@ -13,6 +13,7 @@
 
 MODELS = {"m-0": 0, "m-1": 0}
 PLACED = (("m-0",), ("m-0",), ("m-0", "m-1"))
+BRITTLENESS = 20.0  # refusals a second that an engine stands; it refuses none
 ROUNDS = 45
 ROUND_S = 0.3  # seconds
 STABLE_S = 3.0  # seconds after the fifth crash from which crashing requests are limited
@@ -87,4 +88,5 @@
     script = Transcript()
     play(script, folder / "at-once", "one prompt part crashes every engine that runs it; no two requests with it are alike", restarts_all=True)
     play(script, folder / "after-events", "the engines crash after the first event", events_before_crash=1)
+    play(script, folder / "brittle", "the engines say that they are brittle", brittleness=BRITTLENESS)
     return script.text()
