Bound the memory of all buffered responses together

Cause: bodies and events were bounded one by one, not together.

Change: those that an instance buffers share 32 MiB. None may become larger than what it leaves free, so that endless ones leave room for small ones.

Nothing that instances exchange or store is touched.

--- a/src/include/bulrushstack/net/http_client.h
+++ b/src/include/bulrushstack/net/http_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bulrushstack/kernel/clock.h"
+#include "bulrushstack/net/buffer_budget.h"
 #include "bulrushstack/net/http.h"
 
 #include <boost/asio/io_context.hpp>
@@ -73,6 +74,10 @@
 
     /// Maximum size in bytes of the body that call() and readAll() accept; a longer one fails with Errc::TooLarge.
     std::uint64_t bodyLimit = 64 * 1024 * 1024;
+
+    /// Bounds the bodies that several calls read with call() and readAll() at the same time; a body without room fails
+    /// with Errc::TooLarge. Null means that only `bodyLimit` applies.
+    std::shared_ptr<BufferBudget> bufferBudget;
 };
 
 /// How the end of a response body is recognised (RFC 9112, section 6.3).
--- a/src/libfront/front_service.cpp
+++ b/src/libfront/front_service.cpp
@@ -30,6 +30,8 @@
 /// Time to receive the body of a request, in addition to the time for its header.
 constexpr std::chrono::seconds bodyTimeout { 10 };
 
+/// Maximum memory of all responses of upstreams that are being buffered, in bytes.
+constexpr std::size_t responseBufferLimit = 32 * 1024 * 1024;
 constexpr std::size_t connectionLimit = 3000;
 constexpr std::size_t controlConnectionLimit = 1000;
 /// Maximum size in bytes of a request body on the ports other than the one for clients.
@@ -246,7 +248,8 @@
             .upstreams = storeSynchronizer,
             .relay = peerRelay,
             .refusals = refusalNotices,
-            .metrics = metrics };
+            .metrics = metrics,
+            .responseBuffers = responseBuffers };
     }
 
     RuntimeService& runtime;
@@ -255,6 +258,7 @@
     FrontState state;
     FrontMetrics metrics;
     std::unique_ptr<FrontBinding> binding;
+    std::shared_ptr<BufferBudget> responseBuffers = std::make_shared<BufferBudget>(responseBufferLimit);
     StoreRelay relay;
     StreamOriginService origins;
     PlacementAgent agent;
--- a/src/libfront/request_attempt.cpp
+++ b/src/libfront/request_attempt.cpp
@@ -158,6 +158,7 @@
     options.tcpKeepAliveTimeout = tcpKeepAliveTimeout;
     options.isCloseDelimitedBodyAccepted = true;
     options.bodyLimit = m_configuration->limits().bodyBytes;
+    options.bufferBudget = m_dependencies.responseBuffers;
     options.cancellation = m_cancellation;
     options.sendBy = m_permit.sendBy;
     auto stream = co_await m_dependencies.client.open(
@@ -337,9 +338,12 @@
             co_return failure;
         }
         const std::string events = m_eventSplitter.extractEvents(**part);
-        if (m_eventSplitter.pendingBytes() > maxEventSize) {
+        const std::size_t pendingBytes = m_eventSplitter.pendingBytes();
+        if (pendingBytes > maxEventSize || !m_eventBuffer.resize(pendingBytes)) {
             m_eventSplitter.dropPartialEvent();
-            co_return invalidResponse(Errc::TooLarge, "an event exceeds " + std::to_string(maxEventSize) + " bytes");
+            m_eventBuffer.resize(0);
+            co_return invalidResponse(
+                Errc::TooLarge, "an event of more than " + std::to_string(pendingBytes) + " bytes is not buffered");
         }
         if (events.empty())
             continue;
--- a/src/libfront/request_forwarder.cpp
+++ b/src/libfront/request_forwarder.cpp
@@ -40,6 +40,7 @@
     , m_exchange(exchange)
     , m_relayed(std::move(relayed))
     , m_receivedAt(dependencies.state.clock().now())
+    , m_eventBuffer(dependencies.responseBuffers)
 {
     if (!m_relayed || m_relayed->possibleRuns == 0)
         return;
--- a/src/libfront/request_forwarder.h
+++ b/src/libfront/request_forwarder.h
@@ -141,6 +141,8 @@
     RequestRelay& relay;
     RefusalObserver& refusals;
     FrontMetrics& metrics;
+    /// Memory of all responses that are being buffered.
+    std::shared_ptr<BufferBudget> responseBuffers;
 };
 
 /// Handles one request of a client: admission, choice of upstreams, attempts, and relaying of the response.
@@ -254,6 +256,8 @@
     /// Permit for the next attempt.
     Permit m_permit;
     EventSplitter m_eventSplitter;
+    /// Memory of the incomplete event in m_eventSplitter.
+    BufferShare m_eventBuffer;
     /// Framing of the last response whose body was read.
     std::optional<BodyFraming> m_responseFraming;
     /// Size of the incomplete event at which the last response stream ended, in bytes.
--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -306,6 +306,7 @@
         if (!m_parser->is_done() && announced && *announced > m_options.bodyLimit)
             co_return oversizedBodyFailure();
         std::string out;
+        BufferShare share(m_options.bufferBudget);
         for (;;) {
             auto part = co_await read();
             if (!part)
@@ -315,6 +316,11 @@
             out += **part;
             if (out.size() > m_options.bodyLimit)
                 co_return oversizedBodyFailure();
+            if (!share.resize(out.size()))
+                co_return Failure { .code = Errc::TooLarge,
+                    .verdict = Verdict::MayHaveRun,
+                    .detail
+                    = "other responses leave no memory for more than " + std::to_string(out.size()) + " bytes" };
         }
     }
 
--- a/src/libnet/http_client_test.cpp
+++ b/src/libnet/http_client_test.cpp
@@ -215,6 +215,30 @@
         *this, "HTTP/1.1 200 OK\r\n\r\n" + endless, { .isCloseDelimitedBodyAccepted = true, .bodyLimit = 100'000 });
 }
 
+// Guards against many endless bodies that are kept at the same time until the memory of the instance is used up.
+BOOST_AUTO_TEST_CASE(TakeABoundedAmountOfMemoryTogether)
+{
+    constexpr std::size_t limit = 4 * 1024 * 1024; // bytes
+    constexpr std::size_t calls = 16;
+    const auto budget = std::make_shared<BufferBudget>(limit);
+    const std::vector<std::string> responses(calls, "HTTP/1.1 200 OK\r\n\r\n" + endless);
+    RawServer server(context, responses);
+    std::size_t failed = 0;
+    std::size_t mostUsed = 0;
+    for (std::size_t i = 0; i < calls; ++i) {
+        const HttpCallOptions options {
+            .deadline = clock.now() + 10s, .isCloseDelimitedBodyAccepted = true, .bufferBudget = budget
+        };
+        boost::asio::co_spawn(context, client.call(server.address(), HttpRequest(), options),
+            [&](std::exception_ptr, Result<HttpResponse> result) { failed += result.has_error() ? 1 : 0; });
+    }
+    while (failed < calls && context.run_one() > 0)
+        mostUsed = std::max(mostUsed, budget->used());
+    BOOST_TEST(failed == calls);
+    BOOST_TEST(mostUsed <= limit);
+    BOOST_TEST(budget->used() == 0u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 // Guards against an exception that ends the process: a faulty server announces a body that cannot be allocated.
