End requests with a response when the grace period ends

Cause: the end of the grace period stopped the event loop with the requests in it.

Change: upstreams get no more time than is left; a request that has not run is not started within the last second; 0.5 s before the end, requests in progress end with 503 (not run), 502 (may have run), or a broken stream. New connections are taken for half of the grace period at most.

Nothing that instances exchange or store is touched.

--- a/src/include/bulrushstack/front/front_service.h
+++ b/src/include/bulrushstack/front/front_service.h
@@ -32,6 +32,9 @@
 
 private:
     struct Components;
+
+    boost::asio::awaitable<bool> awaitRequests(const bool& isIngressDrained, SteadyTime deadline);
+
     FrontBindingFactory m_createBinding;
     std::unique_ptr<Components> m_components;
 };
--- a/src/libfront/front_service.cpp
+++ b/src/libfront/front_service.cpp
@@ -23,9 +23,13 @@
 
 /// Time within which the load balancer notices that this instance is no longer ready.
 constexpr std::chrono::milliseconds balancerDelay { 2300 };
+/// Minimum fraction of the grace period that is left to the requests when no new ones are accepted any more.
+constexpr double drainShare = 0.5;
 
-/// Requests that are still running are aborted this long before the grace period ends.
-constexpr std::chrono::milliseconds exitMargin { 400 };
+/// Requests that are still running are ended with an error this long before the grace period ends.
+constexpr std::chrono::milliseconds abortMargin { 500 };
+/// The process exits this long before the grace period ends.
+constexpr std::chrono::milliseconds exitMargin { 200 };
 
 /// Time to receive the body of a request, in addition to the time for its header.
 constexpr std::chrono::seconds bodyTimeout { 10 };
@@ -309,26 +313,30 @@
 asio::awaitable<void> FrontService::stop()
 {
     auto& components = *m_components;
-    const auto deadline = components.runtime.clock().now() + components.state.platformLimits().gracePeriod - exitMargin;
+    const auto gracePeriod = components.state.platformLimits().gracePeriod;
+    const auto graceEnd = components.runtime.clock().now() + gracePeriod;
+    const auto abortTime = graceEnd - abortMargin;
     components.runtime.setReady("shutdown", false, "shutting down");
+    components.state.beginShutdown(abortTime);
     components.ingressServer.disableKeepAlive();
     components.relayedRequests.stop();
     spawnLogged(components.context, components.agent.stop(), "placement-stop");
-    co_await sleepFor(components.context, balancerDelay);
-    asio::steady_timer timer(components.context, deadline);
-    auto isDrained = std::make_shared<bool>(false);
-    auto drain = [](HttpServer& server, asio::steady_timer& wake, std::shared_ptr<bool> done) -> asio::awaitable<void> {
+    co_await sleepFor(components.context,
+        std::min<std::chrono::nanoseconds>(
+            balancerDelay, std::chrono::duration_cast<std::chrono::nanoseconds>(gracePeriod * (1 - drainShare))));
+    const auto isIngressDrained = std::make_shared<bool>(false);
+    auto drain = [](HttpServer& server, std::shared_ptr<bool> isDone) -> asio::awaitable<void> {
         co_await server.drain();
-        *done = true;
-        wake.cancel();
+        *isDone = true;
     };
-    spawnLogged(components.context, drain(components.ingressServer, timer, isDrained), "ingress-drain");
-    if (!*isDrained)
-        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-    while (components.relayedRequests.activeRequests() > 0 && components.runtime.clock().now() < deadline)
-        co_await sleepFor(components.context, drainCheckInterval);
-    LOG(INFO) << "event=drained complete=" << *isDrained << " left=" << components.ingressServer.activeRequests()
+    spawnLogged(components.context, drain(components.ingressServer, isIngressDrained), "ingress-drain");
+    const bool isDrained = co_await awaitRequests(*isIngressDrained, abortTime);
+    LOG(INFO) << "event=drained complete=" << isDrained << " left=" << components.ingressServer.activeRequests()
               << " relayed=" << components.relayedRequests.activeRequests();
+    if (!isDrained) {
+        components.state.abortRequests();
+        co_await awaitRequests(*isIngressDrained, graceEnd - exitMargin);
+    }
     components.storeSynchronizer.stop();
     components.loopMonitor.stop();
     components.origins.stop();
@@ -336,6 +344,19 @@
     components.refusalNotices.stop();
 }
 
+/// Waits until no request is in progress, or until the deadline. Returns whether none is.
+asio::awaitable<bool> FrontService::awaitRequests(const bool& isIngressDrained, SteadyTime deadline)
+{
+    auto& components = *m_components;
+    for (;;) {
+        if (isIngressDrained && components.relayedRequests.activeRequests() == 0)
+            co_return true;
+        if (components.runtime.clock().now() >= deadline)
+            co_return false;
+        co_await sleepFor(components.context, drainCheckInterval);
+    }
+}
+
 void FrontService::reload(const Settings& settings)
 {
     auto& components = *m_components;
--- a/src/libfront/front_state.cpp
+++ b/src/libfront/front_state.cpp
@@ -51,6 +51,12 @@
     m_retryBudgets.clear();
 }
 
+void FrontState::abortRequests()
+{
+    m_activeRequests->abortAll();
+    wakeWaitingRequests();
+}
+
 bool FrontState::updateConfiguration(ServingConfigurationPtr configuration)
 {
     if (m_configuration && configuration->version() <= m_configuration->version())
--- a/src/libfront/front_state.h
+++ b/src/libfront/front_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "active_requests.h"
 #include "bulrushstack/front/front_binding.h"
 #include "bulrushstack/front/placement_messages.h"
 #include "bulrushstack/kernel/clock.h"
@@ -13,6 +14,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <map>
+#include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -53,6 +56,15 @@
     const PlatformLimits& platformLimits() const { return m_platformLimits; }
     void setPlatformLimits(const PlatformLimits& platformLimits);
 
+    /// Records that this instance is stopping, and the time at which requests still in progress are ended.
+    void beginShutdown(SteadyTime end) { m_shutdownEnd = end; }
+    const std::optional<SteadyTime>& shutdownEnd() const { return m_shutdownEnd; }
+
+    const std::shared_ptr<ActiveRequests>& activeRequests() const { return m_activeRequests; }
+
+    /// Ends all requests in progress with an error.
+    void abortRequests();
+
     /// Returns the configuration in force; null until the first one was read.
     const ServingConfigurationPtr& configuration() const { return m_configuration; }
 
@@ -160,6 +172,8 @@
     std::set<std::tuple<std::string, std::string, std::string>> m_adapterDemand;
     bool m_hasUrgentDemand = false;
     std::set<boost::asio::steady_timer*> m_waitTimers;
+    std::shared_ptr<ActiveRequests> m_activeRequests = std::make_shared<ActiveRequests>();
+    std::optional<SteadyTime> m_shutdownEnd;
     std::mt19937_64 m_random { std::random_device()() };
 };
 
--- a/src/libfront/request_attempt.cpp
+++ b/src/libfront/request_attempt.cpp
@@ -106,7 +106,7 @@
 
 SteadyTime RequestForwarder::attemptDeadline() const
 {
-    const auto last = m_deadline + upstreamResponseMargin;
+    const auto last = effectiveDeadline() + upstreamResponseMargin;
     if (m_route->kind != CallKind::Idempotent || m_attemptsMaybeExecuted + 1 >= m_route->attemptLimit)
         return last;
     // A lost response is noticed only by a timeout, which must leave time for another attempt to serve the client.
@@ -420,9 +420,9 @@
     if (failure) {
         if (failure->code == Errc::Refused)
             outcome = AttemptOutcome::Refused;
-        else if (!attempt.wasSent && !m_isClientGone)
+        else if (!attempt.wasSent && !m_isClientGone && !m_isAborted)
             outcome = AttemptOutcome::Unreachable;
-        else if (m_isClientGone || (isOutOfTime && attempt.hasFirstResponse))
+        else if (m_isClientGone || m_isAborted || (isOutOfTime && attempt.hasFirstResponse))
             outcome = AttemptOutcome::Abandoned;
         else
             outcome = AttemptOutcome::Failed;
--- a/src/libfront/request_forwarder.cpp
+++ b/src/libfront/request_forwarder.cpp
@@ -22,6 +22,9 @@
 /// Maximum fraction of its latency objective that a request waits for an upstream that is pausing or without a permit.
 constexpr double suspensionWaitShare = 0.5;
 
+/// An instance that stops within this time starts no request any more.
+constexpr Milliseconds startMargin { 1000 };
+
 constexpr Milliseconds overloadRetryAfter { 300 };
 constexpr Milliseconds versionReadTimeout { 300 };
 constexpr Milliseconds missingModelRetryAfter { 1000 };
@@ -37,17 +40,27 @@
     RequestDependencies dependencies, HttpExchange& exchange, std::optional<RelayedRequest> relayed)
     : m_dependencies(dependencies)
     , m_state(dependencies.state)
+    , m_activeRequests(m_state.activeRequests())
     , m_exchange(exchange)
     , m_relayed(std::move(relayed))
     , m_receivedAt(dependencies.state.clock().now())
     , m_eventBuffer(dependencies.responseBuffers)
 {
+    m_activeRequests->add(*this);
     if (!m_relayed || m_relayed->possibleRuns == 0)
         return;
     m_attemptsMaybeExecuted = m_relayed->possibleRuns;
     m_verdict = Verdict::MayHaveRun;
 }
 
+RequestForwarder::~RequestForwarder() { m_activeRequests->remove(*this); }
+
+void RequestForwarder::abort()
+{
+    m_isAborted = true;
+    m_cancellation->cancel();
+}
+
 asio::awaitable<void> RequestForwarder::run()
 {
     if (auto problem = admissionProblem()) {
@@ -124,6 +137,10 @@
             endAfterClientDisconnect("the client disconnected before an upstream was chosen");
             co_return;
         }
+        if (m_isAborted || isTooLateToStart()) {
+            co_await endForShutdown();
+            co_return;
+        }
         if (chosen && isRejectedForOverload(*chosen)) {
             Failure failure {
                 .code = Errc::Refused, .verdict = Verdict::NotRun, .detail = "the upstreams are overloaded"
@@ -147,6 +164,10 @@
             endAfterClientDisconnect(failure->detail);
             co_return;
         }
+        if (m_isAborted) {
+            co_await endForShutdown();
+            co_return;
+        }
         bool mayTryNext = mayRetry(*failure);
         if (mayTryNext)
             mayTryNext = co_await mayGoOn();
@@ -303,7 +324,7 @@
 asio::awaitable<std::optional<RankedUpstream>> RequestForwarder::chooseUpstream()
 {
     for (;;) {
-        if (m_isClientGone || m_state.clock().now() >= m_deadline)
+        if (m_isClientGone || m_isAborted || m_state.clock().now() >= m_deadline)
             co_return std::nullopt;
         auto ranked = rankCandidates();
         if (!ranked.empty()) {
@@ -423,7 +444,32 @@
     co_return true;
 }
 
-Milliseconds RequestForwarder::timeLeft() const { return millisecondsOf(m_deadline - m_state.clock().now()); }
+/// Returns the time by which the request must have ended. The deadline may lie after the end of this process.
+SteadyTime RequestForwarder::effectiveDeadline() const
+{
+    const auto& shutdownEnd = m_state.shutdownEnd();
+    return shutdownEnd ? std::min(m_deadline, *shutdownEnd) : m_deadline;
+}
+
+Milliseconds RequestForwarder::timeLeft() const { return millisecondsOf(effectiveDeadline() - m_state.clock().now()); }
+
+/// Returns whether this instance will probably have stopped before an upstream could respond. The request is then
+/// refused while it is certain that it has not run.
+bool RequestForwarder::isTooLateToStart() const
+{
+    const auto& shutdownEnd = m_state.shutdownEnd();
+    return shutdownEnd && m_attemptsMaybeExecuted == 0 && !m_isStreaming
+        && *shutdownEnd - m_state.clock().now() < std::min(m_route->latencyObjective, startMargin);
+}
+
+/// Ends a request that this instance cannot complete before it stops. Other instances can serve it at once.
+asio::awaitable<void> RequestForwarder::endForShutdown()
+{
+    m_retryAfter = Milliseconds(0);
+    auto failure = unavailableFailure("this instance is shutting down");
+    failure.verdict = m_verdict;
+    co_await respondWithFailure(std::move(failure));
+}
 
 unsigned RequestForwarder::urgency() const
 {
--- a/src/libfront/request_forwarder.h
+++ b/src/libfront/request_forwarder.h
@@ -146,10 +146,14 @@
 };
 
 /// Handles one request of a client: admission, choice of upstreams, attempts, and relaying of the response.
-class RequestForwarder {
+class RequestForwarder final : private AbortableRequest {
 public:
     RequestForwarder(
         RequestDependencies dependencies, HttpExchange& exchange, std::optional<RelayedRequest> relayed = {});
+    ~RequestForwarder() override;
+
+    RequestForwarder(const RequestForwarder&) = delete;
+    RequestForwarder& operator=(const RequestForwarder&) = delete;
 
     boost::asio::awaitable<void> run();
 
@@ -172,6 +176,7 @@
         bool mayPromptHaveCrashedUpstream() const;
     };
 
+    void abort() override;
     boost::asio::awaitable<void> runAdmitted();
     /// Returns the request as the client sent it.
     const HttpRequest& clientRequest() const { return m_relayed ? m_relayed->request : m_exchange.request(); }
@@ -218,7 +223,10 @@
     bool mayRetry(const Failure& failure);
     std::vector<RankedUpstream> rankCandidates() const;
     SteadyTime attemptDeadline() const;
+    SteadyTime effectiveDeadline() const;
     Milliseconds timeLeft() const;
+    bool isTooLateToStart() const;
+    boost::asio::awaitable<void> endForShutdown();
     SteadyTime residencyDeadline() const;
     std::optional<Problem> admissionProblem();
     std::optional<Problem> quarantineProblem() const;
@@ -228,6 +236,7 @@
 
     RequestDependencies m_dependencies;
     FrontState& m_state;
+    std::shared_ptr<ActiveRequests> m_activeRequests;
     HttpExchange& m_exchange;
     /// The request if another instance handed it to this one. It is not handed on.
     std::optional<RelayedRequest> m_relayed;
@@ -242,6 +251,8 @@
     std::vector<CrashSuspect> m_crashSuspects;
     std::shared_ptr<HttpCancellation> m_cancellation = std::make_shared<HttpCancellation>();
     bool m_isClientGone = false;
+    /// Whether this instance ends the request since it is stopping.
+    bool m_isAborted = false;
     /// Whether the client has its response, or is no longer there to receive it.
     bool m_isDone = false;
     /// Whether the header of the response was sent to the client.
