Close idle connections whose servers are gone, whatever their address

Cause: the pool looked at idle connections only when a request to the same address came. Upstreams that are gone are never asked for again.

Change: the pool, now a module of its own, closes idle connections that their server has closed or that are idle for 30 s while it takes others back, keeps 512 at most, and closes all if there is no descriptor for a new one. Metrics count open, idle and evicted connections.

The new cases IdleConnections use the new counters and did not run on the code before. Nothing that instances exchange or store is touched.

--- a/src/include/bulrushstack/net/http_client.h
+++ b/src/include/bulrushstack/net/http_client.h
@@ -118,6 +118,15 @@
     virtual void close() = 0;
 };
 
+/// Connections of an HttpClient.
+struct HttpConnectionCounts {
+    std::size_t open = 0; ///< connections that are in use, idle or being established
+    std::size_t idle = 0; ///< connections that can be reused
+    std::uint64_t evicted = 0; ///< idle connections that were closed since the start
+
+    friend bool operator==(const HttpConnectionCounts&, const HttpConnectionCounts&) = default;
+};
+
 /// HTTP/1.1 client with a pool of persistent connections per address.
 ///
 /// A failure has the verdict NotRun if no byte of the request was written to a socket, and MayHaveRun otherwise. The
@@ -145,6 +154,8 @@
     /// others probably did too.
     void closeIdleConnections(const Address& address);
 
+    HttpConnectionCounts connectionCounts() const;
+
 private:
     std::shared_ptr<detail::ConnectionPool> m_pool;
 };
--- a/src/libfront/front_metrics.cpp
+++ b/src/libfront/front_metrics.cpp
@@ -76,6 +76,12 @@
     , m_storeReadAge(gauge(
           registry, "bulrush_front_store_read_age_seconds", "Time since this instance itself last read the store"))
     , m_relayAnswers(gauge(registry, "bulrush_front_relay_answers", "Answers to other instances about tables"))
+    , m_openConnections(gauge(registry, "bulrush_front_outgoing_connections",
+          "Connections to upstreams, other instances and the store, idle ones included"))
+    , m_idleConnections(
+          gauge(registry, "bulrush_front_idle_connections", "Connections to others that wait to be used again"))
+    , m_evictedConnections(
+          gauge(registry, "bulrush_front_evicted_connections", "Idle connections that were closed since the start"))
     , m_loopDelays(BuildHistogram()
                        .Name("bulrush_front_loop_delay_seconds")
                        .Help("How late the event loop runs a timer")
@@ -142,6 +148,13 @@
     m_relayAnswers.Set(static_cast<double>(status.answers));
 }
 
+void FrontMetrics::setClientConnections(const HttpConnectionCounts& counts)
+{
+    m_openConnections.Set(static_cast<double>(counts.open));
+    m_idleConnections.Set(static_cast<double>(counts.idle));
+    m_evictedConnections.Set(static_cast<double>(counts.evicted));
+}
+
 void FrontMetrics::recordLoopDelay(std::chrono::nanoseconds delay) { m_loopDelays.Observe(seconds(delay)); }
 
 void FrontMetrics::recordPlanningTime(std::chrono::nanoseconds duration) { m_planningTimes.Observe(seconds(duration)); }
--- a/src/libfront/front_metrics.h
+++ b/src/libfront/front_metrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bulrushstack/net/http_client.h"
 #include "bulrushstack/relay/store_relay.h"
 #include "bulrushstack/serving/upstream_directory.h"
 
@@ -31,6 +32,7 @@
     void setUpstreamAnnouncements(const UpstreamDirectory::AnnouncementCounts& counts);
     void setLeaseHolder(bool isHolder);
     void setRelayStatus(const StoreRelayStatus& status);
+    void setClientConnections(const HttpConnectionCounts& counts);
     void recordLoopDelay(std::chrono::nanoseconds delay);
     void recordPlanningTime(std::chrono::nanoseconds duration);
 
@@ -53,6 +55,9 @@
     prometheus::Gauge& m_areTablesRelayed;
     prometheus::Gauge& m_storeReadAge;
     prometheus::Gauge& m_relayAnswers;
+    prometheus::Gauge& m_openConnections;
+    prometheus::Gauge& m_idleConnections;
+    prometheus::Gauge& m_evictedConnections;
     prometheus::Histogram& m_loopDelays;
     prometheus::Histogram& m_planningTimes;
 };
--- a/src/libfront/front_service.cpp
+++ b/src/libfront/front_service.cpp
@@ -131,18 +131,23 @@
 
 class MetricsHandler final : public HttpHandler {
 public:
-    explicit MetricsHandler(RuntimeService& runtime)
+    MetricsHandler(RuntimeService& runtime, const HttpClient& client, FrontMetrics& metrics)
         : m_runtime(runtime)
+        , m_client(client)
+        , m_metrics(metrics)
     {
     }
 
     asio::awaitable<void> handle(HttpExchange& exchange) override
     {
+        m_metrics.setClientConnections(m_client.connectionCounts());
         co_await exchange.respond(metricsResponse(m_runtime.metrics()));
     }
 
 private:
     RuntimeService& m_runtime;
+    const HttpClient& m_client;
+    FrontMetrics& m_metrics;
 };
 
 /// Handles the requests of other instances: those of clients that they hand on, for tables of the store, for origins of
@@ -227,7 +232,7 @@
         , relayedRequests(requestDependencies(client))
         , controlHandler(relay.tables(), origins, agent, relayedRequests, refusalNotices)
         , readiness(runtime, binding->readinessPath())
-        , metricsHandler(runtime)
+        , metricsHandler(runtime, client, metrics)
         , ingressServer(context, ingressOptions(settings.address("listen-address"), {}), ingress)
         , readinessServer(context, controlOptions(settings.address("ready-address")), readiness)
         , controlServer(context, controlOptions(settings.address("control-address")), controlHandler)
--- /dev/null
+++ b/src/libnet/connection_pool.cpp
@@ -0,0 +1,180 @@
+#include "connection_pool.h"
+
+#include <algorithm>
+#include <charconv>
+#include <netinet/tcp.h>
+
+namespace bulrushstack::detail {
+
+namespace {
+
+constexpr std::size_t idleLimitPerAddress = 64; // connections
+constexpr std::size_t idleLimit = 512; // connections
+/// Time after which no caller reuses an idle connection; see HttpCallOptions::maxIdle.
+constexpr std::chrono::seconds maxIdleTime { 30 };
+constexpr std::chrono::seconds checkInterval { 5 };
+
+} // namespace
+
+ClientConnection::ClientConnection(asio::io_context& context, std::shared_ptr<std::size_t> connectionCount)
+    : stream(context)
+    , buffer(bufferLimit)
+    , m_connectionCount(std::move(connectionCount))
+{
+    ++*m_connectionCount;
+}
+
+ClientConnection::~ClientConnection() { --*m_connectionCount; }
+
+ConnectionPool::ConnectionPool(asio::io_context& context, const Clock& clock)
+    : m_context(context)
+    , m_clock(clock)
+{
+}
+
+ClientConnectionPtr ConnectionPool::create()
+{
+    return std::make_shared<ClientConnection>(m_context, m_connectionCount);
+}
+
+ClientConnectionPtr ConnectionPool::acquire(const Address& address, std::chrono::nanoseconds maxIdle)
+{
+    const auto it = m_idle.find(address);
+    while (it != m_idle.end() && !it->second.empty()) {
+        auto& newest = it->second.back();
+        if (m_clock.now() - newest->idleSince >= maxIdle)
+            return nullptr;
+        auto connection = std::move(newest);
+        it->second.pop_back();
+        --m_idleCount;
+        if (!isExpired(*connection) && !isUnusable(connection->stream.socket()))
+            return connection;
+        ++m_evicted;
+    }
+    return nullptr;
+}
+
+void ConnectionPool::release(const Address& address, ClientConnectionPtr connection)
+{
+    if (m_clock.now() - m_checkedAt >= checkInterval)
+        closeUnusable();
+    auto& idle = m_idle[address];
+    connection->idleSince = m_clock.now();
+    connection->stream.expires_never();
+    idle.push_back(std::move(connection));
+    ++m_idleCount;
+    if (idle.size() > idleLimitPerAddress) {
+        idle.erase(idle.begin());
+        --m_idleCount;
+        ++m_evicted;
+    }
+    if (m_idleCount > idleLimit)
+        closeLongestIdle();
+}
+
+void ConnectionPool::closeIdle(const Address& address)
+{
+    const auto it = m_idle.find(address);
+    if (it == m_idle.end())
+        return;
+    m_idleCount -= it->second.size();
+    m_evicted += it->second.size();
+    m_idle.erase(it);
+}
+
+void ConnectionPool::closeAllIdle()
+{
+    m_evicted += m_idleCount;
+    m_idleCount = 0;
+    m_idle.clear();
+}
+
+HttpConnectionCounts ConnectionPool::counts() const
+{
+    return { .open = *m_connectionCount, .idle = m_idleCount, .evicted = m_evicted };
+}
+
+bool ConnectionPool::isExpired(const ClientConnection& connection) const
+{
+    const auto idleTime = m_clock.now() - connection.idleSince;
+    return idleTime >= maxIdleTime || idleTime >= connection.idleLimit;
+}
+
+void ConnectionPool::closeUnusable()
+{
+    m_checkedAt = m_clock.now();
+    for (auto& [address, idle] : m_idle) {
+        const auto n = std::erase_if(
+            idle, [this](const ClientConnectionPtr& it) { return isExpired(*it) || isUnusable(it->stream.socket()); });
+        m_idleCount -= n;
+        m_evicted += n;
+    }
+    std::erase_if(m_idle, [](const auto& it) { return it.second.empty(); });
+}
+
+void ConnectionPool::closeLongestIdle()
+{
+    auto longest = m_idle.end();
+    for (auto it = m_idle.begin(); it != m_idle.end(); ++it) {
+        if (it->second.empty())
+            continue;
+        if (longest == m_idle.end() || it->second.front()->idleSince < longest->second.front()->idleSince)
+            longest = it;
+    }
+    longest->second.erase(longest->second.begin());
+    --m_idleCount;
+    ++m_evicted;
+}
+
+bool ConnectionPool::maySend(const HttpCallOptions& options) const
+{
+    return !options.sendBy || m_clock.bootNow() < *options.sendBy;
+}
+
+bool ConnectionPool::setOperationTimeout(beast::tcp_stream& stream, const HttpCallOptions& options) const
+{
+    auto limit = std::chrono::nanoseconds::max();
+    if (options.deadline != SteadyTime::max())
+        limit = options.deadline - m_clock.now();
+    if (limit <= std::chrono::nanoseconds(0))
+        return false;
+    if (options.progressTimeout > std::chrono::nanoseconds(0))
+        limit = std::min(limit, options.progressTimeout);
+    if (limit == std::chrono::nanoseconds::max())
+        stream.expires_never();
+    else
+        stream.expires_after(limit);
+    return true;
+}
+
+std::chrono::nanoseconds advertisedIdleLimit(const HttpHeaders& headers)
+{
+    static constexpr std::string_view parameter = "timeout=";
+    static constexpr std::chrono::milliseconds margin { 700 };
+    const auto value = headers.find("Keep-Alive");
+    const auto start = value ? value->find(parameter) : std::string::npos;
+    if (start == std::string::npos)
+        return std::chrono::nanoseconds::max();
+    unsigned seconds = 0;
+    const char* first = value->data() + start + parameter.size();
+    const auto [end, ec] = std::from_chars(first, value->data() + value->size(), seconds);
+    if (ec != std::errc())
+        return std::chrono::nanoseconds::max();
+    return std::max<std::chrono::nanoseconds>(std::chrono::seconds(seconds) - margin, std::chrono::nanoseconds(0));
+}
+
+void setTcpKeepAliveTimeout(asio::ip::tcp::socket& socket, std::chrono::milliseconds timeout)
+{
+    const int fd = socket.native_handle();
+    const int enabled = 1;
+    const int probeSeconds = 1;
+    const int probes = std::max(1, static_cast<int>(timeout / std::chrono::seconds(probeSeconds)));
+    const auto milliseconds = static_cast<unsigned>(timeout.count());
+    ::setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &enabled, sizeof(enabled));
+    ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &probeSeconds, sizeof(probeSeconds));
+    ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &probeSeconds, sizeof(probeSeconds));
+    ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+    ::setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof(milliseconds));
+}
+
+} // namespace bulrushstack::detail
--- /dev/null
+++ b/src/libnet/connection_pool.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "bulrushstack/kernel/clock.h"
+#include "bulrushstack/net/http_client.h"
+#include "http_beast.h"
+
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace bulrushstack::detail {
+
+struct ClientConnection {
+    /// Maximum number of bytes buffered for an incomplete header, chunk header or trailer.
+    static constexpr std::size_t bufferLimit = 256 * 1024;
+
+    ClientConnection(asio::io_context& context, std::shared_ptr<std::size_t> connectionCount);
+    ~ClientConnection();
+
+    ClientConnection(const ClientConnection&) = delete;
+    ClientConnection& operator=(const ClientConnection&) = delete;
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    SteadyTime idleSince {};
+    std::chrono::nanoseconds idleLimit = std::chrono::nanoseconds::max(); ///< from the server's Keep-Alive header
+    unsigned requests = 0; ///< number of requests sent
+    bool isSending = false; ///< whether a request is still being written in the background
+
+private:
+    std::shared_ptr<std::size_t> m_connectionCount;
+};
+
+using ClientConnectionPtr = std::shared_ptr<ClientConnection>;
+
+/// Idle connections by address; those released last are at the end and are reused first.
+///
+/// The number of idle connections is bounded, for each address and in all. Connections that the server has closed, and
+/// those that have been idle for long, are closed while others are released, whatever their address: a server that is
+/// gone is never asked for again.
+class ConnectionPool {
+public:
+    ConnectionPool(asio::io_context& context, const Clock& clock);
+
+    asio::io_context& context() { return m_context; }
+
+    /// Returns a connection that is not established yet.
+    ClientConnectionPtr create();
+
+    /// Removes and returns a usable connection that has been idle for less than `maxIdle`; null if there is none.
+    ClientConnectionPtr acquire(const Address& address, std::chrono::nanoseconds maxIdle);
+
+    void release(const Address& address, ClientConnectionPtr connection);
+
+    void closeIdle(const Address& address);
+    void closeAllIdle();
+
+    HttpConnectionCounts counts() const;
+
+    /// Returns whether a request may still be sent; see HttpCallOptions::sendBy.
+    bool maySend(const HttpCallOptions& options) const;
+
+    /// Sets the timeout of the next operation on the stream from the deadline and the progress timeout. Returns false
+    /// if the deadline has passed.
+    bool setOperationTimeout(beast::tcp_stream& stream, const HttpCallOptions& options) const;
+
+private:
+    using IdleConnections = std::map<Address, std::vector<ClientConnectionPtr>>;
+
+    bool isExpired(const ClientConnection& connection) const;
+    void closeUnusable();
+    void closeLongestIdle();
+
+    asio::io_context& m_context;
+    const Clock& m_clock;
+    IdleConnections m_idle;
+    std::size_t m_idleCount = 0;
+    std::uint64_t m_evicted = 0;
+    SteadyTime m_checkedAt {}; ///< time of the last closeUnusable()
+    std::shared_ptr<std::size_t> m_connectionCount = std::make_shared<std::size_t>(0);
+};
+
+/// Returns the time that a connection may stay idle according to the "timeout" parameter of the Keep-Alive header. The
+/// result is shorter by a margin, since a request sent at the moment when the server closes the connection may be lost.
+std::chrono::nanoseconds advertisedIdleLimit(const HttpHeaders& headers);
+
+/// Enables TCP keep-alive probes and TCP_USER_TIMEOUT, so that a connection whose peer no longer acknowledges data
+/// fails within about the given time.
+void setTcpKeepAliveTimeout(asio::ip::tcp::socket& socket, std::chrono::milliseconds timeout);
+
+} // namespace bulrushstack::detail
--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -1,149 +1,17 @@
 #include "bulrushstack/net/http_client.h"
 
+#include "connection_pool.h"
 #include "http_beast.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/connect.hpp>
 #include <boost/asio/detached.hpp>
-#include <charconv>
-#include <map>
-#include <netinet/tcp.h>
 
 namespace bulrushstack {
 
 using namespace detail;
 using asio::ip::tcp;
 
-namespace detail {
-
-struct ClientConnection {
-    /// Maximum number of bytes buffered for an incomplete header, chunk header or trailer.
-    static constexpr std::size_t bufferLimit = 256 * 1024;
-
-    explicit ClientConnection(asio::io_context& context)
-        : stream(context)
-        , buffer(bufferLimit)
-    {
-    }
-
-    beast::tcp_stream stream;
-    beast::flat_buffer buffer;
-    SteadyTime idleSince {};
-    std::chrono::nanoseconds idleLimit = std::chrono::nanoseconds::max(); ///< from the server's Keep-Alive header
-    unsigned requests = 0; ///< number of requests sent
-    bool isSending = false; ///< whether a request is still being written in the background
-};
-
-/// Returns the time that a connection may stay idle according to the "timeout" parameter of the Keep-Alive header. The
-/// result is shorter by a margin, since a request sent at the moment when the server closes the connection may be lost.
-std::chrono::nanoseconds advertisedIdleLimit(const HttpHeaders& headers)
-{
-    static constexpr std::string_view parameter = "timeout=";
-    static constexpr std::chrono::milliseconds margin { 700 };
-    const auto value = headers.find("Keep-Alive");
-    const auto start = value ? value->find(parameter) : std::string::npos;
-    if (start == std::string::npos)
-        return std::chrono::nanoseconds::max();
-    unsigned seconds = 0;
-    const char* first = value->data() + start + parameter.size();
-    const auto [end, ec] = std::from_chars(first, value->data() + value->size(), seconds);
-    if (ec != std::errc())
-        return std::chrono::nanoseconds::max();
-    return std::max<std::chrono::nanoseconds>(std::chrono::seconds(seconds) - margin, std::chrono::nanoseconds(0));
-}
-
-/// Enables TCP keep-alive probes and TCP_USER_TIMEOUT, so that a connection whose peer no longer acknowledges data
-/// fails within about the given time.
-void setTcpKeepAliveTimeout(asio::ip::tcp::socket& socket, std::chrono::milliseconds timeout)
-{
-    const int fd = socket.native_handle();
-    const int enabled = 1;
-    const int probeSeconds = 1;
-    const int probes = std::max(1, static_cast<int>(timeout / std::chrono::seconds(probeSeconds)));
-    const auto milliseconds = static_cast<unsigned>(timeout.count());
-    ::setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &enabled, sizeof(enabled));
-    ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &probeSeconds, sizeof(probeSeconds));
-    ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &probeSeconds, sizeof(probeSeconds));
-    ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
-    ::setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof(milliseconds));
-}
-
-using ClientConnectionPtr = std::shared_ptr<ClientConnection>;
-
-/// Idle connections by address; those released last are at the end and are reused first.
-class ConnectionPool {
-public:
-    ConnectionPool(asio::io_context& context, const Clock& clock)
-        : m_context(context)
-        , m_clock(clock)
-    {
-    }
-
-    asio::io_context& context() { return m_context; }
-
-    /// Removes and returns a usable connection that has been idle for less than `maxIdle`; null if there is none.
-    ClientConnectionPtr acquire(const Address& address, std::chrono::nanoseconds maxIdle)
-    {
-        auto it = m_idle.find(address);
-        while (it != m_idle.end() && !it->second.empty()) {
-            auto& newest = it->second.back();
-            if (m_clock.now() - newest->idleSince >= maxIdle)
-                return nullptr;
-            auto connection = std::move(newest);
-            it->second.pop_back();
-            const bool isExpired = m_clock.now() - connection->idleSince >= connection->idleLimit;
-            if (!isExpired && !isUnusable(connection->stream.socket()))
-                return connection;
-        }
-        return nullptr;
-    }
-
-    void release(const Address& address, ClientConnectionPtr connection)
-    {
-        static constexpr std::size_t connectionsPerAddress = 64;
-        auto& idle = m_idle[address];
-        connection->idleSince = m_clock.now();
-        connection->stream.expires_never();
-        idle.push_back(std::move(connection));
-        if (idle.size() > connectionsPerAddress)
-            idle.erase(idle.begin());
-    }
-
-    void closeIdle(const Address& address) { m_idle.erase(address); }
-
-    /// Returns whether a request may still be sent; see HttpCallOptions::sendBy.
-    bool maySend(const HttpCallOptions& options) const
-    {
-        return !options.sendBy || m_clock.bootNow() < *options.sendBy;
-    }
-
-    /// Sets the timeout of the next operation on the stream from the deadline and the progress timeout. Returns false
-    /// if the deadline has passed.
-    bool setOperationTimeout(beast::tcp_stream& stream, const HttpCallOptions& options) const
-    {
-        auto limit = std::chrono::nanoseconds::max();
-        if (options.deadline != SteadyTime::max())
-            limit = options.deadline - m_clock.now();
-        if (limit <= std::chrono::nanoseconds(0))
-            return false;
-        if (options.progressTimeout > std::chrono::nanoseconds(0))
-            limit = std::min(limit, options.progressTimeout);
-        if (limit == std::chrono::nanoseconds::max())
-            stream.expires_never();
-        else
-            stream.expires_after(limit);
-        return true;
-    }
-
-private:
-    asio::io_context& m_context;
-    const Clock& m_clock;
-    std::map<Address, std::vector<ClientConnectionPtr>> m_idle;
-};
-
-} // namespace detail
-
 namespace {
 
 std::error_code toErrorCode(const beast::error_code& ec)
@@ -415,7 +283,7 @@
         co_return Failure { .code = Errc::InvalidArgument,
             .verdict = Verdict::NotRun,
             .detail = "host '" + address.host + "' is not a numeric IP address" };
-    auto connection = std::make_shared<ClientConnection>(pool->context());
+    auto connection = pool->create();
     auto limits = options;
     if (options.connectTimeout > std::chrono::nanoseconds(0))
         limits.progressTimeout = options.connectTimeout;
@@ -425,6 +293,10 @@
         options.cancellation->setCloseCallback(makeCloseCallback(connection));
     const tcp::endpoint endpoint(host, address.port);
     std::tie(ec) = co_await connection->stream.async_connect(endpoint, asTuple);
+    if (ec == asio::error::no_descriptors) {
+        pool->closeAllIdle();
+        std::tie(ec) = co_await connection->stream.async_connect(endpoint, asTuple);
+    }
     if (ec)
         co_return failureOf(ec, Verdict::NotRun, "connecting to " + address.toString());
     connection->stream.socket().set_option(tcp::no_delay(true), ec);
@@ -521,4 +393,6 @@
 
 void HttpClient::closeIdleConnections(const Address& address) { m_pool->closeIdle(address); }
 
+HttpConnectionCounts HttpClient::connectionCounts() const { return m_pool->counts(); }
+
 } // namespace bulrushstack
--- a/src/libnet/http_client_test.cpp
+++ b/src/libnet/http_client_test.cpp
@@ -147,6 +147,76 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+namespace {
+
+/// A client whose clock the test sets.
+struct PoolFixture {
+    static constexpr std::size_t servers = 20;
+
+    boost::asio::io_context context;
+    ManualClock clock;
+    HttpClient client { context, clock };
+
+    void call(const RawServer& server)
+    {
+        BOOST_REQUIRE(runAwaitable(context, client.call(server.address(), HttpRequest())));
+    }
+
+    /// Calls one server after the other; each is gone after its response, and so is its connection.
+    void callServersThatLeave()
+    {
+        for (std::size_t i = 0; i < servers; ++i) {
+            RawServer server(context, { responseText("a") }, true);
+            call(server);
+        }
+        context.restart();
+        context.run_for(20ms);
+    }
+};
+
+} // namespace
+
+// Guards against descriptors that are never freed because no request goes to their address any more.
+BOOST_FIXTURE_TEST_SUITE(IdleConnections, PoolFixture)
+
+BOOST_AUTO_TEST_CASE(ThatTheServerClosedAreClosedSoon)
+{
+    callServersThatLeave();
+    RawServer last(context, { responseText("a") });
+    clock.advance(5s);
+    call(last);
+    BOOST_TEST((client.connectionCounts() == HttpConnectionCounts { .open = 1, .idle = 1, .evicted = servers }));
+}
+
+BOOST_AUTO_TEST_CASE(AreClosedAfterALongTimeWhateverTheirAddress)
+{
+    std::vector<std::unique_ptr<RawServer>> open;
+    for (std::size_t i = 0; i < servers; ++i) {
+        open.push_back(std::make_unique<RawServer>(context, std::vector { responseText("a") }));
+        call(*open.back());
+    }
+    BOOST_TEST(client.connectionCounts().idle == servers);
+    RawServer last(context, { responseText("a") });
+    clock.advance(30s);
+    call(last);
+    BOOST_TEST(client.connectionCounts().open == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(AreBoundedInAll)
+{
+    constexpr std::size_t many = 600;
+    std::vector<std::unique_ptr<RawServer>> open;
+    for (std::size_t i = 0; i < many; ++i) {
+        open.push_back(std::make_unique<RawServer>(context, std::vector { responseText("a") }));
+        call(*open.back());
+        clock.advance(1ms);
+    }
+    BOOST_TEST(client.connectionCounts().idle == 512u);
+    BOOST_TEST(client.connectionCounts().open == 512u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(CloseDelimitedBodies, RawFixture)
 
 const std::string closeDelimited = "HTTP/1.1 200 OK\r\n\r\nwhole";
