Continue no stream at an upstream whose version is not certain

Cause: versions were compared only where the instance knew of several, and the directory was trusted where the store did not respond.

Change: each continuation reads the row of the upstream. If the store does not respond, only an idle connection that is older than the last read of the directory proves that the upstream is the process listed. The version of the first event is known likewise. Otherwise the stream is broken off visibly, or its take-up refused at once.

Tests: four new cases of SoftwareVersions failed with the forwarder before (IsNotContinuedWhileTheStoreIsAway, IsNotContinuedIfTheStoreDoesNotRespond, IsRejectedWhileTheStoreIsAway, IsRejectedIfItBeganWhileTheStoreWasAway). GoesOnWhileTheStoreIsAway asserted the fault: a version taken as certain from a directory of unknown age. It is replaced by one case for each outcome. The store of the front tests now answers with the rows of the directory unless a test takes it away; before, it was always away and the directory was trusted, so that other cases passed for that reason.

Messages and rows keep their form.

--- a/src/include/bulrushstack/net/http_client.h
+++ b/src/include/bulrushstack/net/http_client.h
@@ -57,6 +57,10 @@
     /// connection.
     std::chrono::nanoseconds maxIdle = std::chrono::seconds(30);
 
+    /// Sends the request only on a pooled connection that was established before this time; without one the call fails
+    /// with Errc::Unavailable and Verdict::NotRun. Such a connection leads to a process that was running then.
+    std::optional<SteadyTime> establishedBefore;
+
     /// Maximum time to establish a new TCP connection. Zero applies `progressTimeout` and the deadline.
     std::chrono::nanoseconds connectTimeout {};
 
@@ -102,6 +106,9 @@
     /// take the place of its own.
     virtual bool isOnNewConnection() const = 0;
 
+    /// Returns the time at which the connection was established.
+    virtual SteadyTime connectionEstablishedAt() const = 0;
+
     /// Returns the next part of the body, or an empty optional once the body is complete. A connection that closes
     /// before the end given by Content-Length or by the last chunk is a failure. Every failure has the verdict
     /// MayHaveRun.
@@ -154,6 +161,9 @@
     /// others probably did too.
     void closeIdleConnections(const Address& address);
 
+    /// Returns whether a call with HttpCallOptions::establishedBefore could use an idle connection to the address.
+    bool hasIdleConnection(const Address& address, SteadyTime establishedBefore) const;
+
     HttpConnectionCounts connectionCounts() const;
 
 private:
--- a/src/libfront/front_test_support.h
+++ b/src/libfront/front_test_support.h
@@ -105,18 +105,25 @@
     }
 };
 
-/// Reads the rows of upstreams from a map instead of the store.
+/// A store whose rows are those of the directory, except the ones that a test sets.
 class FixedRows final : public UpstreamReader {
 public:
+    explicit FixedRows(FrontState& state)
+        : m_state(state)
+    {
+    }
+
     std::map<std::string, UpstreamEntry> rows;
-    bool isStoreAway = true;
+    bool isStoreAway = false;
 
     boost::asio::awaitable<Result<std::optional<UpstreamEntry>>> readUpstream(std::string id, SteadyTime) override
     {
         if (isStoreAway)
             co_return Failure { .code = Errc::Unavailable };
-        const auto it = rows.find(id);
-        co_return it == rows.end() ? std::nullopt : std::optional(it->second);
+        if (const auto it = rows.find(id); it != rows.end())
+            co_return it->second;
+        const auto* entry = m_state.directory().find(id);
+        co_return entry ? std::optional(*entry) : std::nullopt;
     }
 
     boost::asio::awaitable<Result<std::set<std::string>>> readVersions(std::string service, SteadyTime) override
@@ -124,12 +131,19 @@
         if (isStoreAway)
             co_return Failure { .code = Errc::Unavailable };
         std::set<std::string> out;
+        for (const auto* it : m_state.directory().all()) {
+            if (it->service == service && rows.count(it->id) == 0)
+                out.insert(it->softwareVersion);
+        }
         for (const auto& [id, entry] : rows) {
             if (entry.service == service)
                 out.insert(entry.softwareVersion);
         }
         co_return out;
     }
+
+private:
+    FrontState& m_state;
 };
 
 /// Counts refusals without acting on them.
@@ -245,7 +259,7 @@
     NoAdapters adapters;
     CountedPermits permits { state };
     FixedOrigin origins;
-    FixedRows rows;
+    FixedRows rows { state };
     FixedPeers peers;
     PeerRelay relay { state, client, peers };
     CountedRefusals refusals;
--- a/src/libfront/request_attempt.cpp
+++ b/src/libfront/request_attempt.cpp
@@ -161,11 +161,12 @@
     options.bufferBudget = m_dependencies.responseBuffers;
     options.cancellation = m_cancellation;
     options.sendBy = m_permit.sendBy;
+    options.establishedBefore = m_establishedBefore;
     auto stream = co_await m_dependencies.client.open(
         attempt.address, m_dependencies.format.encode(clientRequest(), forwardingFields), options);
     if (!stream) {
         attempt.wasSent = stream.error().verdict != Verdict::NotRun;
-        if (!attempt.wasSent && !m_cancellation->isCancelled() && !m_permit.sendBy)
+        if (!attempt.wasSent && !m_cancellation->isCancelled() && !m_permit.sendBy && !m_establishedBefore)
             m_state.reachability().recordConnectFailure(attempt.upstreamId);
         m_attemptsSent += attempt.wasSent ? 1 : 0;
         co_return stream.error();
--- a/src/libfront/request_forwarder.cpp
+++ b/src/libfront/request_forwarder.cpp
@@ -27,6 +27,10 @@
 
 constexpr Milliseconds overloadRetryAfter { 300 };
 constexpr Milliseconds versionReadTimeout { 300 };
+/// Time after a failed read of the row of an upstream in which the request reads no other one.
+constexpr Milliseconds versionReadPause { 1000 };
+/// Time within which an upstream that has started is listed in the store.
+constexpr Milliseconds registrationTime { 2000 };
 constexpr Milliseconds missingModelRetryAfter { 1000 };
 /// By then the instance at which a stream began has told others of it, if it can.
 constexpr Milliseconds unknownOriginRetryAfter { 500 };
@@ -234,6 +238,8 @@
         return;
     m_streamVersion = attempt.softwareVersion;
     m_beganAt = m_state.clock().now();
+    const auto limit = provenConnectionLimit();
+    m_isOriginProven = limit && attempt.stream->connectionEstablishedAt() < *limit;
     m_origin = StreamOrigin { .request = m_request.id,
         .service = m_service->name,
         .softwareVersion = attempt.softwareVersion,
@@ -246,7 +252,7 @@
 /// Returns whether the response may go on at another upstream: its stream must have begun at a known software version.
 asio::awaitable<bool> RequestForwarder::mayGoOn()
 {
-    if (!m_isStreaming || !m_origin)
+    if (!m_isStreaming || !m_origin || m_isOriginProven)
         co_return true;
     auto origin = *m_origin;
     origin.age = millisecondsOf(m_state.clock().now() - m_beganAt);
@@ -254,8 +260,8 @@
 }
 
 /// Returns whether a stream began at the software version that its origin names. If the directory may not contain the
-/// last changes before the first event, for example since this instance was suspended, the upstream's row is read.
-/// While the store does not respond, the directory is trusted.
+/// last changes before the first event, for example since this instance was suspended, the upstream's row is read. The
+/// version is unknown while the store does not respond.
 asio::awaitable<bool> RequestForwarder::confirmOrigin(StreamOrigin origin)
 {
     const auto now = m_state.clock().now();
@@ -263,11 +269,13 @@
     const auto currentAsOf = directory.currentAsOf();
     const bool isCurrent = currentAsOf && *currentAsOf >= now - origin.age;
     bool isDoubtful = isVersionDoubtful(origin, now, directory);
-    if (!isDoubtful && !isCurrent && !directory.isStoreLost()) {
+    if (!isDoubtful && !isCurrent && directory.isStoreLost()) {
+        isDoubtful = true;
+    } else if (!isDoubtful && !isCurrent) {
         const auto deadline = std::min(m_deadline, now + versionReadTimeout);
         const auto row = co_await m_dependencies.upstreams.readUpstream(origin.upstream, deadline);
-        isDoubtful
-            = row && *row && (*row)->startedAt != origin.startedAt && (*row)->softwareVersion != origin.softwareVersion;
+        isDoubtful = !row
+            || (*row && (*row)->startedAt != origin.startedAt && (*row)->softwareVersion != origin.softwareVersion);
     }
     if (isDoubtful)
         LOG(INFO) << "event=stream-origin-doubtful request=" << m_request.id << " stream=" << origin.request
@@ -335,6 +343,8 @@
         }
         if (m_streamVersion && !m_state.directory().hasVersion(m_service->name, *m_streamVersion))
             co_return std::nullopt;
+        if (m_storeUnreadableUntil > m_state.clock().now())
+            co_return std::nullopt; // The version of those that could be chosen is unknown.
         m_retryAfter = m_state.remainingSuspension(m_service->name, m_request);
         if (m_retryAfter && !mayAwaitSuspended(*m_retryAfter))
             co_return std::nullopt;
@@ -363,6 +373,7 @@
     const bool isUnconfirmed = mustConfirmVersion(id);
     const bool isLimited = m_state.directory().rateLimit(id).has_value();
     m_permit = {};
+    m_establishedBefore.reset();
     if (!isUnconfirmed && !isLimited)
         co_return candidate;
     if (isUnconfirmed && !co_await confirmVersion(id))
@@ -383,19 +394,24 @@
 /// Returns whether the upstream's row must be read before a stream goes on there.
 bool RequestForwarder::mustConfirmVersion(const std::string& upstream) const
 {
-    if (!m_streamVersion || m_confirmedUpstreams.count(upstream))
-        return false;
-    return isTakeUp() || m_state.directory().servicesWithSeveralVersions().count(m_service->name) > 0;
+    return m_streamVersion && m_confirmedUpstreams.count(upstream) == 0;
 }
 
 /// Returns whether the upstream still has the software version of the stream. The directory may be outdated, for
-/// example after this instance was suspended, and the upstream may have been restarted with another version under the
-/// same id. While the store does not respond, the directory is trusted.
+/// example after this instance was suspended or while it is cut off from the store, and the upstream may have been
+/// restarted with another version under the same id.
 asio::awaitable<bool> RequestForwarder::confirmVersion(std::string upstream)
 {
-    const auto deadline = std::min(m_deadline, m_state.clock().now() + versionReadTimeout);
+    const auto now = m_state.clock().now();
+    if (m_storeUnreadableUntil > now)
+        co_return confirmVersionByConnection(upstream);
+    const auto deadline = std::min(m_deadline, now + versionReadTimeout);
     const auto row = co_await m_dependencies.upstreams.readUpstream(upstream, deadline);
-    const bool isConfirmed = !row || (*row && (*row)->softwareVersion == *m_streamVersion);
+    if (!row) {
+        m_storeUnreadableUntil = m_state.clock().now() + versionReadPause;
+        co_return confirmVersionByConnection(upstream);
+    }
+    const bool isConfirmed = *row && (*row)->softwareVersion == *m_streamVersion;
     if (isConfirmed)
         m_confirmedUpstreams.insert(upstream);
     else
@@ -403,6 +419,30 @@
     co_return isConfirmed;
 }
 
+/// The same while the store does not respond: the process at the other end of a connection that is older than the last
+/// read of the directory is the one that the directory lists.
+bool RequestForwarder::confirmVersionByConnection(const std::string& upstream)
+{
+    const auto limit = provenConnectionLimit();
+    const auto* entry = m_state.directory().find(upstream);
+    const bool isConfirmed = limit && entry && m_dependencies.client.hasIdleConnection(entry->address, *limit);
+    if (isConfirmed)
+        m_establishedBefore = limit;
+    else
+        m_triedUpstreams.insert(upstream);
+    LOG(INFO) << "event=stream-version-by-connection request=" << m_request.id << " upstream=" << upstream
+              << " confirmed=" << isConfirmed << " directory=" << m_state.directory().version();
+    return isConfirmed;
+}
+
+/// Returns the time before which a connection must have been established so that it leads to the process that the
+/// directory lists; empty if the directory has not been read yet.
+std::optional<SteadyTime> RequestForwarder::provenConnectionLimit() const
+{
+    const auto currentAsOf = m_state.directory().currentAsOf();
+    return currentAsOf ? std::optional(*currentAsOf - registrationTime) : std::nullopt;
+}
+
 /// Returns whether the request can still be served in time by an upstream that is suspended for the given time. A
 /// request that would have to wait longer is rejected at once.
 bool RequestForwarder::mayAwaitSuspended(Milliseconds suspension) const
--- a/src/libfront/request_forwarder.h
+++ b/src/libfront/request_forwarder.h
@@ -193,6 +193,8 @@
     boost::asio::awaitable<std::optional<RankedUpstream>> approve(const RankedUpstream& candidate);
     bool mustConfirmVersion(const std::string& upstream) const;
     boost::asio::awaitable<bool> confirmVersion(std::string upstream);
+    bool confirmVersionByConnection(const std::string& upstream);
+    std::optional<SteadyTime> provenConnectionLimit() const;
     boost::asio::awaitable<bool> confirmOrigin(StreamOrigin origin);
     boost::asio::awaitable<bool> mayGoOn();
     bool areUpstreamsFull() const;
@@ -262,6 +264,11 @@
     /// Where the stream began, unless the request takes it up.
     std::optional<StreamOrigin> m_origin;
     SteadyTime m_beganAt {}; ///< Time of the first event of m_origin.
+    bool m_isOriginProven = false; ///< Whether the first event came on a connection that proves the version.
+    /// Set if the next attempt must use a connection that was established before, since only that proves the version.
+    std::optional<SteadyTime> m_establishedBefore;
+    /// Time until which the store is not asked again for the rows of upstreams.
+    SteadyTime m_storeUnreadableUntil {};
     /// Upstreams whose row in the store names the software version of the stream.
     std::set<std::string> m_confirmedUpstreams;
     /// Permit for the next attempt.
--- a/src/libfront/software_version_test.cpp
+++ b/src/libfront/software_version_test.cpp
@@ -35,6 +35,9 @@
         state.directory().recordRead(clock.now());
     }
 
+    /// Records a read of the directory so long after now that the connections of now are older than it.
+    void readDirectoryLater() { state.directory().recordRead(clock.now() + std::chrono::milliseconds(2100)); }
+
     /// Makes the service one of engines, whose requests wait until an upstream has loaded their model.
     void configureEngines()
     {
@@ -101,13 +104,52 @@
 {
     addUpstreamWithVersion("v1", brokenStream);
     addUpstreamWithVersion("v1", restOfStream);
-    rows.isStoreAway = false;
     rows.rows["u1"] = { .id = "u1", .service = "s", .softwareVersion = "v2", .startedAt = 9 };
     rows.rows["u2"] = *state.directory().find("u2");
     BOOST_TEST(call("/resumable/x").has_error());
     BOOST_TEST(upstreams[1]->connections() == 0u);
 }
 
+// Guards against an instance that is cut off from the store and knows one version only: an upstream was restarted with
+// another one under its id.
+BOOST_AUTO_TEST_CASE(IsNotContinuedWhileTheStoreIsAway)
+{
+    addUpstreamWithVersion("v1", brokenStream);
+    addUpstreamWithVersion("v1", restOfStream);
+    state.directory().recordRead(clock.now());
+    state.directory().recordStoreLost();
+    rows.isStoreAway = true;
+    BOOST_TEST(call("/resumable/x").has_error());
+    BOOST_TEST(upstreams[1]->connections() == 0u);
+}
+
+// The same before the instance has noticed that it is cut off.
+BOOST_AUTO_TEST_CASE(IsNotContinuedIfTheStoreDoesNotRespond)
+{
+    addUpstreamWithVersion("v1", brokenStream);
+    addUpstreamWithVersion("v1", restOfStream);
+    state.directory().recordRead(clock.now());
+    rows.isStoreAway = true;
+    BOOST_TEST(call("/resumable/x").has_error());
+    BOOST_TEST(upstreams[1]->connections() == 0u);
+}
+
+// Guards against streams that are broken off although the upstreams are known to be the same processes as before.
+BOOST_AUTO_TEST_CASE(IsContinuedWhileTheStoreIsAwayOverConnectionsFromBefore)
+{
+    addUpstream({ okResponse, brokenStream }, true);
+    BOOST_TEST(call("/once/x")->status == 200u);
+    addUpstream({ okResponse, restOfStream });
+    state.directory().recordPause("u1", firstStart, std::chrono::milliseconds(200));
+    BOOST_TEST(call("/once/x")->status == 200u);
+    runFor(std::chrono::milliseconds(250));
+    readDirectoryLater();
+    state.directory().recordStoreLost();
+    rows.isStoreAway = true;
+    BOOST_TEST(call("/resumable/x")->body == firstEvent + secondEvent);
+    BOOST_TEST(upstreams[1]->connections() == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(ACallerTakesAStreamUp)
@@ -184,7 +226,6 @@
     addUpstreamWithVersion("v1", restOfStream);
     addUpstreamWithVersion("v1", restOfStream);
     origins.reply = { .origin = StreamOrigin { "6", "s", "v1" } };
-    rows.isStoreAway = false;
     rows.rows["u1"] = { .id = "u1", .service = "s", .softwareVersion = "v2" };
     rows.rows["u2"] = { .id = "u2", .service = "s", .softwareVersion = "v1" };
     BOOST_TEST(call("/resumable/x", "7", "6")->body == secondEvent);
@@ -220,7 +261,6 @@
 {
     addUpstreamWithVersion("v1", restOfStream);
     addUpstreamWithVersion("v1", restOfStream);
-    rows.isStoreAway = false;
     rows.rows["u1"] = { .id = "u1", .service = "s", .softwareVersion = "v2", .startedAt = 9 };
     rows.rows["u2"] = *state.directory().find("u2");
     origins.reply = { .origin = StreamOrigin { "6", "s", "v1", "u1", firstStart } };
@@ -228,18 +268,45 @@
     BOOST_TEST(upstreams[1]->connections() == 0u);
 }
 
-BOOST_AUTO_TEST_CASE(GoesOnWhileTheStoreIsAway)
+// Guards against an upstream that was restarted with another version under its id while the store was away.
+BOOST_AUTO_TEST_CASE(IsRejectedWhileTheStoreIsAway)
 {
     addUpstreamWithVersion("v1", restOfStream);
-    origins.reply = { .origin = StreamOrigin { "6", "s", "v1" } };
+    rows.isStoreAway = true;
+    state.directory().recordRead(clock.now());
+    origins.reply = { .origin = StreamOrigin { "6", "s", "v1", "u1", firstStart, std::chrono::seconds(10) } };
+    BOOST_TEST(call("/resumable/x", "7", "6")->status == 503u);
+    BOOST_TEST(upstreams[0]->connections() == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(GoesOnWhileTheStoreIsAwayOverAConnectionFromBefore)
+{
+    addUpstream({ okResponse, restOfStream });
+    BOOST_TEST(call("/once/x")->status == 200u);
+    readDirectoryLater();
+    rows.isStoreAway = true;
+    origins.reply = { .origin = StreamOrigin { "6", "s", "", "u1", firstStart, std::chrono::seconds(10) } };
     BOOST_TEST(call("/resumable/x", "7", "6")->body == secondEvent);
+    BOOST_TEST(upstreams[0]->connections() == 1u);
+}
+
+// Guards against the version of an upstream that was restarted before the stream began, unnoticed by an instance that
+// is cut off from the store.
+BOOST_AUTO_TEST_CASE(IsRejectedIfItBeganWhileTheStoreWasAway)
+{
+    addUpstreamWithVersion("v1", restOfStream);
+    state.directory().recordRead(clock.now());
+    state.directory().recordStoreLost();
+    runFor(std::chrono::milliseconds(20));
+    origins.reply = { .origin = StreamOrigin { "6", "s", "v1", "u1", firstStart } };
+    BOOST_TEST(call("/resumable/x", "7", "6")->status == 503u);
+    BOOST_TEST(upstreams[0]->connections() == 0u);
 }
 
 // Guards against an instance that was suspended while the first upstream of another version joined.
 BOOST_AUTO_TEST_CASE(IsRejectedIfTheStoreListsAnotherVersion)
 {
     addUpstreamWithVersion("v1", restOfStream);
-    rows.isStoreAway = false;
     rows.rows["u1"] = *state.directory().find("u1");
     rows.rows["u2"] = { .id = "u2", .service = "s", .softwareVersion = "v2" };
     BOOST_TEST(call("/resumable/x", "7", "6")->status == 503u);
@@ -251,6 +318,7 @@
 {
     addUpstreamWithVersion("v1", restOfStream);
     origins.isPeerReached = false;
+    rows.isStoreAway = true;
     BOOST_TEST(call("/resumable/x", "7", "6")->status == 503u);
     BOOST_TEST(upstreams[0]->connections() == 0u);
 }
@@ -267,7 +335,6 @@
 {
     addUpstreamWithVersion("v1", restOfStream);
     origins.isPeerReached = false;
-    rows.isStoreAway = false;
     rows.rows["u1"] = *state.directory().find("u1");
     BOOST_TEST(call("/resumable/x", "7", "6")->body == secondEvent);
 }
--- a/src/libnet/connection_pool.cpp
+++ b/src/libnet/connection_pool.cpp
@@ -37,23 +37,37 @@
     return std::make_shared<ClientConnection>(m_context, m_connectionCount);
 }
 
-ClientConnectionPtr ConnectionPool::acquire(const Address& address, std::chrono::nanoseconds maxIdle)
+ClientConnectionPtr ConnectionPool::acquire(
+    const Address& address, std::chrono::nanoseconds maxIdle, SteadyTime establishedBefore)
 {
-    const auto it = m_idle.find(address);
-    while (it != m_idle.end() && !it->second.empty()) {
-        auto& newest = it->second.back();
-        if (m_clock.now() - newest->idleSince >= maxIdle)
+    const auto found = m_idle.find(address);
+    if (found == m_idle.end())
+        return nullptr;
+    auto& idle = found->second;
+    for (std::size_t i = idle.size(); i > 0; --i) {
+        if (m_clock.now() - idle[i - 1]->idleSince >= maxIdle)
             return nullptr;
-        auto connection = std::move(newest);
-        it->second.pop_back();
+        if (idle[i - 1]->establishedAt >= establishedBefore)
+            continue;
+        auto connection = std::move(idle[i - 1]);
+        idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i - 1));
         --m_idleCount;
-        if (!isExpired(*connection) && !isUnusable(connection->stream.socket()))
+        if (isReusable(*connection))
             return connection;
         ++m_evicted;
     }
     return nullptr;
 }
 
+bool ConnectionPool::hasIdle(const Address& address, SteadyTime establishedBefore) const
+{
+    const auto it = m_idle.find(address);
+    return it != m_idle.end()
+        && std::any_of(it->second.begin(), it->second.end(), [&](const ClientConnectionPtr& connection) {
+               return connection->establishedAt < establishedBefore && isReusable(*connection);
+           });
+}
+
 void ConnectionPool::release(const Address& address, ClientConnectionPtr connection)
 {
     if (m_clock.now() - m_checkedAt >= checkInterval)
@@ -94,18 +108,17 @@
     return { .open = *m_connectionCount, .idle = m_idleCount, .evicted = m_evicted };
 }
 
-bool ConnectionPool::isExpired(const ClientConnection& connection) const
+bool ConnectionPool::isReusable(ClientConnection& connection) const
 {
     const auto idleTime = m_clock.now() - connection.idleSince;
-    return idleTime >= maxIdleTime || idleTime >= connection.idleLimit;
+    return idleTime < maxIdleTime && idleTime < connection.idleLimit && !isUnusable(connection.stream.socket());
 }
 
 void ConnectionPool::closeUnusable()
 {
     m_checkedAt = m_clock.now();
     for (auto& [address, idle] : m_idle) {
-        const auto n = std::erase_if(
-            idle, [this](const ClientConnectionPtr& it) { return isExpired(*it) || isUnusable(it->stream.socket()); });
+        const auto n = std::erase_if(idle, [this](const ClientConnectionPtr& it) { return !isReusable(*it); });
         m_idleCount -= n;
         m_evicted += n;
     }
--- a/src/libnet/connection_pool.h
+++ b/src/libnet/connection_pool.h
@@ -24,6 +24,7 @@
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
+    SteadyTime establishedAt {};
     SteadyTime idleSince {};
     std::chrono::nanoseconds idleLimit = std::chrono::nanoseconds::max(); ///< from the server's Keep-Alive header
     unsigned requests = 0; ///< number of requests sent
@@ -45,12 +46,18 @@
     ConnectionPool(asio::io_context& context, const Clock& clock);
 
     asio::io_context& context() { return m_context; }
+    SteadyTime now() const { return m_clock.now(); }
 
     /// Returns a connection that is not established yet.
     ClientConnectionPtr create();
 
-    /// Removes and returns a usable connection that has been idle for less than `maxIdle`; null if there is none.
-    ClientConnectionPtr acquire(const Address& address, std::chrono::nanoseconds maxIdle);
+    /// Removes and returns a usable connection that was established before `establishedBefore` and has been idle for
+    /// less than `maxIdle`; null if there is none.
+    ClientConnectionPtr acquire(
+        const Address& address, std::chrono::nanoseconds maxIdle, SteadyTime establishedBefore = SteadyTime::max());
+
+    /// Returns whether a usable connection to the address was established before that time.
+    bool hasIdle(const Address& address, SteadyTime establishedBefore) const;
 
     void release(const Address& address, ClientConnectionPtr connection);
 
@@ -69,7 +76,7 @@
 private:
     using IdleConnections = std::map<Address, std::vector<ClientConnectionPtr>>;
 
-    bool isExpired(const ClientConnection& connection) const;
+    bool isReusable(ClientConnection& connection) const;
     void closeUnusable();
     void closeLongestIdle();
 
--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -80,6 +80,7 @@
         , m_options(options)
         , m_connection(std::move(connection))
         , m_isOnNewConnection(m_connection->requests == 1)
+        , m_establishedAt(m_connection->establishedAt)
     {
     }
 
@@ -96,6 +97,7 @@
     const HttpHeaders& headers() const override { return m_headers; }
 
     bool isOnNewConnection() const override { return m_isOnNewConnection; }
+    SteadyTime connectionEstablishedAt() const override { return m_establishedAt; }
 
     BodyFraming framing() const override
     {
@@ -240,6 +242,7 @@
     HttpCallOptions m_options;
     ClientConnectionPtr m_connection;
     bool m_isOnNewConnection;
+    SteadyTime m_establishedAt;
     std::optional<Parser> m_parser;
     HttpHeaders m_headers;
     bool m_isConnectionKept = false; ///< whether read() keeps the connection after the body for the next response
@@ -302,6 +305,7 @@
     connection->stream.socket().set_option(tcp::no_delay(true), ec);
     if (options.tcpKeepAliveTimeout > std::chrono::milliseconds(0))
         setTcpKeepAliveTimeout(connection->stream.socket(), options.tcpKeepAliveTimeout);
+    connection->establishedAt = pool->now();
     co_return connection;
 }
 
@@ -340,7 +344,11 @@
     auto pool = m_pool;
     if (options.cancellation && options.cancellation->isCancelled())
         co_return cancellationFailure(Verdict::NotRun);
-    auto connection = pool->acquire(address, options.maxIdle);
+    auto connection = pool->acquire(address, options.maxIdle, options.establishedBefore.value_or(SteadyTime::max()));
+    if (!connection && options.establishedBefore)
+        co_return Failure { .code = Errc::Unavailable,
+            .verdict = Verdict::NotRun,
+            .detail = "no connection to " + address.toString() + " is old enough" };
     if (!connection) {
         auto connected = co_await connect(pool, address, options);
         if (!connected)
@@ -393,6 +401,11 @@
 
 void HttpClient::closeIdleConnections(const Address& address) { m_pool->closeIdle(address); }
 
+bool HttpClient::hasIdleConnection(const Address& address, SteadyTime establishedBefore) const
+{
+    return m_pool->hasIdle(address, establishedBefore);
+}
+
 HttpConnectionCounts HttpClient::connectionCounts() const { return m_pool->counts(); }
 
 } // namespace bulrushstack
