Wait in session endless-responses until the instance knows the workers' room

Cause, from the instance's log: the session raised the slots of the workers and did not wait until the instance had read their rows, so that the hundred callers filled all slots that it knew of and it refused the read, as it should.

The session now announces the slots and waits until the instance has read them. Its checks are as they were.

--- a/testsuite/endless-responses/run.py
+++ b/testsuite/endless-responses/run.py
@@ -9,6 +9,7 @@
 import time
 
 import serving_site
+from processes import wait_until
 from serving_site import brief_request, checkout_request, lookup_request
 from transcript import Transcript
 
@@ -24,13 +25,22 @@
     return int(re.search(r"VmHWM:\s+(\d+) kB", status).group(1)) / 1024
 
 
+def give_slots(site, instance):
+    """Gives each plain worker room for all callers, and waits until the instance knows it: it would refuse some otherwise."""
+    for name in ("plain-0", "plain-1"):
+        change = f"event=upstream-changed upstream={name} "
+        changes = instance.log().count(change)
+        site.workers[name].slots = 2 * CALLERS
+        site.call_on_loop(site.workers[name].announce)
+        wait_until(lambda: instance.log().count(change) > changes, f"the instance knows the slots of {name}")
+
+
 def run(folder):
     script = Transcript()
     os.environ.setdefault("ASAN_OPTIONS", "quarantine_size_mb=16")  # else a sanitized process keeps what it has freed
     with serving_site.open_site(folder, limits={"maxBodyBytes": BODY_LIMIT}) as site:
         instance = serving_site.start_instances(site, 1)[0]
-        for name in ("plain-0", "plain-1"):
-            site.workers[name].slots = 2 * CALLERS
+        give_slots(site, instance)
         site.wait_served(instance, lookup_request(), "a read is served")
         before = peak_memory_mb(instance)
         script.section("a worker sends bodies without end to a hundred callers at once")
