--- a/src/libfront/request_forwarder.h
+++ b/src/libfront/request_forwarder.h
@@ -196,6 +196,7 @@
     bool confirmVersionByConnection(const std::string& upstream);
     std::optional<SteadyTime> provenConnectionLimit() const;
     boost::asio::awaitable<bool> confirmOrigin(StreamOrigin origin);
+    boost::asio::awaitable<bool> confirmOriginByRow(StreamOrigin origin);
     boost::asio::awaitable<bool> mayGoOn();
     bool areUpstreamsFull() const;
     bool mayAwaitSuspended(Milliseconds suspension) const;
