Let the server say whether it has drained

FrontService::stop() kept a flag in a shared pointer and a coroutine of its own to learn that HttpServer::drain() had ended. The server knows this itself: isDrained(). The part of the grace period in which requests are accepted needs no conversion any more. Behaviour is unchanged.

--- a/src/include/bulrushstack/front/front_service.h
+++ b/src/include/bulrushstack/front/front_service.h
@@ -33,7 +33,7 @@
 private:
     struct Components;
 
-    boost::asio::awaitable<bool> awaitRequests(const bool& isIngressDrained, SteadyTime deadline);
+    boost::asio::awaitable<bool> awaitRequests(SteadyTime deadline);
 
     FrontBindingFactory m_createBinding;
     std::unique_ptr<Components> m_components;
--- a/src/include/bulrushstack/net/http_server.h
+++ b/src/include/bulrushstack/net/http_server.h
@@ -104,6 +104,9 @@
     /// request in progress has been handled. Their responses carry "Connection: close".
     boost::asio::awaitable<void> drain();
 
+    /// Returns whether drain() has ended all requests.
+    bool isDrained() const;
+
 private:
     struct State;
     std::shared_ptr<State> m_state;
--- a/src/libfront/front_service.cpp
+++ b/src/libfront/front_service.cpp
@@ -10,9 +10,7 @@
 #include "refusal_notices.h"
 #include "request_forwarder.h"
 #include "store_synchronizer.h"
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
+#include <algorithm>
 #include <glog/logging.h>
 
 namespace bulrushstack {
@@ -23,8 +21,8 @@
 
 /// Time within which the load balancer notices that this instance is no longer ready.
 constexpr std::chrono::milliseconds balancerDelay { 2300 };
-/// Minimum fraction of the grace period that is left to the requests when no new ones are accepted any more.
-constexpr double drainShare = 0.5;
+/// New requests are accepted for this part of the grace period at most: half of it.
+constexpr int acceptDivisor = 2;
 
 /// Requests that are still running are ended with an error this long before the grace period ends.
 constexpr std::chrono::milliseconds abortMargin { 500 };
@@ -326,21 +324,15 @@
     components.ingressServer.disableKeepAlive();
     components.relayedRequests.stop();
     spawnLogged(components.context, components.agent.stop(), "placement-stop");
-    co_await sleepFor(components.context,
-        std::min<std::chrono::nanoseconds>(
-            balancerDelay, std::chrono::duration_cast<std::chrono::nanoseconds>(gracePeriod * (1 - drainShare))));
-    const auto isIngressDrained = std::make_shared<bool>(false);
-    auto drain = [](HttpServer& server, std::shared_ptr<bool> isDone) -> asio::awaitable<void> {
-        co_await server.drain();
-        *isDone = true;
-    };
-    spawnLogged(components.context, drain(components.ingressServer, isIngressDrained), "ingress-drain");
-    const bool isDrained = co_await awaitRequests(*isIngressDrained, abortTime);
+    co_await sleepFor(
+        components.context, std::min<std::chrono::nanoseconds>(balancerDelay, gracePeriod / acceptDivisor));
+    spawnLogged(components.context, components.ingressServer.drain(), "ingress-drain");
+    const bool isDrained = co_await awaitRequests(abortTime);
     LOG(INFO) << "event=drained complete=" << isDrained << " left=" << components.ingressServer.activeRequests()
               << " relayed=" << components.relayedRequests.activeRequests();
     if (!isDrained) {
         components.state.abortRequests();
-        co_await awaitRequests(*isIngressDrained, graceEnd - exitMargin);
+        co_await awaitRequests(graceEnd - exitMargin);
     }
     components.storeSynchronizer.stop();
     components.loopMonitor.stop();
@@ -350,11 +342,11 @@
 }
 
 /// Waits until no request is in progress, or until the deadline. Returns whether none is.
-asio::awaitable<bool> FrontService::awaitRequests(const bool& isIngressDrained, SteadyTime deadline)
+asio::awaitable<bool> FrontService::awaitRequests(SteadyTime deadline)
 {
     auto& components = *m_components;
     for (;;) {
-        if (isIngressDrained && components.relayedRequests.activeRequests() == 0)
+        if (components.ingressServer.isDrained() && components.relayedRequests.activeRequests() == 0)
             co_return true;
         if (components.runtime.clock().now() >= deadline)
             co_return false;
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -468,6 +468,8 @@
 
 std::size_t HttpServer::activeRequests() const { return m_state->activeRequests; }
 
+bool HttpServer::isDrained() const { return m_state->isDraining && m_state->activeRequests == 0; }
+
 void HttpServer::disableKeepAlive() { m_state->isKeepAliveDisabled = true; }
 
 void HttpServer::setLimits(const HttpServerOptions& limits)
