Count evicted connections in one place

The pool adjusted its two counters at five places alike; recordEvicted() does it now. A check in BufferShare::resize() is removed that could never hold, since what is used never exceeds the limit. Behaviour is unchanged.

--- a/src/libnet/buffer_budget.cpp
+++ b/src/libnet/buffer_budget.cpp
@@ -21,8 +21,7 @@
     if (!m_budget)
         return true;
     const std::size_t others = m_budget->m_used - m_size;
-    const bool isGrowing = size > m_size;
-    if (isGrowing && (others > m_budget->m_limit || size > (m_budget->m_limit - others) / 2))
+    if (size > m_size && size > (m_budget->m_limit - others) / 2)
         return false;
     m_budget->m_used = others + size;
     m_size = size;
--- a/src/libnet/connection_pool.cpp
+++ b/src/libnet/connection_pool.cpp
@@ -51,10 +51,11 @@
             continue;
         auto connection = std::move(idle[i - 1]);
         idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i - 1));
-        --m_idleCount;
-        if (isReusable(*connection))
+        if (isReusable(*connection)) {
+            --m_idleCount;
             return connection;
-        ++m_evicted;
+        }
+        recordEvicted(1);
     }
     return nullptr;
 }
@@ -79,8 +80,7 @@
     ++m_idleCount;
     if (idle.size() > idleLimitPerAddress) {
         idle.erase(idle.begin());
-        --m_idleCount;
-        ++m_evicted;
+        recordEvicted(1);
     }
     if (m_idleCount > idleLimit)
         closeLongestIdle();
@@ -91,15 +91,13 @@
     const auto it = m_idle.find(address);
     if (it == m_idle.end())
         return;
-    m_idleCount -= it->second.size();
-    m_evicted += it->second.size();
+    recordEvicted(it->second.size());
     m_idle.erase(it);
 }
 
 void ConnectionPool::closeAllIdle()
 {
-    m_evicted += m_idleCount;
-    m_idleCount = 0;
+    recordEvicted(m_idleCount);
     m_idle.clear();
 }
 
@@ -117,11 +115,8 @@
 void ConnectionPool::closeUnusable()
 {
     m_checkedAt = m_clock.now();
-    for (auto& [address, idle] : m_idle) {
-        const auto n = std::erase_if(idle, [this](const ClientConnectionPtr& it) { return !isReusable(*it); });
-        m_idleCount -= n;
-        m_evicted += n;
-    }
+    for (auto& [address, idle] : m_idle)
+        recordEvicted(std::erase_if(idle, [this](const ClientConnectionPtr& it) { return !isReusable(*it); }));
     std::erase_if(m_idle, [](const auto& it) { return it.second.empty(); });
 }
 
@@ -135,8 +130,13 @@
             longest = it;
     }
     longest->second.erase(longest->second.begin());
-    --m_idleCount;
-    ++m_evicted;
+    recordEvicted(1);
+}
+
+void ConnectionPool::recordEvicted(std::size_t count)
+{
+    m_idleCount -= count;
+    m_evicted += count;
 }
 
 bool ConnectionPool::maySend(const HttpCallOptions& options) const
--- a/src/libnet/connection_pool.h
+++ b/src/libnet/connection_pool.h
@@ -79,6 +79,7 @@
     bool isReusable(ClientConnection& connection) const;
     void closeUnusable();
     void closeLongestIdle();
+    void recordEvicted(std::size_t count);
 
     asio::io_context& m_context;
     const Clock& m_clock;
