Identify teams by key and keep their quotas over all instances

Cause: the configuration's teams were not read. Keys were passed on to upstreams, unknown keys ran, and no quota existed.

Change: the package teams identifies a request's team and keeps quotas. The holder of the placement lease keeps one token bucket for each team; instances get credits with the replies to their demand reports and borrow what exceeds them. Deployments without teams send and forward the same bytes as before.

Also: a load header with a fourth figure is read; it was ignored as a whole. The interfaces that requests wait for have a header of their own.

--- a/src/include/bulrushstack/execution/problem.h
+++ b/src/include/bulrushstack/execution/problem.h
@@ -28,6 +28,7 @@
     BodyTooLarge,
     HeadersTooLarge,
     Overloaded,
+    QuotaExceeded,
     NoUpstream,
     StoreUnavailable,
     ShuttingDown,
--- a/src/include/bulrushstack/front/front_binding.h
+++ b/src/include/bulrushstack/front/front_binding.h
@@ -27,6 +27,10 @@
     unsigned urgency = 0;
     /// Id of the last event that the client has received, if a stream is resumed; empty otherwise.
     std::optional<std::string> resumeAfterEventId;
+    /// Whether callers identify themselves with keys of teams. The upstream then gets neither the key nor a team that
+    /// the client named.
+    bool hasTeams = false;
+    std::string team; ///< Name of the caller's team; empty if the caller belongs to none.
 
     friend bool operator==(const ForwardingFields&, const ForwardingFields&) = default;
 };
--- a/src/include/bulrushstack/front/placement_messages.h
+++ b/src/include/bulrushstack/front/placement_messages.h
@@ -6,6 +6,7 @@
 #include "bulrushstack/serving/model_demand.h"
 #include "bulrushstack/serving/origin_replicator.h"
 #include "bulrushstack/serving/permit_issuer.h"
+#include "bulrushstack/teams/quota_issuer.h"
 
 #include <chrono>
 #include <nlohmann/json.hpp>
@@ -43,6 +44,8 @@
     std::vector<std::string> unreachable;
     /// The instances whose demand the message contains, the sender first.
     std::vector<RelayMember> reporters;
+    /// What the instances have spent on credit of teams' quotas; empty if no team has a quota.
+    std::vector<CreditUse> creditUses;
 
     friend bool operator==(const DemandMessage&, const DemandMessage&) = default;
 };
@@ -80,6 +83,8 @@
     bool isReader = false;
     /// Readers of the receiver's availability zone; empty while the holder does not know all instances.
     std::optional<std::vector<StoreReader>> readers;
+    /// Units of teams' quotas that the sender of the message may spend without asking. A reader passes none on.
+    std::vector<TeamUnits> credits;
 
     friend bool operator==(const DemandReply&, const DemandReply&) = default;
 };
@@ -114,6 +119,8 @@
 std::string encode(const AdapterReply& reply);
 std::string encode(const PermitRequest& request);
 std::string encode(const PermitReply& reply);
+std::string encode(const QuotaRequest& request);
+std::string encode(const QuotaReply& reply);
 std::string encode(const OriginRequest& request);
 std::string encode(const OriginReply& reply);
 std::string encode(const std::vector<StreamOrigin>& origins);
@@ -131,6 +138,8 @@
 Result<AdapterReply> decodeAdapterReply(std::string_view text);
 Result<PermitRequest> decodePermitRequest(std::string_view text);
 Result<PermitReply> decodePermitReply(std::string_view text);
+Result<QuotaRequest> decodeQuotaRequest(std::string_view text);
+Result<QuotaReply> decodeQuotaReply(std::string_view text);
 Result<OriginRequest> decodeOriginRequest(std::string_view text);
 Result<OriginReply> decodeOriginReply(std::string_view text);
 Result<std::vector<StreamOrigin>> decodeStreamOrigins(std::string_view text);
--- a/src/include/bulrushstack/serving/serving_configuration.h
+++ b/src/include/bulrushstack/serving/serving_configuration.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "bulrushstack/teams/team_directory.h"
+
 #include <chrono>
 #include <cstdint>
 #include <memory>
@@ -78,6 +80,7 @@
     unsigned priority = 0; ///< Priority of the requests; 0 is the most urgent.
     unsigned attemptLimit = 1; ///< Number of upstreams that may run one request.
     bool isResumable = false; ///< A stream can be resumed on another upstream.
+    bool isPublic = false; ///< Requests need no key of a team.
     std::vector<WeightedService> services;
 
     /// Returns whether a request may run more than once.
@@ -100,17 +103,20 @@
     friend bool operator==(const RequestLimits&, const RequestLimits&) = default;
 };
 
-/// One version of the routes and services. Immutable; requests share the version under which they were admitted.
+/// One version of the routes, services and teams. Immutable; requests share the version under which they were admitted.
 class ServingConfiguration {
 public:
-    ServingConfiguration(
-        std::uint64_t version, std::vector<RouteSpec> routes, std::vector<ServiceSpec> services, RequestLimits limits);
+    ServingConfiguration(std::uint64_t version, std::vector<RouteSpec> routes, std::vector<ServiceSpec> services,
+        RequestLimits limits, TeamDirectoryPtr teams = {});
 
     std::uint64_t version() const { return m_version; }
     const std::vector<RouteSpec>& routes() const { return m_routes; }
     const std::vector<ServiceSpec>& services() const { return m_services; }
     const RequestLimits& limits() const { return m_limits; }
 
+    /// Returns the teams; null if requests need no key.
+    const TeamDirectoryPtr& teams() const { return m_teams; }
+
     /// Returns the route of the host with the longest prefix that matches the path; null if there is none.
     const RouteSpec* findRoute(std::string_view host, std::string_view path) const;
 
@@ -122,6 +128,7 @@
     std::vector<RouteSpec> m_routes;
     std::vector<ServiceSpec> m_services;
     RequestLimits m_limits;
+    TeamDirectoryPtr m_teams;
     /// Route indices by host, longest prefix first.
     std::unordered_map<std::string, std::vector<std::size_t>> m_routesByHost;
 };
--- a/src/include/bulrushstack/serving/serving_request.h
+++ b/src/include/bulrushstack/serving/serving_request.h
@@ -21,6 +21,7 @@
     std::string id; ///< Request id, unique for each time that the caller sends the request.
     std::string host;
     std::string path; ///< Path of the request target, without the query.
+    std::string key; ///< Key of the caller's team; empty if the request has none, or more than one.
     std::string model; ///< Requested model; empty for calls to plain services.
     std::string adapter; ///< Requested adapter; empty for the base model.
     /// Parts of the prompt in order; the last one is specific to this request or its session.
--- a/src/include/bulrushstack/serving/upstream_loads.h
+++ b/src/include/bulrushstack/serving/upstream_loads.h
@@ -19,6 +19,9 @@
     unsigned running = 0;
     unsigned waiting = 0;
     unsigned slots = 0;
+    /// Time that work takes on the upstream's machine at this moment, as a multiple of the usual time; empty if the
+    /// upstream does not state it.
+    std::optional<double> slowdown;
 
     friend bool operator==(const ReportedLoad&, const ReportedLoad&) = default;
 };
--- /dev/null
+++ b/src/include/bulrushstack/teams/quota_issuer.h
@@ -0,0 +1,133 @@
+#pragma once
+
+#include "bulrushstack/kernel/clock.h"
+#include "bulrushstack/teams/team_directory.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace bulrushstack {
+
+/// How far the platform lets the instances together exceed a quota: in each window, the units of a team's requests that
+/// run are at most (rate x window + burst) x (1 + tolerance) + slack.
+struct QuotaRule {
+    std::chrono::nanoseconds window = std::chrono::seconds(8);
+    double tolerance = 0.1;
+    double slack = 0; ///< in units
+
+    friend bool operator==(const QuotaRule&, const QuotaRule&) = default;
+};
+
+/// Asks for the units of one request.
+struct QuotaRequest {
+    std::string instance;
+    std::string team;
+    double units = 0;
+
+    friend bool operator==(const QuotaRequest&, const QuotaRequest&) = default;
+};
+
+struct QuotaReply {
+    bool isGranted = false;
+    /// Time after which the team can expect units again, if none were granted.
+    std::chrono::milliseconds retryAfter {};
+
+    friend bool operator==(const QuotaReply&, const QuotaReply&) = default;
+};
+
+/// Units of one team.
+struct TeamUnits {
+    std::string team;
+    double units = 0;
+
+    friend bool operator==(const TeamUnits&, const TeamUnits&) = default;
+};
+
+/// What one process has spent on credit since its start. Totals instead of differences, so that a report that is lost,
+/// late or repeated does no harm.
+struct CreditUse {
+    std::string instance;
+    std::uint64_t process = 0; ///< Random number that differs between two processes of the instance.
+    std::vector<TeamUnits> totals;
+
+    friend bool operator==(const CreditUse&, const CreditUse&) = default;
+};
+
+/// State of a team's account, for operators.
+struct QuotaStatus {
+    std::string team;
+    double level = 0; ///< units that are available; negative if the team has overdrawn its account
+    double capacity = 0;
+    double granted = 0; ///< units granted or spent on credit since this instance keeps the account
+    std::uint64_t denials = 0;
+
+    friend bool operator==(const QuotaStatus&, const QuotaStatus&) = default;
+};
+
+/// Keeps the accounts of all teams with a quota, on the one instance that does so for all others. Performs no I/O.
+///
+/// The load that it answers: callers of one team arrive at all instances, unevenly, and one request may weigh more than
+/// an instance's even share of a whole window. Each account is a token bucket. An instance borrows the units of a
+/// request from it, and gets a credit that it may spend without asking while the account is well filled.
+///
+/// A request is granted while the level is above zero, whatever it weighs, so that small requests cannot starve a large
+/// one. An account starts empty, so that a new issuer does not grant again what its predecessor has granted.
+class QuotaIssuer {
+public:
+    QuotaIssuer(const Clock& clock, QuotaRule rule);
+
+    void setRule(const QuotaRule& rule);
+
+    /// Applies the quotas of a configuration. Null means that there are none.
+    void setTeams(const TeamDirectoryPtr& teams);
+
+    /// Empties all accounts at the beginning of a term as the issuer.
+    void beginTerm();
+
+    /// Grants or denies the units of one request. A team without a quota is always granted.
+    QuotaReply borrow(const QuotaRequest& request);
+
+    /// Charges what a process spent on credit since its last report. The first report of a process in a term only sets
+    /// the base, since an earlier issuer has charged for it.
+    void recordCreditUse(const CreditUse& use);
+
+    /// Returns the units that each of `instances` instances may spend without asking, until its next report.
+    double creditPerInstance(const std::string& team, unsigned instances);
+
+    std::vector<QuotaStatus> status();
+
+    /// Units that an account holds at most, so that the rule is kept if all credits are spent at once.
+    static double capacityOf(const QuotaSpec& quota, const QuotaRule& rule);
+
+private:
+    struct Account {
+        QuotaSpec quota;
+        double capacity = 0;
+        double level = 0;
+        SteadyTime refilledAt {};
+        /// Units denied since the last grant. Each further caller is told to come after those before it.
+        double deniedUnits = 0;
+        double granted = 0;
+        std::uint64_t denials = 0;
+    };
+
+    struct Reported {
+        std::uint64_t process = 0;
+        std::map<std::string, double> totals; ///< by team
+        SteadyTime reportedAt {};
+    };
+
+    Account* refill(const std::string& team);
+    void charge(Account& account, double units) const;
+
+    const Clock& m_clock;
+    QuotaRule m_rule;
+    TeamDirectoryPtr m_teams;
+    std::map<std::string, Account> m_accounts; ///< by team
+    std::map<std::string, Reported> m_reported; ///< by instance
+};
+
+} // namespace bulrushstack
--- a/src/libexecution/problem.cpp
+++ b/src/libexecution/problem.cpp
@@ -19,6 +19,8 @@
         return { "malformed-request", 400, "The request is malformed" };
     case ProblemCode::IdempotencyKeyRequired:
         return { "idempotency-key-required", 400, "The call is not idempotent and needs an Idempotency-Key" };
+    case ProblemCode::QuotaExceeded:
+        return { "quota-exceeded", 429, "The team has used up its quota" };
     case ProblemCode::MissingToken:
         return { "missing-token", 401, "A bearer token is required" };
     case ProblemCode::InvalidToken:
--- a/src/libfront/demand_collector.cpp
+++ b/src/libfront/demand_collector.cpp
@@ -20,6 +20,8 @@
     m_unreachable.insert(message.unreachable.begin(), message.unreachable.end());
     for (const auto& it : message.reporters)
         m_reporters[it.instance] = it;
+    for (const auto& it : message.creditUses)
+        m_creditUses[it.instance] = it;
 }
 
 void DemandCollector::takeInto(DemandMessage& message)
@@ -36,6 +38,8 @@
         if (instance != message.instance)
             out.reporters.push_back(std::move(member));
     }
+    for (auto& [instance, use] : m_creditUses)
+        out.creditUses.push_back(std::move(use));
     message = std::move(out);
     *this = DemandCollector();
 }
--- a/src/libfront/demand_collector.h
+++ b/src/libfront/demand_collector.h
@@ -28,6 +28,7 @@
     std::map<std::tuple<std::string, std::string, std::string>, AdapterDemand> m_adapters;
     std::set<std::string> m_unreachable;
     std::map<std::string, RelayMember> m_reporters;
+    std::map<std::string, CreditUse> m_creditUses; ///< by instance; totals, so that the last one counts
     bool m_isUrgent = false;
 };
 
--- a/src/libfront/front_service.cpp
+++ b/src/libfront/front_service.cpp
@@ -52,6 +52,9 @@
     out.leasePeriod = settings.duration("lease-period");
     out.drainPeriod = settings.duration("drain-period");
     out.gracePeriod = settings.duration("grace-period");
+    out.quotaRule = { .window = settings.duration("quota-window"),
+        .tolerance = settings.number("quota-tolerance"),
+        .slack = settings.number("quota-slack") };
     return out;
 }
 
@@ -251,6 +254,7 @@
             .format = binding->requestFormat(),
             .adapters = agent,
             .permits = agent.permits(),
+            .quotas = agent.quotas(),
             .origins = origins,
             .upstreams = storeSynchronizer,
             .relay = peerRelay,
@@ -445,6 +449,23 @@
             .minimum = "1s",
             .maximum = "10m",
             .isReloadable = true },
+        { .name = "quota-window",
+            .kind = SettingKind::Duration,
+            .defaultValue = "8s",
+            .help = "time over which the platform sums up the use of a team's quota",
+            .minimum = "100ms",
+            .maximum = "10m",
+            .isReloadable = true },
+        { .name = "quota-tolerance",
+            .kind = SettingKind::Number,
+            .defaultValue = "0.1",
+            .help = "share of a team's quota by which all instances together may exceed it in the window",
+            .isReloadable = true },
+        { .name = "quota-slack",
+            .kind = SettingKind::Number,
+            .defaultValue = "0",
+            .help = "units by which all instances together may exceed a team's quota beside the tolerance",
+            .isReloadable = true },
     };
 }
 
--- a/src/libfront/front_state.h
+++ b/src/libfront/front_state.h
@@ -9,6 +9,7 @@
 #include "bulrushstack/serving/residency_hints.h"
 #include "bulrushstack/serving/retry_budget.h"
 #include "bulrushstack/serving/upstream_reachability.h"
+#include "bulrushstack/teams/quota_issuer.h"
 #include "table_follower.h"
 
 #include <boost/asio/io_context.hpp>
@@ -38,6 +39,7 @@
     std::chrono::nanoseconds drainPeriod = std::chrono::seconds(2);
     /// Time between SIGTERM and SIGKILL.
     std::chrono::nanoseconds gracePeriod = std::chrono::seconds(8);
+    QuotaRule quotaRule;
 
     friend bool operator==(const PlatformLimits&, const PlatformLimits&) = default;
 };
--- a/src/libfront/front_test_support.h
+++ b/src/libfront/front_test_support.h
@@ -13,7 +13,7 @@
 namespace bulrushstack {
 
 /// Minimal request format of the tests, with the headers X-Id, X-Seal, X-Not-Run, X-Model, X-Parts, X-Leaving, X-Pause,
-/// X-Limit, X-Brittle, X-Resumes and X-Retry-Ms.
+/// X-Limit, X-Brittle, X-Resumes, X-Key, X-Team and X-Retry-Ms.
 class TestFormat final : public RequestFormat {
 public:
     Result<ServingRequest> decode(const HttpRequest& request) const override
@@ -24,6 +24,7 @@
         out.path = std::string(request.path());
         out.model = request.headers.find("X-Model").value_or("");
         out.resumedRequest = request.headers.find("X-Resumes").value_or("");
+        out.key = request.headers.find("X-Key").value_or("");
         std::istringstream parts(request.headers.find("X-Parts").value_or(""));
         for (std::string part; std::getline(parts, part, ',');)
             out.prompt.push_back({ .id = part, .tokens = 10 });
@@ -36,6 +37,8 @@
     {
         HttpRequest out { .method = request.method, .target = request.target, .body = request.body };
         out.headers.set("X-Id", request.headers.find("X-Id").value());
+        if (forwardingFields.hasTeams)
+            out.headers.set("X-Team", forwardingFields.team);
         if (forwardingFields.resumeAfterEventId)
             out.headers.set("X-After", *forwardingFields.resumeAfterEventId);
         return out;
@@ -191,6 +194,22 @@
     FrontState& m_state;
 };
 
+/// Grants units of quotas until a test says otherwise.
+class CountedQuotas final : public QuotaSource {
+public:
+    QuotaReply reply { .isGranted = true };
+    double granted = 0;
+    double givenBack = 0;
+
+    boost::asio::awaitable<QuotaReply> obtain(const TeamSpec&, double units, SteadyTime) override
+    {
+        granted += reply.isGranted ? units : 0;
+        co_return reply;
+    }
+
+    void giveBack(const std::string&, double units) override { givenBack += units; }
+};
+
 class Ingress final : public HttpHandler {
 public:
     explicit Ingress(RequestDependencies dependencies)
@@ -258,6 +277,7 @@
     TestFormat format;
     NoAdapters adapters;
     CountedPermits permits { state };
+    CountedQuotas quotas;
     FixedOrigin origins;
     FixedRows rows { state };
     FixedPeers peers;
@@ -270,6 +290,7 @@
         .format = format,
         .adapters = adapters,
         .permits = permits,
+        .quotas = quotas,
         .origins = origins,
         .upstreams = rows,
         .relay = relay,
@@ -316,10 +337,15 @@
 
     Result<HttpResponse> call(std::string target, const std::string& id = "7", const std::string& resumes = "")
     {
-        HttpRequest request { .method = "POST", .target = std::move(target) };
-        request.headers.set("X-Id", id);
+        HttpHeaders headers { { "X-Id", id } };
         if (!resumes.empty())
-            request.headers.set("X-Resumes", resumes);
+            headers.set("X-Resumes", resumes);
+        return callWith(std::move(target), std::move(headers));
+    }
+
+    Result<HttpResponse> callWith(std::string target, HttpHeaders headers)
+    {
+        HttpRequest request { .method = "POST", .target = std::move(target), .headers = std::move(headers) };
         const Address address { .host = "127.0.0.1", .port = server.port() };
         return runAwaitable(
             context, client.call(address, std::move(request), { .deadline = clock.now() + std::chrono::seconds(10) }));
--- a/src/libfront/lease_holder.h
+++ b/src/libfront/lease_holder.h
@@ -2,6 +2,7 @@
 
 #include "bulrushstack/kernel/settings.h"
 
+#include <cstdint>
 #include <optional>
 
 namespace bulrushstack {
@@ -14,6 +15,9 @@
     /// Returns whether this instance holds the lease.
     virtual bool isHolder() const = 0;
 
+    /// Returns a number that differs between two terms of this instance as the holder.
+    virtual std::uint64_t term() const = 0;
+
     /// Returns the address of another instance that holds the lease and has replied recently; empty if there is none.
     virtual std::optional<Address> reachableHolder() const = 0;
 };
--- a/src/libfront/lease_manager.h
+++ b/src/libfront/lease_manager.h
@@ -41,6 +41,7 @@
     /// Returns the lease if another instance holds it; empty if this instance or none does.
     std::optional<LeaseRecord> otherHolder() const;
 
+    std::uint64_t term() const override { return m_lease.fence(); }
     std::optional<Address> reachableHolder() const override;
 
     const PlacementLease& lease() const { return m_lease; }
--- a/src/libfront/peer_relay.cpp
+++ b/src/libfront/peer_relay.cpp
@@ -1,5 +1,7 @@
 #include "peer_relay.h"
 
+#include "request_forwarder.h"
+
 #include "bulrushstack/kernel/tasks.h"
 #include <algorithm>
 #include <charconv>
--- a/src/libfront/permit_client.h
+++ b/src/libfront/permit_client.h
@@ -4,7 +4,7 @@
 #include "bulrushstack/serving/permit_issuer.h"
 #include "front_state.h"
 #include "lease_holder.h"
-#include "request_forwarder.h"
+#include "request_dependencies.h"
 
 #include <string_view>
 
--- a/src/libfront/permit_client_test.cpp
+++ b/src/libfront/permit_client_test.cpp
@@ -13,6 +13,7 @@
 class FixedHolder final : public LeaseHolder {
 public:
     bool isHolder() const override { return isOwn; }
+    std::uint64_t term() const override { return 1; }
     std::optional<Address> reachableHolder() const override { return other; }
 
     bool isOwn = false;
--- a/src/libfront/placement_agent.cpp
+++ b/src/libfront/placement_agent.cpp
@@ -42,6 +42,7 @@
     , m_origins(origins)
     , m_leaseManager(state, binding, metrics, relay.self())
     , m_permits(state, client, m_leaseManager)
+    , m_quotas(state, client, m_leaseManager)
     , m_quarantineStore(state, binding, m_leaseManager)
     , m_versionHistory(state, binding, m_leaseManager)
     , m_demandEstimator(state.clock())
@@ -80,6 +81,8 @@
         response = co_await respondToAdapterDemand(request);
     else if (isPost && request.path() == permitPath)
         response = respondToPermitRequest(request);
+    else if (isPost && request.path() == quotaPath)
+        response = respondToQuotaRequest(request);
     else
         response = jsonErrorResponse(404, "unknown path");
     co_await exchange.respond(std::move(response));
@@ -119,6 +122,16 @@
     return jsonResponse(200, encode(m_permits.issueAsHolder(*permitRequest)));
 }
 
+HttpResponse PlacementAgent::respondToQuotaRequest(const HttpRequest& request)
+{
+    const auto quotaRequest = decodeQuotaRequest(request.body);
+    if (!quotaRequest)
+        return jsonErrorResponse(400, quotaRequest.error().detail);
+    if (!m_leaseManager.isHolder())
+        return jsonErrorResponse(503, "this instance does not hold the placement lease");
+    return jsonResponse(200, encode(m_quotas.borrowAsHolder(*quotaRequest)));
+}
+
 asio::awaitable<Result<std::string>> PlacementAgent::placeAdapter(AdapterDemand demand, SteadyTime deadline)
 {
     if (m_leaseManager.isHolder())
--- a/src/libfront/placement_agent.h
+++ b/src/libfront/placement_agent.h
@@ -11,7 +11,8 @@
 #include "lease_manager.h"
 #include "permit_client.h"
 #include "quarantine_store.h"
-#include "request_forwarder.h"
+#include "quota_client.h"
+#include "request_dependencies.h"
 #include "stream_origin_service.h"
 #include "version_history.h"
 
@@ -46,6 +47,9 @@
     /// Returns the source of permits for upstreams with a rate limit. The holder of the placement lease issues them.
     PermitSource& permits() { return m_permits; }
 
+    /// Returns the source of units of teams' quotas. The holder of the placement lease keeps the accounts.
+    QuotaSource& quotas() { return m_quotas; }
+
 private:
     struct ServicePlacement {
         ServicePlacement(const Clock& clock, const EngineSpec& engine)
@@ -73,6 +77,7 @@
     HttpResponse respondToDemand(const HttpRequest& request);
     boost::asio::awaitable<HttpResponse> respondToAdapterDemand(const HttpRequest& request);
     HttpResponse respondToPermitRequest(const HttpRequest& request);
+    HttpResponse respondToQuotaRequest(const HttpRequest& request);
 
     boost::asio::awaitable<void> reportDemand();
     boost::asio::awaitable<void> keepHolderRows();
@@ -115,6 +120,7 @@
     StreamOriginService& m_origins;
     LeaseManager m_leaseManager;
     PermitClient m_permits;
+    QuotaClient m_quotas;
     QuarantineStore m_quarantineStore;
     VersionHistory m_versionHistory;
     DemandCollector m_collector;
--- a/src/libfront/placement_demand.cpp
+++ b/src/libfront/placement_demand.cpp
@@ -62,6 +62,8 @@
     out.crashFingerprint = suspects.fingerprint();
     if (out.crashFingerprint != m_peerCrashFingerprint)
         out.crashes = suspects.crashes();
+    if (auto use = m_quotas.creditUse())
+        out.creditUses.push_back(std::move(*use));
     return out;
 }
 
@@ -69,7 +71,10 @@
 {
     if (m_leaseManager.isHolder()) {
         m_leaseManager.recordHolderContact();
-        applyReply(processDemand(collectDemand()));
+        const auto use = m_quotas.creditUse();
+        const auto reply = processDemand(collectDemand());
+        m_quotas.applyCredits(use, reply.credits, m_state.clock().bootNow());
+        applyReply(reply);
         co_return;
     }
     m_holderSince.reset();
@@ -85,6 +90,8 @@
 /// Sends the collected demand to the holder, or to a reader that passes it on.
 asio::awaitable<void> PlacementAgent::sendDemandTo(Address address, std::optional<StoreReader> reader)
 {
+    const auto use = m_quotas.creditUse();
+    const auto sentAt = m_state.clock().bootNow();
     HttpRequest request { .method = "POST", .target = std::string(demandPath), .body = encode(collectDemand()) };
     HttpCallOptions options;
     options.deadline = m_state.clock().now() + DemandReportSchedule::reportTimeout();
@@ -102,6 +109,7 @@
     }
     auto reply = decodeDemandReply(response->body);
     if (response->status == 200 && reply) {
+        m_quotas.applyCredits(use, reply->credits, sentAt);
         handleReply(*reply, reader);
         co_return;
     }
@@ -187,6 +195,7 @@
     out.isReader = m_relay.isUsableReader();
     exchangeCrashes(message, out);
     out.peers.reset();
+    out.credits.clear();
     offerPeers(message, out, m_origins.peers());
     return out;
 }
@@ -281,6 +290,11 @@
         .holderAddress = m_relay.self().address,
         .reporters = static_cast<unsigned>(m_directReports.size()),
         .isReader = m_relay.isUsableReader() };
+    for (const auto& it : message.creditUses) {
+        auto credits = m_quotas.settleAsHolder(it, out.instances);
+        if (it.instance == message.instance)
+            out.credits = std::move(credits);
+    }
     for (const auto& [service, placement] : m_placements) {
         for (const auto& [id, upstream] : placement.tracker.upstreams()) {
             for (const auto& model : upstream.unloading)
--- a/src/libfront/placement_messages.cpp
+++ b/src/libfront/placement_messages.cpp
@@ -132,6 +132,27 @@
     out.age = std::chrono::milliseconds(document.at(5).get<std::uint32_t>());
 }
 
+/// An array [team, units], since an instance reports all active teams a few times a second.
+void to_json(json& out, const TeamUnits& units) { out = json::array({ units.team, units.units }); }
+
+void from_json(const json& document, TeamUnits& out)
+{
+    document.at(0).get_to(out.team);
+    document.at(1).get_to(out.units);
+}
+
+void to_json(json& out, const CreditUse& use)
+{
+    out = { { "instance", use.instance }, { "process", use.process }, { "totals", use.totals } };
+}
+
+void from_json(const json& document, CreditUse& out)
+{
+    document.at("instance").get_to(out.instance);
+    document.at("process").get_to(out.process);
+    document.at("totals").get_to(out.totals);
+}
+
 // Instances of the previous version require the field "crashes", which held another type.
 void to_json(json& out, const DemandMessage& message)
 {
@@ -139,6 +160,8 @@
         { "crashes", json::array() }, { "upstreamCrashes", message.crashes },
         { "crashFingerprint", message.crashFingerprint }, { "unreachable", message.unreachable },
         { "reporters", message.reporters }, { "peerFingerprint", message.peerFingerprint } };
+    if (!message.creditUses.empty())
+        out["creditUses"] = message.creditUses;
 }
 
 // Fields that instances of the previous version do not send are optional.
@@ -152,6 +175,7 @@
     document.at("unreachable").get_to(out.unreachable);
     out.reporters = document.value("reporters", std::vector<RelayMember>());
     out.peerFingerprint = document.value("peerFingerprint", std::uint64_t { 0 });
+    out.creditUses = document.value("creditUses", std::vector<CreditUse>());
 }
 
 void to_json(json& out, const DemandReply& reply)
@@ -165,6 +189,8 @@
         out["readers"] = *reply.readers;
     if (reply.peers)
         out["peers"] = *reply.peers;
+    if (!reply.credits.empty())
+        out["credits"] = reply.credits;
 }
 
 void from_json(const json& document, DemandReply& out)
@@ -184,6 +210,7 @@
         out.readers = document.at("readers").get<std::vector<StoreReader>>();
     if (document.contains("peers"))
         out.peers = document.at("peers").get<std::vector<Peer>>();
+    out.credits = document.value("credits", std::vector<TeamUnits>());
 }
 
 void to_json(json& out, const OriginRequest& request)
@@ -236,6 +263,29 @@
     out.retryAfter = std::chrono::milliseconds(document.at("retryAfterMs").get<std::uint32_t>());
 }
 
+void to_json(json& out, const QuotaRequest& request)
+{
+    out = { { "instance", request.instance }, { "team", request.team }, { "units", request.units } };
+}
+
+void from_json(const json& document, QuotaRequest& out)
+{
+    document.at("instance").get_to(out.instance);
+    document.at("team").get_to(out.team);
+    document.at("units").get_to(out.units);
+}
+
+void to_json(json& out, const QuotaReply& reply)
+{
+    out = { { "isGranted", reply.isGranted }, { "retryAfterMs", reply.retryAfter.count() } };
+}
+
+void from_json(const json& document, QuotaReply& out)
+{
+    document.at("isGranted").get_to(out.isGranted);
+    out.retryAfter = std::chrono::milliseconds(document.at("retryAfterMs").get<std::uint32_t>());
+}
+
 namespace {
 
 template <typename T> std::string encodeAs(const T& value)
@@ -272,6 +322,8 @@
 std::string encode(const AdapterReply& reply) { return encodeAs(reply); }
 std::string encode(const PermitRequest& request) { return encodeAs(request); }
 std::string encode(const PermitReply& reply) { return encodeAs(reply); }
+std::string encode(const QuotaRequest& request) { return encodeAs(request); }
+std::string encode(const QuotaReply& reply) { return encodeAs(reply); }
 std::string encode(const OriginRequest& request) { return encodeAs(request); }
 std::string encode(const OriginReply& reply) { return encodeAs(reply); }
 std::string encode(const std::vector<StreamOrigin>& origins) { return encodeAs(origins); }
@@ -282,6 +334,8 @@
 Result<AdapterReply> decodeAdapterReply(std::string_view text) { return decodeAs<AdapterReply>(text); }
 Result<PermitRequest> decodePermitRequest(std::string_view text) { return decodeAs<PermitRequest>(text); }
 Result<PermitReply> decodePermitReply(std::string_view text) { return decodeAs<PermitReply>(text); }
+Result<QuotaRequest> decodeQuotaRequest(std::string_view text) { return decodeAs<QuotaRequest>(text); }
+Result<QuotaReply> decodeQuotaReply(std::string_view text) { return decodeAs<QuotaReply>(text); }
 Result<OriginRequest> decodeOriginRequest(std::string_view text) { return decodeAs<OriginRequest>(text); }
 Result<OriginReply> decodeOriginReply(std::string_view text) { return decodeAs<OriginReply>(text); }
 
--- /dev/null
+++ b/src/libfront/quota_client.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "bulrushstack/net/http_client.h"
+#include "bulrushstack/teams/quota_accounts.h"
+#include "front_state.h"
+#include "lease_holder.h"
+#include "request_dependencies.h"
+
+#include <string_view>
+
+namespace bulrushstack {
+
+/// Path of the request for the units of one request that one instance sends to another one.
+inline constexpr std::string_view quotaPath = "/v1/quota/borrow";
+
+/// Obtains units of the quotas of teams. The holder of the placement lease keeps the accounts, so that all instances
+/// together keep to the quotas, however many there are. While the holder cannot be reached, an instance spends a part
+/// of its even share.
+class QuotaClient final : public QuotaSource {
+public:
+    QuotaClient(FrontState& state, HttpClient& client, const LeaseHolder& leaseHolder);
+
+    boost::asio::awaitable<QuotaReply> obtain(const TeamSpec& team, double units, SteadyTime deadline) override;
+    void giveBack(const std::string& team, double units) override { m_accounts.giveBack(team, units); }
+
+    /// Returns what this instance spent on credit, for the next report to the holder.
+    std::optional<CreditUse> creditUse() const { return m_accounts.creditUse(); }
+
+    /// Applies the holder's reply to a report that was sent at `sentAt`, a reading of Clock::bootNow().
+    void applyCredits(const std::optional<CreditUse>& reported, const std::vector<TeamUnits>& credits, SteadyTime sentAt);
+
+    /// Grants or denies units as the holder of the placement lease.
+    QuotaReply borrowAsHolder(const QuotaRequest& request);
+
+    /// Charges what an instance spent on credit, as the holder, and returns its new credits.
+    std::vector<TeamUnits> settleAsHolder(const CreditUse& use, unsigned instances);
+
+private:
+    boost::asio::awaitable<Result<QuotaReply>> askHolder(QuotaRequest request, SteadyTime deadline);
+    QuotaReply spendShare(const TeamSpec& team, double units);
+    QuotaIssuer& currentIssuer();
+
+    FrontState& m_state;
+    HttpClient& m_client;
+    const LeaseHolder& m_leaseHolder;
+    QuotaIssuer m_issuer;
+    std::uint64_t m_issuerTerm = 0; ///< Term of the lease at whose beginning the accounts were last emptied.
+    QuotaAccounts m_accounts;
+};
+
+} // namespace bulrushstack
--- a/src/libfront/refusal_notices.h
+++ b/src/libfront/refusal_notices.h
@@ -3,7 +3,7 @@
 #include "bulrushstack/net/http_client.h"
 #include "bulrushstack/net/http_server.h"
 #include "front_state.h"
-#include "request_forwarder.h"
+#include "request_dependencies.h"
 
 #include <map>
 #include <string>
--- a/src/libfront/request_attempt.cpp
+++ b/src/libfront/request_attempt.cpp
@@ -145,7 +145,9 @@
 {
     ForwardingFields forwardingFields { .upstreamId = attempt.upstreamId,
         .timeLeft = std::max(Milliseconds(1), timeLeft() - networkMargin),
-        .urgency = urgency() };
+        .urgency = urgency(),
+        .hasTeams = m_configuration->teams() != nullptr,
+        .team = m_team ? m_team->name : std::string() };
     if (m_isStreaming)
         forwardingFields.resumeAfterEventId = m_eventSplitter.lastEventId();
     HttpCallOptions options;
--- a/src/libfront/request_forwarder.cpp
+++ b/src/libfront/request_forwarder.cpp
@@ -3,6 +3,7 @@
 #include "bulrushstack/kernel/tasks.h"
 #include "bulrushstack/serving/brittle_upstreams.h"
 #include <algorithm>
+#include <cmath>
 #include <glog/logging.h>
 
 namespace bulrushstack {
@@ -33,6 +34,17 @@
 constexpr Milliseconds relaxedLatencyObjective { 2000 };
 constexpr unsigned lowestUrgency = 9;
 
+/// Random part of the retry delay of requests over a quota, so that their callers do not return together.
+constexpr double quotaRetrySpread = 0.5;
+
+double unitsOf(const QuotaSpec& quota, const ServingRequest& request)
+{
+    if (quota.unit == QuotaUnit::Requests)
+        return 1;
+    const double tokens = static_cast<double>(request.promptTokens) + request.maxOutputTokens;
+    return tokens > 0 ? tokens : quota.unitsWithoutTokenCount;
+}
+
 } // namespace
 
 RequestForwarder::RequestForwarder(
@@ -91,6 +103,8 @@
     m_route = m_configuration->findRoute(m_request.host, m_request.path);
     if (!m_route)
         return Problem { .code = ProblemCode::NotFound, .detail = "no route matches this host and path" };
+    if (auto problem = identificationProblem())
+        return problem;
     m_service = m_configuration->findService(chooseService(*m_route, m_state.random()));
     if (!m_service)
         return Problem { .code = ProblemCode::NoUpstream, .detail = "the route refers to an unknown service" };
@@ -101,6 +115,20 @@
     return quarantineProblem();
 }
 
+/// Finds the team of the caller. Returns the error for a request that needs a key and has no valid one.
+std::optional<Problem> RequestForwarder::identificationProblem()
+{
+    const auto& teams = m_configuration->teams();
+    if (!teams)
+        return std::nullopt;
+    m_team = teams->findByKey(m_request.key);
+    if (m_team || m_route->isPublic)
+        return std::nullopt;
+    if (m_request.key.empty())
+        return Problem { .code = ProblemCode::MissingToken, .detail = "the request has no key of a team" };
+    return Problem { .code = ProblemCode::InvalidToken, .detail = "the key belongs to no team" };
+}
+
 /// Returns the error for a request that would probably crash the upstream that runs it; empty if it may run.
 std::optional<Problem> RequestForwarder::quarantineProblem() const
 {
@@ -116,6 +144,40 @@
 {
     if (mayRelay() && co_await relayToPeer())
         co_return;
+    const bool isWithinQuota = co_await obtainQuota();
+    if (!isWithinQuota)
+        co_return;
+    co_await serve();
+    giveBackQuota();
+}
+
+/// Charges the request to the quota of its team. If the quota is used up, rejects the request and returns false.
+asio::awaitable<bool> RequestForwarder::obtainQuota()
+{
+    if (!m_team || !m_team->quota)
+        co_return true;
+    const double units = unitsOf(*m_team->quota, m_request);
+    const auto reply = co_await m_dependencies.quotas.obtain(*m_team, units, m_deadline);
+    if (reply.isGranted) {
+        m_chargedUnits = units;
+        co_return true;
+    }
+    const auto spread = std::chrono::duration<double, std::milli>(reply.retryAfter) * m_state.randomFraction();
+    const auto retryAfter = reply.retryAfter + duration_cast<Milliseconds>(quotaRetrySpread * spread);
+    const Problem problem { .code = ProblemCode::QuotaExceeded,
+        .detail = "the quota of team " + m_team->name + " is used up, units=" + std::to_string(std::lround(units)) };
+    co_await sendError(problem, retryAfter);
+    co_return false;
+}
+
+void RequestForwarder::giveBackQuota()
+{
+    if (m_chargedUnits > 0 && m_verdict == Verdict::NotRun)
+        m_dependencies.quotas.giveBack(m_team->name, m_chargedUnits);
+}
+
+asio::awaitable<void> RequestForwarder::serve()
+{
     m_state.retryBudget(m_service->name).recordRequest();
     if (m_service->engine) {
         const double workMs = estimateWorkMs(m_request, *m_service->engine, m_state.prefillMsPerToken(m_request.model));
@@ -356,7 +418,8 @@
 unsigned RequestForwarder::urgency() const
 {
     const unsigned urgencyOffset = m_route->latencyObjective >= relaxedLatencyObjective ? 1 : 0;
-    return std::min(lowestUrgency, m_route->priority * 2 + urgencyOffset);
+    const unsigned priority = m_team && m_team->priority ? *m_team->priority : m_route->priority;
+    return std::min(lowestUrgency, std::min(lowestUrgency, priority) * 2 + urgencyOffset);
 }
 
 bool RequestForwarder::mayRetry(const Failure& failure)
@@ -447,9 +510,10 @@
     const auto duration = m_state.clock().now() - m_receivedAt;
     m_dependencies.metrics.recordRequest(m_route ? toString(m_route->kind) : "unknown", outcome, duration);
     LOG(INFO) << "event=request request=" << m_request.id << " route=" << (m_route ? m_route->name : "-")
-              << " model=" << m_request.model << " adapter=" << m_request.adapter << " upstream=" << m_lastUpstream
-              << " outcome=" << outcome << " status=" << status << " verdict=" << toString(m_verdict)
-              << " attempts=" << m_attemptsSent << " events=" << m_eventSplitter.eventCount()
+              << " team=" << (m_team ? m_team->name : "-") << " model=" << m_request.model
+              << " adapter=" << m_request.adapter << " upstream=" << m_lastUpstream << " outcome=" << outcome
+              << " status=" << status << " verdict=" << toString(m_verdict) << " attempts=" << m_attemptsSent
+              << " events=" << m_eventSplitter.eventCount()
               << " framing=" << (m_responseFraming ? toString(*m_responseFraming) : "none")
               << " partial_event_bytes=" << m_partialEventBytes
               << " config=" << (m_configuration ? m_configuration->version() : 0)
--- a/src/libfront/store_synchronizer.h
+++ b/src/libfront/store_synchronizer.h
@@ -3,7 +3,7 @@
 #include "bulrushstack/relay/store_relay.h"
 #include "front_metrics.h"
 #include "front_state.h"
-#include "request_forwarder.h"
+#include "request_dependencies.h"
 #include "table_follower.h"
 
 #include <functional>
--- a/src/libfront/stream_origin_service.h
+++ b/src/libfront/stream_origin_service.h
@@ -4,7 +4,7 @@
 #include "bulrushstack/net/http_server.h"
 #include "bulrushstack/serving/origin_replicator.h"
 #include "front_state.h"
-#include "request_forwarder.h"
+#include "request_dependencies.h"
 
 #include <string>
 #include <string_view>
--- a/src/libserving/serving_configuration.cpp
+++ b/src/libserving/serving_configuration.cpp
@@ -39,12 +39,13 @@
     return it == models.end() ? nullptr : &*it;
 }
 
-ServingConfiguration::ServingConfiguration(
-    std::uint64_t version, std::vector<RouteSpec> routes, std::vector<ServiceSpec> services, RequestLimits limits)
+ServingConfiguration::ServingConfiguration(std::uint64_t version, std::vector<RouteSpec> routes,
+    std::vector<ServiceSpec> services, RequestLimits limits, TeamDirectoryPtr teams)
     : m_version(version)
     , m_routes(std::move(routes))
     , m_services(std::move(services))
     , m_limits(limits)
+    , m_teams(std::move(teams))
 {
     for (std::size_t i = 0; i < m_routes.size(); ++i)
         m_routesByHost[m_routes[i].host].push_back(i);
