Give credits by demand, and let small requests pass a full account

Change: an instance's credit and its share without the issuer follow its part of the team's recent demand. The issuer holds back what silent instances may spend by themselves. Accounts fill from the first configuration on. Requests below 2% of a second's quota may use half of the refill below zero.

--- a/src/include/bulrushstack/front/placement_messages.h
+++ b/src/include/bulrushstack/front/placement_messages.h
@@ -84,7 +84,7 @@
     /// Readers of the receiver's availability zone; empty while the holder does not know all instances.
     std::optional<std::vector<StoreReader>> readers;
     /// Units of teams' quotas that the sender of the message may spend without asking. A reader passes none on.
-    std::vector<TeamUnits> credits;
+    std::vector<TeamCredit> credits;
 
     friend bool operator==(const DemandReply&, const DemandReply&) = default;
 };
--- a/src/include/bulrushstack/teams/quota_accounts.h
+++ b/src/include/bulrushstack/teams/quota_accounts.h
@@ -20,6 +20,12 @@
     friend bool operator==(const SpendResult&, const SpendResult&) = default;
 };
 
+/// Part of its share of a quota that an instance spends while it cannot reach the issuer.
+inline constexpr double shareWithoutIssuer = 0.5;
+
+/// Time after which the share of an instance without contact to the issuer counts for 1/e.
+inline constexpr std::chrono::duration<double> shareDecayTime { 4 };
+
 /// What one instance knows of the quotas of teams: the credits that the issuer gave it, recent denials, and the even
 /// share on which it falls back while no issuer can be reached. Performs no I/O.
 class QuotaAccounts {
@@ -38,7 +44,7 @@
     void recordIssuer(bool isReachable);
 
     /// Spends the units of one request on this instance's share of a quota, while the issuer cannot be reached.
-    SpendResult spendShare(const TeamSpec& team, double units, unsigned instances, const QuotaRule& rule);
+    SpendResult spendShare(const TeamSpec& team, double units, const QuotaRule& rule);
 
     /// Returns the units of a request that certainly did not run.
     void giveBack(const std::string& team, double units);
@@ -48,7 +54,7 @@
 
     /// Replaces the credits by those that the issuer gave in reply to the given report, which was sent at `sentAt`, a
     /// reading of Clock::bootNow(). What was spent since the report is subtracted.
-    void applyCredits(const CreditUse& reported, const std::vector<TeamUnits>& credits, SteadyTime sentAt);
+    void applyCredits(const CreditUse& reported, const std::vector<TeamCredit>& credits, SteadyTime sentAt);
 
 private:
     struct Account {
@@ -58,7 +64,8 @@
         double total = 0; ///< spent on credit since the start of the process
         SteadyTime usedAt {};
         std::optional<SteadyTime> deniedUntil;
-        /// Bucket with this instance's share of the quota.
+        double share = 0; ///< this instance's share of the team's demand, 0 to 1
+        /// Bucket with this share of the quota.
         double shareLevel = 0;
         SteadyTime shareRefilledAt {};
     };
--- a/src/include/bulrushstack/teams/quota_issuer.h
+++ b/src/include/bulrushstack/teams/quota_issuer.h
@@ -46,6 +46,17 @@
     friend bool operator==(const TeamUnits&, const TeamUnits&) = default;
 };
 
+/// What an instance may spend of a team's quota without asking.
+struct TeamCredit {
+    std::string team;
+    double units = 0; ///< until its next report
+    /// The instance's share of the team's demand, 0 to 1. While it cannot reach the issuer, it goes on with a part of
+    /// this share of the quota.
+    double share = 0;
+
+    friend bool operator==(const TeamCredit&, const TeamCredit&) = default;
+};
+
 /// What one process has spent on credit since its start. Totals instead of differences, so that a report that is lost,
 /// late or repeated does no harm.
 struct CreditUse {
@@ -74,7 +85,9 @@
 /// request from it, and gets a credit that it may spend without asking while the account is well filled.
 ///
 /// A request is granted while the level is above zero, whatever it weighs, so that small requests cannot starve a large
-/// one. An account starts empty, so that a new issuer does not grant again what its predecessor has granted.
+/// one. A small request is granted below zero as well, up to a part of the quota, so that one large request does not
+/// have many small ones rejected. While an instance is silent, the part of its share that it may spend by itself is
+/// held back. An account starts empty, so that a new issuer does not grant again what its predecessor has granted.
 class QuotaIssuer {
 public:
     QuotaIssuer(const Clock& clock, QuotaRule rule);
@@ -94,8 +107,9 @@
     /// the base, since an earlier issuer has charged for it.
     void recordCreditUse(const CreditUse& use);
 
-    /// Returns the units that each of `instances` instances may spend without asking, until its next report.
-    double creditPerInstance(const std::string& team, unsigned instances);
+    /// Returns the credit of one of `instances` instances. Callers of a team come to few instances, so that each gets
+    /// its share of the recent demand rather than an even one.
+    TeamCredit creditOf(const std::string& team, const std::string& instance, unsigned instances);
 
     std::vector<QuotaStatus> status();
 
@@ -107,27 +121,33 @@
         QuotaSpec quota;
         double capacity = 0;
         double level = 0;
+        double smallLevel = 0; ///< units that small requests may use while the level is not above zero
         SteadyTime refilledAt {};
+        std::map<std::string, double> demand; ///< recent units asked for, by instance
+        double totalDemand = 0;
         /// Units denied since the last grant. Each further caller is told to come after those before it.
         double deniedUnits = 0;
         double granted = 0;
         std::uint64_t denials = 0;
     };
 
-    struct Reported {
+    struct Instance {
         std::uint64_t process = 0;
-        std::map<std::string, double> totals; ///< by team
-        SteadyTime reportedAt {};
+        std::map<std::string, double> totals; ///< reported by the process, by team
+        SteadyTime lastContact {};
+        std::chrono::nanoseconds reportInterval {};
     };
 
     Account* refill(const std::string& team);
+    double silentShare(const Account& account) const;
+    static void recordDemand(Account& account, const std::string& instance, double units);
     void charge(Account& account, double units) const;
 
     const Clock& m_clock;
     QuotaRule m_rule;
     TeamDirectoryPtr m_teams;
     std::map<std::string, Account> m_accounts; ///< by team
-    std::map<std::string, Reported> m_reported; ///< by instance
+    std::map<std::string, Instance> m_instances;
 };
 
 } // namespace bulrushstack
--- a/src/libfront/placement_demand.cpp
+++ b/src/libfront/placement_demand.cpp
@@ -290,6 +290,7 @@
         .holderAddress = m_relay.self().address,
         .reporters = static_cast<unsigned>(m_directReports.size()),
         .isReader = m_relay.isUsableReader() };
+    m_quotas.refreshAsHolder();
     for (const auto& it : message.creditUses) {
         auto credits = m_quotas.settleAsHolder(it, out.instances);
         if (it.instance == message.instance)
--- a/src/libfront/placement_messages.cpp
+++ b/src/libfront/placement_messages.cpp
@@ -141,6 +141,16 @@
     document.at(1).get_to(out.units);
 }
 
+/// An array [team, units, share], for the same reason.
+void to_json(json& out, const TeamCredit& credit) { out = json::array({ credit.team, credit.units, credit.share }); }
+
+void from_json(const json& document, TeamCredit& out)
+{
+    document.at(0).get_to(out.team);
+    document.at(1).get_to(out.units);
+    document.at(2).get_to(out.share);
+}
+
 void to_json(json& out, const CreditUse& use)
 {
     out = { { "instance", use.instance }, { "process", use.process }, { "totals", use.totals } };
@@ -210,7 +220,7 @@
         out.readers = document.at("readers").get<std::vector<StoreReader>>();
     if (document.contains("peers"))
         out.peers = document.at("peers").get<std::vector<Peer>>();
-    out.credits = document.value("credits", std::vector<TeamUnits>());
+    out.credits = document.value("credits", std::vector<TeamCredit>());
 }
 
 void to_json(json& out, const OriginRequest& request)
--- a/src/libfront/quota_client.cpp
+++ b/src/libfront/quota_client.cpp
@@ -61,8 +61,7 @@
 
 QuotaReply QuotaClient::spendShare(const TeamSpec& team, double units)
 {
-    const auto result
-        = m_accounts.spendShare(team, units, m_state.instanceCount(), m_state.platformLimits().quotaRule);
+    const auto result = m_accounts.spendShare(team, units, m_state.platformLimits().quotaRule);
     return { .isGranted = result.kind == SpendResult::Kind::Granted, .retryAfter = result.retryAfter };
 }
 
@@ -87,19 +86,19 @@
     return reply;
 }
 
-std::vector<TeamUnits> QuotaClient::settleAsHolder(const CreditUse& use, unsigned instances)
+std::vector<TeamCredit> QuotaClient::settleAsHolder(const CreditUse& use, unsigned instances)
 {
     auto& issuer = currentIssuer();
     issuer.recordCreditUse(use);
-    std::vector<TeamUnits> out;
+    std::vector<TeamCredit> out;
     out.reserve(use.totals.size());
     for (const auto& it : use.totals)
-        out.push_back({ .team = it.team, .units = issuer.creditPerInstance(it.team, instances) });
+        out.push_back(issuer.creditOf(it.team, use.instance, instances));
     return out;
 }
 
 void QuotaClient::applyCredits(
-    const std::optional<CreditUse>& reported, const std::vector<TeamUnits>& credits, SteadyTime sentAt)
+    const std::optional<CreditUse>& reported, const std::vector<TeamCredit>& credits, SteadyTime sentAt)
 {
     if (reported)
         m_accounts.applyCredits(*reported, credits, sentAt);
--- a/src/libfront/quota_client.h
+++ b/src/libfront/quota_client.h
@@ -27,13 +27,17 @@
     std::optional<CreditUse> creditUse() const { return m_accounts.creditUse(); }
 
     /// Applies the holder's reply to a report that was sent at `sentAt`, a reading of Clock::bootNow().
-    void applyCredits(const std::optional<CreditUse>& reported, const std::vector<TeamUnits>& credits, SteadyTime sentAt);
+    void applyCredits(
+        const std::optional<CreditUse>& reported, const std::vector<TeamCredit>& credits, SteadyTime sentAt);
+
+    /// Keeps the accounts up to date while this instance is the holder, so that they fill before the first request.
+    void refreshAsHolder() { currentIssuer(); }
 
     /// Grants or denies units as the holder of the placement lease.
     QuotaReply borrowAsHolder(const QuotaRequest& request);
 
     /// Charges what an instance spent on credit, as the holder, and returns its new credits.
-    std::vector<TeamUnits> settleAsHolder(const CreditUse& use, unsigned instances);
+    std::vector<TeamCredit> settleAsHolder(const CreditUse& use, unsigned instances);
 
 private:
     boost::asio::awaitable<Result<QuotaReply>> askHolder(QuotaRequest request, SteadyTime deadline);
--- a/src/libteams/quota_accounts.cpp
+++ b/src/libteams/quota_accounts.cpp
@@ -1,6 +1,7 @@
 #include "bulrushstack/teams/quota_accounts.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace bulrushstack {
 
@@ -15,8 +16,8 @@
 constexpr std::chrono::milliseconds maxDenial { 500 };
 /// Time after its last request for which a team is named in reports.
 constexpr std::chrono::seconds activityPeriod { 3 };
-/// Part of its even share that an instance uses without the issuer, which may still serve the other instances.
-constexpr double usedShare = 0.5;
+/// Part of the platform's slack that the instances may use at once, each by its share, when the issuer is lost.
+constexpr double initialSlackShare = 0.25;
 constexpr std::chrono::milliseconds minRetryAfter { 50 };
 constexpr std::chrono::milliseconds retryAfterIssuerLost { 700 };
 
@@ -59,22 +60,22 @@
         m_issuerLostAt = m_clock.bootNow();
 }
 
-SpendResult QuotaAccounts::spendShare(const TeamSpec& team, double units, unsigned instances, const QuotaRule& rule)
+SpendResult QuotaAccounts::spendShare(const TeamSpec& team, double units, const QuotaRule& rule)
 {
     if (!team.quota)
         return { .kind = SpendResult::Kind::Granted };
     auto& account = m_accounts[team.name];
     recordIssuer(false);
     if (account.shareRefilledAt < *m_issuerLostAt) {
-        account.shareLevel = 0;
+        const bool isFirstInWindow = account.shareRefilledAt + rule.window < *m_issuerLostAt;
+        account.shareLevel = isFirstInWindow ? initialSlackShare * rule.slack * account.share : 0;
         account.shareRefilledAt = *m_issuerLostAt;
     }
-    if (instances == 0)
-        return { .kind = SpendResult::Kind::Denied, .retryAfter = retryAfterIssuerLost };
     const auto now = m_clock.bootNow();
-    const double sharePerSecond = usedShare * team.quota->ratePerSecond / instances;
+    const double decay = std::exp(-Seconds(now - *m_issuerLostAt) / shareDecayTime);
+    const double sharePerSecond = shareWithoutIssuer * team.quota->ratePerSecond * account.share * decay;
     account.shareLevel += Seconds(now - account.shareRefilledAt).count() * sharePerSecond;
-    account.shareLevel = std::min(account.shareLevel, QuotaIssuer::capacityOf(*team.quota, rule) / instances);
+    account.shareLevel = std::min(account.shareLevel, QuotaIssuer::capacityOf(*team.quota, rule) * account.share);
     account.shareRefilledAt = now;
     if (account.shareLevel < units)
         return { .kind = SpendResult::Kind::Denied, .retryAfter = retryAfterIssuerLost };
@@ -100,8 +101,7 @@
     return out.totals.empty() ? std::nullopt : std::optional(std::move(out));
 }
 
-void QuotaAccounts::applyCredits(
-    const CreditUse& reported, const std::vector<TeamUnits>& credits, SteadyTime sentAt)
+void QuotaAccounts::applyCredits(const CreditUse& reported, const std::vector<TeamCredit>& credits, SteadyTime sentAt)
 {
     for (const auto& it : credits) {
         const auto total = std::find_if(reported.totals.begin(), reported.totals.end(),
@@ -111,6 +111,7 @@
         auto& account = m_accounts[it.team];
         account.credit = it.units - std::max(0.0, account.total - total->units);
         account.creditUntil = sentAt + creditLifetime;
+        account.share = it.share;
     }
 }
 
--- a/src/libteams/quota_issuer.cpp
+++ b/src/libteams/quota_issuer.cpp
@@ -1,6 +1,9 @@
 #include "bulrushstack/teams/quota_issuer.h"
 
+#include "bulrushstack/teams/quota_accounts.h"
+
 #include <algorithm>
+#include <cmath>
 
 namespace bulrushstack {
 
@@ -10,6 +13,19 @@
 
 /// Share of the level that all instances together may spend without asking.
 constexpr double creditShare = 0.25;
+/// Part of the credits that is given evenly, to instances at which a team's callers have not been before.
+constexpr double evenShare = 0.1;
+/// Shortest time without contact after which an instance may have begun to spend its share by itself.
+constexpr std::chrono::milliseconds minSilence { 600 };
+/// The same as a multiple of the time between its reports.
+constexpr int silenceIntervals = 2;
+/// Demand below this part of the total is forgotten.
+constexpr double minDemandShare = 1e-4;
+/// Largest small request, as a part of a second's quota.
+constexpr double smallRequestShare = 0.02;
+/// Part of the quota that small requests may use while the level is not above zero.
+constexpr double smallRate = 0.5;
+constexpr Seconds smallBurst { 0.25 };
 /// Share of the slack that is kept for the request that overdraws an account.
 constexpr double overdraftShare = 0.5;
 constexpr double minRefillPerSecond = 1e-6;
@@ -69,9 +85,10 @@
 
 void QuotaIssuer::beginTerm()
 {
-    m_reported.clear();
+    m_instances.clear();
     for (auto& [team, account] : m_accounts) {
         account.level = 0;
+        account.smallLevel = 0;
         account.refilledAt = m_clock.now();
         account.deniedUnits = 0;
     }
@@ -84,13 +101,38 @@
         return nullptr;
     auto& account = it->second;
     const auto now = m_clock.now();
-    const double refill = Seconds(now - account.refilledAt).count() * account.quota.ratePerSecond;
+    const double heldBack = shareWithoutIssuer * silentShare(account);
+    const double refill
+        = Seconds(now - account.refilledAt).count() * account.quota.ratePerSecond * (1 - std::min(1.0, heldBack));
     account.level = std::min(account.capacity, account.level + refill);
+    account.smallLevel
+        = std::min(smallBurst.count() * account.quota.ratePerSecond, account.smallLevel + smallRate * refill);
     account.deniedUnits = std::max(0.0, account.deniedUnits - refill);
+    const double decay = std::exp(-Seconds(now - account.refilledAt) / shareDecayTime);
+    account.totalDemand *= decay;
+    for (auto& [instance, units] : account.demand)
+        units *= decay;
     account.refilledAt = now;
     return &account;
 }
 
+/// Returns the share of the demand that comes to instances without contact.
+double QuotaIssuer::silentShare(const Account& account) const
+{
+    if (account.totalDemand <= 0)
+        return 0;
+    double out = 0;
+    for (const auto& [name, units] : account.demand) {
+        const auto it = m_instances.find(name);
+        if (it == m_instances.end())
+            continue;
+        const auto silence = m_clock.now() - it->second.lastContact;
+        if (silence > std::max<std::chrono::nanoseconds>(minSilence, silenceIntervals * it->second.reportInterval))
+            out += units / account.totalDemand;
+    }
+    return out;
+}
+
 /// Credit that was given before a quota was lowered may overdraw the account by a multiple of the new quota. The excess
 /// is forgiven, since it would stop the team for longer than the window in which the lower quota has to be kept.
 void QuotaIssuer::charge(Account& account, double units) const
@@ -105,10 +147,15 @@
     auto* account = refill(request.team);
     if (!account)
         return { .isGranted = true };
-    if (account->level > 0) {
+    recordDemand(*account, request.instance, request.units);
+    const bool isSmall = request.units <= smallRequestShare * account->quota.ratePerSecond;
+    if (account->level > 0 || (isSmall && account->smallLevel >= request.units)) {
         account->granted += request.units;
+        if (account->level <= 0)
+            account->smallLevel -= request.units;
+        else
+            account->deniedUnits = 0;
         account->level -= request.units;
-        account->deniedUnits = 0;
         return { .isGranted = true };
     }
     const double rate = std::max(minRefillPerSecond, account->quota.ratePerSecond);
@@ -122,26 +169,43 @@
 void QuotaIssuer::recordCreditUse(const CreditUse& use)
 {
     const auto now = m_clock.now();
-    std::erase_if(m_reported, [&](const auto& it) { return now - it.second.reportedAt > reportLifetime; });
-    auto& reported = m_reported[use.instance];
+    std::erase_if(m_instances, [&](const auto& it) { return now - it.second.lastContact > reportLifetime; });
+    auto& reported = m_instances[use.instance];
     if (reported.process != use.process)
         reported = { .process = use.process };
-    reported.reportedAt = now;
+    else
+        reported.reportInterval = now - reported.lastContact;
+    reported.lastContact = now;
     for (const auto& it : use.totals) {
         const auto [total, isFirst] = reported.totals.try_emplace(it.team, it.units);
         auto* account = refill(it.team);
-        if (account && !isFirst)
+        if (account && !isFirst) {
             charge(*account, it.units - total->second);
+            recordDemand(*account, use.instance, std::max(0.0, it.units - total->second));
+        }
         total->second = it.units;
     }
 }
 
-double QuotaIssuer::creditPerInstance(const std::string& team, unsigned instances)
+void QuotaIssuer::recordDemand(Account& account, const std::string& instance, double units)
+{
+    account.demand[instance] += units;
+    account.totalDemand += units;
+    std::erase_if(account.demand, [&](const auto& it) { return it.second < minDemandShare * account.totalDemand; });
+}
+
+TeamCredit QuotaIssuer::creditOf(const std::string& team, const std::string& instance, unsigned instances)
 {
+    TeamCredit out { .team = team };
     const auto* account = refill(team);
-    if (!account || account->level <= 0 || instances == 0)
-        return 0;
-    return creditShare * account->level / instances;
+    if (!account || instances == 0)
+        return out;
+    const auto it = account->demand.find(instance);
+    const double demandShare
+        = it == account->demand.end() || account->totalDemand <= 0 ? 0 : it->second / account->totalDemand;
+    out.share = evenShare / instances + (1 - evenShare) * std::min(1.0, demandShare);
+    out.units = creditShare * out.share * std::max(0.0, account->level);
+    return out;
 }
 
 std::vector<QuotaStatus> QuotaIssuer::status()
--- a/src/libteams/team_directory.cpp
+++ b/src/libteams/team_directory.cpp
@@ -8,9 +8,9 @@
 
 Failure invalidTeam(const std::string& team, std::string_view reason)
 {
-    return { .code = Errc::Malformed,
-        .verdict = Verdict::NotRun,
-        .detail = "team '" + team + "': " + std::string(reason) };
+    return {
+        .code = Errc::Malformed, .verdict = Verdict::NotRun, .detail = "team '" + team + "': " + std::string(reason)
+    };
 }
 
 bool isRate(double value) { return std::isfinite(value) && value >= 0; }
