Learn the pace of upstreams, and weigh what a prompt does to others

Cause: the choice of an upstream knew no speed. On deployments whose upstreams share their machines, long prompts on slow ones break the pauses of the streams there.

Change: where upstreams state the speed of their machines, the pace of each is learnt from the events of its streams; waiting and prefill cost more on a slow one, and a prompt costs the streams that it would make late. The longest pause of an answer is in its log line.

--- a/src/libfront/front_state.cpp
+++ b/src/libfront/front_state.cpp
@@ -38,6 +38,7 @@
     , m_platformLimits(platformLimits)
     , m_directory(clock)
     , m_upstreamLoads(clock)
+    , m_upstreamPace(clock)
     , m_reachability(clock)
     , m_residencyHints(clock)
     , m_crashSuspects(clock)
--- a/src/libfront/front_state.h
+++ b/src/libfront/front_state.h
@@ -8,6 +8,7 @@
 #include "bulrushstack/serving/recent_refusals.h"
 #include "bulrushstack/serving/residency_hints.h"
 #include "bulrushstack/serving/retry_budget.h"
+#include "bulrushstack/serving/upstream_pace.h"
 #include "bulrushstack/serving/upstream_reachability.h"
 #include "bulrushstack/teams/quota_issuer.h"
 #include "table_follower.h"
@@ -75,6 +76,8 @@
 
     UpstreamDirectory& directory() { return m_directory; }
     UpstreamLoads& upstreamLoads() { return m_upstreamLoads; }
+    UpstreamPace& upstreamPace() { return m_upstreamPace; }
+    const UpstreamPace& upstreamPace() const { return m_upstreamPace; }
     UpstreamReachability& reachability() { return m_reachability; }
     const UpstreamReachability& reachability() const { return m_reachability; }
     ResidencyHints& residencyHints() { return m_residencyHints; }
@@ -160,6 +163,7 @@
     ServingConfigurationPtr m_configuration;
     UpstreamDirectory m_directory;
     UpstreamLoads m_upstreamLoads;
+    UpstreamPace m_upstreamPace;
     UpstreamReachability m_reachability;
     ResidencyHints m_residencyHints;
     CrashSuspects m_crashSuspects;
--- a/src/libfront/request_attempt.cpp
+++ b/src/libfront/request_attempt.cpp
@@ -248,6 +248,8 @@
         LOG(INFO) << "event=upstream-pause upstream=" << attempt.upstreamId
                   << " source=request request=" << m_request.id << " pause_ms=" << attempt.head.retryAfter->count()
                   << " directory=" << directory.version();
+    if (attempt.head.load && attempt.head.load->slowdown)
+        m_state.upstreamPace().recordStated(attempt.upstreamId, attempt.startedAt, *attempt.head.load->slowdown);
     applyRateLimit(attempt);
     if (directory.recordRefusalLimit(attempt.upstreamId, attempt.head.refusalLimit, attempt.sentRequest.sent))
         LOG(INFO) << "event=upstream-brittle upstream=" << attempt.upstreamId << " request=" << m_request.id
@@ -365,9 +367,16 @@
 
 void RequestForwarder::recordEvents(Attempt& attempt)
 {
-    attempt.lastEventAt = m_state.clock().now();
-    if (!attempt.hasFirstResponse)
-        attempt.firstEventAt = attempt.lastEventAt;
+    const auto now = m_state.clock().now();
+    if (m_lastEventAt)
+        m_longestGap = std::max(m_longestGap, millisecondsOf(now - *m_lastEventAt));
+    m_lastEventAt = now;
+    if (attempt.hasFirstResponse)
+        m_state.upstreamPace().recordEventGap(
+            attempt.upstreamId, attempt.startedAt, m_request.model, now - attempt.lastEventAt);
+    else
+        attempt.firstEventAt = now;
+    attempt.lastEventAt = now;
 }
 
 /// Returns whether a prompt part can be the cause if the upstream has crashed. Such a part crashes each upstream that
--- a/src/libfront/request_forwarder.cpp
+++ b/src/libfront/request_forwarder.cpp
@@ -263,6 +263,8 @@
         .zone = m_state.zone(),
         .engine = m_service->engine ? &*m_service->engine : nullptr,
         .latencyObjective = m_route->latencyObjective,
+        .gapObjective = m_route->gapObjective,
+        .pace = &m_state.upstreamPace(),
         .urgency = urgency(),
         .prefillMsPerToken = m_state.prefillMsPerToken(m_request.model),
         .tieBreaker = m_state.random(),
@@ -519,6 +521,7 @@
               << " config=" << (m_configuration ? m_configuration->version() : 0)
               << " directory=" << m_state.directory().version()
               << " first_ms=" << (m_firstResponseAfter ? std::to_string(m_firstResponseAfter->count()) : "none")
+              << " gap_ms=" << (m_eventSplitter.eventCount() > 1 ? std::to_string(m_longestGap.count()) : "none")
               << " ms=" << millisecondsOf(duration).count() << " detail=\"" << detail << "\"";
 }
 
--- a/src/libfront/request_forwarder.h
+++ b/src/libfront/request_forwarder.h
@@ -169,6 +169,8 @@
     bool m_wasLastAttemptSent = false;
     /// Time from receipt of the request to the first event or the complete response.
     std::optional<Milliseconds> m_firstResponseAfter;
+    std::optional<SteadyTime> m_lastEventAt;
+    Milliseconds m_longestGap {}; ///< Longest time between two events of the response.
     /// Time after which the client should retry, if the request is rejected because its upstreams are overloaded or
     /// pausing.
     std::optional<Milliseconds> m_retryAfter;
--- a/src/libfront/store_synchronizer.cpp
+++ b/src/libfront/store_synchronizer.cpp
@@ -333,6 +333,7 @@
             continue;
         m_state.residencyHints().expire();
         m_state.upstreamLoads().retain(m_state.directory());
+        m_state.upstreamPace().retain(m_state.directory());
     }
 }
 
--- a/src/libserving/upstream_selection.cpp
+++ b/src/libserving/upstream_selection.cpp
@@ -18,6 +18,9 @@
 constexpr double avoidedPenaltyMs = 10'000; ///< Exceeds any expected latency, so that avoided upstreams come last.
 constexpr double tieMarginMs = 1; ///< Latencies in the same interval of this length count as equal.
 
+/// Prefill time, as a part of the objective for pauses, up to which a prompt makes no running stream late.
+constexpr double harmlessPrefillShare = 0.6;
+
 std::uint64_t hashOf(std::string_view text, std::uint64_t seed)
 {
     return XXH3_64bits_withSeed(text.data(), text.size(), seed);
@@ -45,6 +48,24 @@
         + loads.prefillBacklog(upstream.id) * input.prefillMsPerToken;
 }
 
+double slowdownOf(const SelectionInput& input, const UpstreamEntry& upstream)
+{
+    return input.pace && input.engine ? input.pace->slowdown(upstream.id, upstream.startedAt) : 1;
+}
+
+/// Returns the cost of the streams at the upstream that a prompt with the given prefill time would make late, in
+/// milliseconds.
+double disturbanceMs(
+    const SelectionInput& input, const UpstreamEntry& upstream, const UpstreamLoads& loads, double prefillMs)
+{
+    if (!input.pace || !input.pace->isActive() || input.gapObjective.count() <= 0)
+        return 0;
+    const double share = prefillMs / static_cast<double>(input.gapObjective.count());
+    const double risk = std::clamp((share - harmlessPrefillShare) / harmlessPrefillShare, 0.0, 1.0);
+    const double streams = std::min<double>(loads.estimatedRequests(upstream.id), upstream.slots);
+    return risk * streams * static_cast<double>(input.latencyObjective.count());
+}
+
 } // namespace
 
 std::vector<RankedUpstream> rankUpstreams(
@@ -61,8 +82,10 @@
         ranked.prefillTokens = isPrefixCached ? unsharedPromptTokens(input.request) : input.request.promptTokens;
         ranked.queueingDelay = millisecondsOf(loads.queueingDelay(it->id, input.urgency));
         ranked.prefillMs = ranked.prefillTokens * input.prefillMsPerToken;
+        const double slowdown = slowdownOf(input, *it);
         ranked.expectedMs
-            = std::max(static_cast<double>(ranked.queueingDelay.count()), loadMs(input, *it, loads)) + ranked.prefillMs;
+            = std::max(static_cast<double>(ranked.queueingDelay.count()), slowdown * loadMs(input, *it, loads))
+            + slowdown * ranked.prefillMs + disturbanceMs(input, *it, loads, slowdown * ranked.prefillMs);
         if (it->zone != input.zone)
             ranked.expectedMs += otherZonePenaltyMs;
         ranked.expectedMs
