Let deputies grant quotas while the lease holder cannot be reached

Change: an instance that cannot reach the holder asks a deputy, the first instance that responds in an order that depends on the team only, or itself. A deputy refills by the shares of the instances that ask it; the issuer holds back the shares of silent instances, and for a while those of instances that a new issuer has not heard from.

Weighed: a deputy for all by the lease (needs the store), full local shares (two sides of a partition would each spend the quota).

--- a/src/include/bulrushstack/teams/quota_issuer.h
+++ b/src/include/bulrushstack/teams/quota_issuer.h
@@ -26,6 +26,9 @@
     std::string instance;
     std::string team;
     double units = 0;
+    double share = 0; ///< The instance's share of the team's demand, as the issuer last told it.
+    /// Whether the receiver is asked as a deputy, since the sender cannot reach the issuer.
+    bool isForDeputy = false;
 
     friend bool operator==(const QuotaRequest&, const QuotaRequest&) = default;
 };
@@ -50,9 +53,7 @@
 struct TeamCredit {
     std::string team;
     double units = 0; ///< until its next report
-    /// The instance's share of the team's demand, 0 to 1. While it cannot reach the issuer, it goes on with a part of
-    /// this share of the quota.
-    double share = 0;
+    double share = 0; ///< The instance's share of the team's demand, 0 to 1.
 
     friend bool operator==(const TeamCredit&, const TeamCredit&) = default;
 };
@@ -78,6 +79,14 @@
     friend bool operator==(const QuotaStatus&, const QuotaStatus&) = default;
 };
 
+/// Time for which the issuer holds back the share of a silent instance, and for which the instance may use it at a
+/// deputy.
+inline constexpr std::chrono::seconds shareLifetime { 20 };
+
+/// Returns the time without contact to the issuer after which an instance may use its share at a deputy, and from which
+/// on the issuer holds the share back. `reportInterval` is the time between the instance's reports.
+std::chrono::nanoseconds silenceBeforeDeputy(std::chrono::nanoseconds reportInterval);
+
 /// Keeps the accounts of all teams with a quota, on the one instance that does so for all others. Performs no I/O.
 ///
 /// The load that it answers: callers of one team arrive at all instances, unevenly, and one request may weigh more than
@@ -86,19 +95,29 @@
 ///
 /// A request is granted while the level is above zero, whatever it weighs, so that small requests cannot starve a large
 /// one. A small request is granted below zero as well, up to a part of the quota, so that one large request does not
-/// have many small ones rejected. While an instance is silent, the part of its share that it may spend by itself is
-/// held back. An account starts empty, so that a new issuer does not grant again what its predecessor has granted.
+/// have many small ones rejected.
+///
+/// An instance that cannot reach the issuer asks a deputy, which is another instance or itself. The accounts of a
+/// deputy refill only by the shares of the instances that ask it, and the issuer holds back the shares of silent
+/// instances, so that all of them together keep to the quota also while some are cut off from others. An account starts
+/// empty, so that a new issuer does not grant again what its predecessor has granted.
 class QuotaIssuer {
 public:
-    QuotaIssuer(const Clock& clock, QuotaRule rule);
+    enum class Role {
+        Issuer,
+        Deputy,
+    };
+
+    QuotaIssuer(const Clock& clock, QuotaRule rule, Role role = Role::Issuer);
 
     void setRule(const QuotaRule& rule);
 
     /// Applies the quotas of a configuration. Null means that there are none.
     void setTeams(const TeamDirectoryPtr& teams);
 
-    /// Empties all accounts at the beginning of a term as the issuer.
-    void beginTerm();
+    /// Empties all accounts at the beginning of a term as the issuer. `instances` is the number of instances, as far as
+    /// it is known. Those that have not reported yet may be cut off, with shares of the previous issuer.
+    void beginTerm(std::size_t instances);
 
     /// Grants or denies the units of one request. A team without a quota is always granted.
     QuotaReply borrow(const QuotaRequest& request);
@@ -107,9 +126,9 @@
     /// the base, since an earlier issuer has charged for it.
     void recordCreditUse(const CreditUse& use);
 
-    /// Returns the credit of one of `instances` instances. Callers of a team come to few instances, so that each gets
+    /// Returns the credit of an instance that has reported. Callers of a team come to few instances, so that each gets
     /// its share of the recent demand rather than an even one.
-    TeamCredit creditOf(const std::string& team, const std::string& instance, unsigned instances);
+    TeamCredit creditOf(const std::string& team, const std::string& instance);
 
     std::vector<QuotaStatus> status();
 
@@ -117,6 +136,11 @@
     static double capacityOf(const QuotaSpec& quota, const QuotaRule& rule);
 
 private:
+    struct Contact {
+        double share = 0;
+        SteadyTime at {};
+    };
+
     struct Account {
         QuotaSpec quota;
         double capacity = 0;
@@ -124,6 +148,7 @@
         double smallLevel = 0; ///< units that small requests may use while the level is not above zero
         SteadyTime refilledAt {};
         std::map<std::string, double> demand; ///< recent units asked for, by instance
+        std::map<std::string, Contact> contacts; ///< instances that asked this deputy
         double totalDemand = 0;
         /// Units denied since the last grant. Each further caller is told to come after those before it.
         double deniedUnits = 0;
@@ -139,15 +164,21 @@
     };
 
     Account* refill(const std::string& team);
+    double refillOf(const Account& account) const;
     double silentShare(const Account& account) const;
+    double shareOf(const Account& account, const std::string& instance) const;
+    bool isSilent(const std::string& instance) const;
     static void recordDemand(Account& account, const std::string& instance, double units);
     void charge(Account& account, double units) const;
 
     const Clock& m_clock;
     QuotaRule m_rule;
+    Role m_role;
     TeamDirectoryPtr m_teams;
     std::map<std::string, Account> m_accounts; ///< by team
     std::map<std::string, Instance> m_instances;
+    std::size_t m_expectedInstances = 0;
+    SteadyTime m_termBeganAt {};
 };
 
 } // namespace bulrushstack
--- a/src/libfront/placement_agent.cpp
+++ b/src/libfront/placement_agent.cpp
@@ -42,7 +42,7 @@
     , m_origins(origins)
     , m_leaseManager(state, binding, metrics, relay.self())
     , m_permits(state, client, m_leaseManager)
-    , m_quotas(state, client, m_leaseManager)
+    , m_quotas(state, client, m_leaseManager, origins)
     , m_quarantineStore(state, binding, m_leaseManager)
     , m_versionHistory(state, binding, m_leaseManager)
     , m_demandEstimator(state.clock())
@@ -127,6 +127,8 @@
     const auto quotaRequest = decodeQuotaRequest(request.body);
     if (!quotaRequest)
         return jsonErrorResponse(400, quotaRequest.error().detail);
+    if (quotaRequest->isForDeputy)
+        return jsonResponse(200, encode(m_quotas.borrowAsDeputy(*quotaRequest)));
     if (!m_leaseManager.isHolder())
         return jsonErrorResponse(503, "this instance does not hold the placement lease");
     return jsonResponse(200, encode(m_quotas.borrowAsHolder(*quotaRequest)));
--- a/src/libfront/placement_demand.cpp
+++ b/src/libfront/placement_demand.cpp
@@ -292,7 +292,7 @@
         .isReader = m_relay.isUsableReader() };
     m_quotas.refreshAsHolder();
     for (const auto& it : message.creditUses) {
-        auto credits = m_quotas.settleAsHolder(it, out.instances);
+        auto credits = m_quotas.settleAsHolder(it);
         if (it.instance == message.instance)
             out.credits = std::move(credits);
     }
--- a/src/libfront/placement_messages.cpp
+++ b/src/libfront/placement_messages.cpp
@@ -275,7 +275,8 @@
 
 void to_json(json& out, const QuotaRequest& request)
 {
-    out = { { "instance", request.instance }, { "team", request.team }, { "units", request.units } };
+    out = { { "instance", request.instance }, { "team", request.team }, { "units", request.units },
+        { "share", request.share }, { "isForDeputy", request.isForDeputy } };
 }
 
 void from_json(const json& document, QuotaRequest& out)
@@ -283,6 +284,8 @@
     document.at("instance").get_to(out.instance);
     document.at("team").get_to(out.team);
     document.at("units").get_to(out.units);
+    document.at("share").get_to(out.share);
+    document.at("isForDeputy").get_to(out.isForDeputy);
 }
 
 void to_json(json& out, const QuotaReply& reply)
--- a/src/libfront/placement_messages_test.cpp
+++ b/src/libfront/placement_messages_test.cpp
@@ -48,4 +48,22 @@
     BOOST_TEST(old->crashes.empty());
 }
 
+// Guards against quotas that two instances count differently, and against messages that an older build cannot read.
+BOOST_AUTO_TEST_CASE(CarryTheUseOfQuotas)
+{
+    DemandMessage message { .instance = "a" };
+    BOOST_TEST(encode(message).find("creditUses") == std::string::npos);
+    message.creditUses = { { .instance = "a", .process = 7, .totals = { { "zagreb", 1200.5 } } } };
+    BOOST_CHECK(decodeDemandMessage(encode(message))->creditUses == message.creditUses);
+    DemandReply reply { .isHolder = true };
+    BOOST_TEST(encode(reply).find("credits") == std::string::npos);
+    reply.credits = { { .team = "zagreb", .units = 300, .share = 0.25 } };
+    BOOST_CHECK(decodeDemandReply(encode(reply))->credits == reply.credits);
+    const QuotaRequest request { .instance = "a", .team = "zagreb", .units = 9200, .share = 0.25, .isForDeputy = true };
+    BOOST_CHECK(*decodeQuotaRequest(encode(request)) == request);
+    const QuotaReply denied { .retryAfter = std::chrono::milliseconds(250) };
+    BOOST_CHECK(*decodeQuotaReply(encode(denied)) == denied);
+    BOOST_TEST(decodeQuotaRequest("{}").has_error());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libfront/quota_client.cpp
+++ b/src/libfront/quota_client.cpp
@@ -1,7 +1,9 @@
 #include "quota_client.h"
 
 #include "bulrushstack/front/placement_messages.h"
+#include <algorithm>
 #include <glog/logging.h>
+#include <xxhash.h>
 
 namespace bulrushstack {
 
@@ -10,36 +12,40 @@
 namespace asio = boost::asio;
 
 constexpr std::chrono::milliseconds borrowTimeout { 150 };
+/// Time for which an instance that did not respond is not asked again.
+constexpr std::chrono::milliseconds avoidance { 1000 };
+/// Instances that are asked as deputies before an instance is its own deputy.
+constexpr std::size_t maxDeputies = 2;
+const std::string holderId;
 
 } // namespace
 
-QuotaClient::QuotaClient(FrontState& state, HttpClient& client, const LeaseHolder& leaseHolder)
+QuotaClient::QuotaClient(FrontState& state, HttpClient& client, const LeaseHolder& leaseHolder, const PeerSource& peers)
     : m_state(state)
     , m_client(client)
     , m_leaseHolder(leaseHolder)
+    , m_peers(peers)
     , m_issuer(state.clock(), state.platformLimits().quotaRule)
+    , m_deputy(state.clock(), state.platformLimits().quotaRule, QuotaIssuer::Role::Deputy)
     , m_accounts(state.clock(), state.instanceId(), state.random())
 {
 }
 
 asio::awaitable<QuotaReply> QuotaClient::obtain(const TeamSpec& team, double units, SteadyTime deadline)
 {
-    const TeamSpec spec = team; // The configuration may change while the holder is asked.
-    const auto result = m_accounts.spend(spec.name, units);
+    const std::string name = team.name; // The configuration may change while the holder is asked.
+    const auto result = m_accounts.spend(name, units);
     if (result.kind != SpendResult::Kind::MustBorrow)
         co_return QuotaReply { .isGranted = result.kind == SpendResult::Kind::Granted,
             .retryAfter = result.retryAfter };
-    QuotaRequest request { .instance = m_state.instanceId(), .team = spec.name, .units = units };
-    const auto reply
-        = co_await askHolder(std::move(request), std::min(deadline, m_state.clock().now() + borrowTimeout));
-    m_accounts.recordIssuer(reply.has_value());
-    if (!reply) {
-        LOG(INFO) << "event=quota-holder-unavailable team=" << spec.name << " units=" << units << " error=\""
-                  << reply.error().detail << "\"";
-        co_return spendShare(spec, units);
-    }
+    const QuotaRequest request {
+        .instance = m_state.instanceId(), .team = name, .units = units, .share = m_accounts.share(name)
+    };
+    auto reply = co_await askHolder(request, deadline);
+    if (!reply)
+        reply = co_await askDeputy(request, deadline);
     if (!reply->isGranted)
-        m_accounts.recordDenial(spec.name, reply->retryAfter);
+        m_accounts.recordDenial(name, reply->retryAfter);
     co_return *reply;
 }
 
@@ -48,21 +54,65 @@
     if (m_leaseHolder.isHolder())
         co_return borrowAsHolder(request);
     const auto holder = m_leaseHolder.reachableHolder();
-    if (!holder)
+    if (!holder || m_avoidedUntil[holderId] > m_state.clock().now())
         co_return unavailableFailure("the lease holder does not respond");
+    auto reply = co_await call(*holder, std::move(request), deadline);
+    if (!reply)
+        m_avoidedUntil[holderId] = m_state.clock().now() + avoidance;
+    co_return reply;
+}
+
+/// Asks the deputies in turn. An instance that reaches none of them is its own deputy.
+asio::awaitable<QuotaReply> QuotaClient::askDeputy(QuotaRequest request, SteadyTime deadline)
+{
+    request.isForDeputy = true;
+    for (const auto& it : deputies(request.team)) {
+        if (it.instance == m_state.instanceId())
+            break;
+        const auto reply = co_await call(it.address, request, deadline);
+        if (reply)
+            co_return *reply;
+        m_avoidedUntil[it.instance] = m_state.clock().now() + avoidance;
+    }
+    co_return borrowAsDeputy(request);
+}
+
+asio::awaitable<Result<QuotaReply>> QuotaClient::call(Address address, QuotaRequest request, SteadyTime deadline)
+{
+    const std::string team = request.team;
     HttpRequest httpRequest { .method = "POST", .target = std::string(quotaPath), .body = encode(request) };
-    auto response = co_await m_client.call(*holder, std::move(httpRequest), { .deadline = deadline });
+    const auto end = std::min(deadline, m_state.clock().now() + borrowTimeout);
+    auto response = co_await m_client.call(address, std::move(httpRequest), { .deadline = end });
+    Result<QuotaReply> out = unavailableFailure("the instance does not keep accounts");
     if (!response)
-        co_return response.error();
-    if (response->status != 200)
-        co_return unavailableFailure("the lease holder responded with status " + std::to_string(response->status));
-    co_return decodeQuotaReply(response->body);
+        out = response.error();
+    else if (response->status == 200)
+        out = decodeQuotaReply(response->body);
+    if (!out)
+        LOG(INFO) << "event=quota-issuer-unavailable team=" << team << " address=" << address.toString()
+                  << " deputy=" << request.isForDeputy << " error=\"" << out.error().detail << "\"";
+    co_return out;
 }
 
-QuotaReply QuotaClient::spendShare(const TeamSpec& team, double units)
+/// Returns the instances to ask in place of the holder, in the order on which all instances agree for the team. The own
+/// one ends the list.
+std::vector<Peer> QuotaClient::deputies(const std::string& team)
 {
-    const auto result = m_accounts.spendShare(team, units, m_state.platformLimits().quotaRule);
-    return { .isGranted = result.kind == SpendResult::Kind::Granted, .retryAfter = result.retryAfter };
+    auto out = m_peers.peers();
+    const auto now = m_state.clock().now();
+    std::erase_if(out, [&](const Peer& it) {
+        const auto avoided = m_avoidedUntil.find(it.instance);
+        return avoided != m_avoidedUntil.end() && avoided->second > now;
+    });
+    const auto rank = [&](const Peer& it) {
+        const std::string key = team + "/" + it.instance;
+        return XXH3_64bits(key.data(), key.size());
+    };
+    const auto n = std::min(maxDeputies, out.size());
+    std::partial_sort(out.begin(), out.begin() + static_cast<std::ptrdiff_t>(n), out.end(),
+        [&](const Peer& a, const Peer& b) { return rank(a) < rank(b); });
+    out.resize(n);
+    return out;
 }
 
 /// Returns the accounts under the configuration in force. They are empty at the beginning of each term as the holder.
@@ -72,7 +122,7 @@
     const auto& configuration = m_state.configuration();
     m_issuer.setTeams(configuration ? configuration->teams() : nullptr);
     if (m_issuerTerm != m_leaseHolder.term())
-        m_issuer.beginTerm();
+        m_issuer.beginTerm(m_state.instanceCount());
     m_issuerTerm = m_leaseHolder.term();
     return m_issuer;
 }
@@ -86,17 +136,31 @@
     return reply;
 }
 
-std::vector<TeamCredit> QuotaClient::settleAsHolder(const CreditUse& use, unsigned instances)
+QuotaReply QuotaClient::borrowAsDeputy(const QuotaRequest& request)
+{
+    m_deputy.setRule(m_state.platformLimits().quotaRule);
+    const auto& configuration = m_state.configuration();
+    m_deputy.setTeams(configuration ? configuration->teams() : nullptr);
+    return m_deputy.borrow(request);
+}
+
+std::vector<TeamCredit> QuotaClient::settleAsHolder(const CreditUse& use)
 {
     auto& issuer = currentIssuer();
     issuer.recordCreditUse(use);
     std::vector<TeamCredit> out;
     out.reserve(use.totals.size());
     for (const auto& it : use.totals)
-        out.push_back(issuer.creditOf(it.team, use.instance, instances));
+        out.push_back(issuer.creditOf(it.team, use.instance));
     return out;
 }
 
+std::optional<CreditUse> QuotaClient::creditUse() const
+{
+    const auto& configuration = m_state.configuration();
+    return configuration && configuration->teams() ? std::optional(m_accounts.creditUse()) : std::nullopt;
+}
+
 void QuotaClient::applyCredits(
     const std::optional<CreditUse>& reported, const std::vector<TeamCredit>& credits, SteadyTime sentAt)
 {
--- a/src/libteams/quota_issuer.cpp
+++ b/src/libteams/quota_issuer.cpp
@@ -1,7 +1,5 @@
 #include "bulrushstack/teams/quota_issuer.h"
 
-#include "bulrushstack/teams/quota_accounts.h"
-
 #include <algorithm>
 #include <cmath>
 
@@ -15,10 +13,6 @@
 constexpr double creditShare = 0.25;
 /// Part of the credits that is given evenly, to instances at which a team's callers have not been before.
 constexpr double evenShare = 0.1;
-/// Shortest time without contact after which an instance may have begun to spend its share by itself.
-constexpr std::chrono::milliseconds minSilence { 600 };
-/// The same as a multiple of the time between its reports.
-constexpr int silenceIntervals = 2;
 /// Demand below this part of the total is forgotten.
 constexpr double minDemandShare = 1e-4;
 /// Largest small request, as a part of a second's quota.
@@ -32,14 +26,28 @@
 constexpr std::chrono::milliseconds minRetryAfter { 50 };
 /// Bounds the time for which a caller does not notice that a quota was raised.
 constexpr std::chrono::milliseconds maxRetryAfter { 2000 };
-/// Time without a report after which the totals of an instance are forgotten.
-constexpr std::chrono::minutes reportLifetime { 1 };
+/// Part of the shares that deputies grant. The rest allows for shares that a new issuer does not know of.
+constexpr double deputyRate = 0.8;
+/// Bound of a deputy's accounts, since other deputies may have been asked before.
+constexpr Seconds deputyBurst { 0.5 };
+/// Time for which the share of an instance counts at a deputy after its last request.
+constexpr std::chrono::seconds contactLifetime { 1 };
+/// Time after which demand counts for 1/e.
+constexpr Seconds demandDecayTime { 4 };
 
 } // namespace
 
-QuotaIssuer::QuotaIssuer(const Clock& clock, QuotaRule rule)
+std::chrono::nanoseconds silenceBeforeDeputy(std::chrono::nanoseconds reportInterval)
+{
+    static constexpr std::chrono::milliseconds minSilence { 600 };
+    static constexpr int missedReports = 2;
+    return std::max<std::chrono::nanoseconds>(minSilence, missedReports * reportInterval);
+}
+
+QuotaIssuer::QuotaIssuer(const Clock& clock, QuotaRule rule, Role role)
     : m_clock(clock)
     , m_rule(rule)
+    , m_role(role)
 {
 }
 
@@ -78,13 +86,17 @@
         auto& account = *refill(team.name);
         account.quota = *team.quota;
         account.capacity = capacityOf(account.quota, m_rule);
+        if (m_role == Role::Deputy)
+            account.capacity = std::min(account.capacity, deputyBurst.count() * account.quota.ratePerSecond);
         account.level = std::min(account.level, account.capacity);
         charge(account, 0);
     }
 }
 
-void QuotaIssuer::beginTerm()
+void QuotaIssuer::beginTerm(std::size_t instances)
 {
+    m_expectedInstances = instances;
+    m_termBeganAt = m_clock.now();
     m_instances.clear();
     for (auto& [team, account] : m_accounts) {
         account.level = 0;
@@ -101,38 +113,66 @@
         return nullptr;
     auto& account = it->second;
     const auto now = m_clock.now();
-    const double heldBack = shareWithoutIssuer * silentShare(account);
-    const double refill
-        = Seconds(now - account.refilledAt).count() * account.quota.ratePerSecond * (1 - std::min(1.0, heldBack));
+    const double refill = refillOf(account);
     account.level = std::min(account.capacity, account.level + refill);
     account.smallLevel
         = std::min(smallBurst.count() * account.quota.ratePerSecond, account.smallLevel + smallRate * refill);
     account.deniedUnits = std::max(0.0, account.deniedUnits - refill);
-    const double decay = std::exp(-Seconds(now - account.refilledAt) / shareDecayTime);
-    account.totalDemand *= decay;
-    for (auto& [instance, units] : account.demand)
-        units *= decay;
+    const double decay = std::exp(-Seconds(now - account.refilledAt) / demandDecayTime);
+    account.totalDemand = 0;
+    for (auto& [instance, units] : account.demand) {
+        units *= isSilent(instance) ? 1 : decay;
+        account.totalDemand += units;
+    }
     account.refilledAt = now;
     return &account;
 }
 
-/// Returns the share of the demand that comes to instances without contact.
-double QuotaIssuer::silentShare(const Account& account) const
+/// Returns the units by which the account has refilled since the last time.
+double QuotaIssuer::refillOf(const Account& account) const
 {
-    if (account.totalDemand <= 0)
-        return 0;
+    const auto now = m_clock.now();
+    const double rate = account.quota.ratePerSecond;
+    if (m_role == Role::Issuer)
+        return Seconds(now - account.refilledAt).count() * rate * (1 - std::min(1.0, silentShare(account)));
     double out = 0;
-    for (const auto& [name, units] : account.demand) {
-        const auto it = m_instances.find(name);
-        if (it == m_instances.end())
-            continue;
-        const auto silence = m_clock.now() - it->second.lastContact;
-        if (silence > std::max<std::chrono::nanoseconds>(minSilence, silenceIntervals * it->second.reportInterval))
-            out += units / account.totalDemand;
+    for (const auto& [instance, contact] : account.contacts) {
+        const auto end = std::min<SteadyTime>(now, contact.at + contactLifetime);
+        out += std::max(0.0, Seconds(end - account.refilledAt).count()) * deputyRate * rate * contact.share;
     }
+    return std::min(out, Seconds(now - account.refilledAt).count() * rate);
+}
+
+/// Returns the share of the silent instances.
+double QuotaIssuer::silentShare(const Account& account) const
+{
+    double out = 0;
+    if (m_clock.now() - m_termBeganAt < shareLifetime && m_expectedInstances > m_instances.size())
+        out = static_cast<double>(m_expectedInstances - m_instances.size()) / static_cast<double>(m_expectedInstances);
+    for (const auto& [instance, state] : m_instances)
+        out += isSilent(instance) ? shareOf(account, instance) : 0;
     return out;
 }
 
+/// Returns the share of an instance in the quota.
+double QuotaIssuer::shareOf(const Account& account, const std::string& instance) const
+{
+    const auto it = account.demand.find(instance);
+    const double demandShare
+        = it == account.demand.end() || account.totalDemand <= 0 ? 0 : it->second / account.totalDemand;
+    const auto instances = static_cast<double>(std::max<std::size_t>(1, m_instances.size()));
+    return evenShare / instances + (1 - evenShare) * std::min(1.0, demandShare);
+}
+
+/// Returns whether an instance may have begun to ask a deputy.
+bool QuotaIssuer::isSilent(const std::string& instance) const
+{
+    const auto it = m_instances.find(instance);
+    if (it == m_instances.end())
+        return false;
+    return m_clock.now() - it->second.lastContact > silenceBeforeDeputy(it->second.reportInterval);
+}
+
 /// Credit that was given before a quota was lowered may overdraw the account by a multiple of the new quota. The excess
 /// is forgiven, since it would stop the team for longer than the window in which the lower quota has to be kept.
 void QuotaIssuer::charge(Account& account, double units) const
@@ -148,10 +188,15 @@
     if (!account)
         return { .isGranted = true };
     recordDemand(*account, request.instance, request.units);
+    if (m_role == Role::Deputy)
+        account->contacts[request.instance] = { .share = request.share, .at = m_clock.now() };
     const bool isSmall = request.units <= smallRequestShare * account->quota.ratePerSecond;
-    if (account->level > 0 || (isSmall && account->smallLevel >= request.units)) {
+    // An instance that is its own deputy grants no more than it has, since there may be many such instances.
+    const bool isAlone = m_role == Role::Deputy && account->contacts.size() < 2;
+    const double needed = isAlone ? request.units : 0;
+    if (account->level > needed || (isSmall && account->smallLevel >= request.units)) {
         account->granted += request.units;
-        if (account->level <= 0)
+        if (account->level <= needed)
             account->smallLevel -= request.units;
         else
             account->deniedUnits = 0;
@@ -169,7 +214,7 @@
 void QuotaIssuer::recordCreditUse(const CreditUse& use)
 {
     const auto now = m_clock.now();
-    std::erase_if(m_instances, [&](const auto& it) { return now - it.second.lastContact > reportLifetime; });
+    std::erase_if(m_instances, [&](const auto& it) { return now - it.second.lastContact > shareLifetime; });
     auto& reported = m_instances[use.instance];
     if (reported.process != use.process)
         reported = { .process = use.process };
@@ -194,16 +239,13 @@
     std::erase_if(account.demand, [&](const auto& it) { return it.second < minDemandShare * account.totalDemand; });
 }
 
-TeamCredit QuotaIssuer::creditOf(const std::string& team, const std::string& instance, unsigned instances)
+TeamCredit QuotaIssuer::creditOf(const std::string& team, const std::string& instance)
 {
     TeamCredit out { .team = team };
     const auto* account = refill(team);
-    if (!account || instances == 0)
+    if (!account)
         return out;
-    const auto it = account->demand.find(instance);
-    const double demandShare
-        = it == account->demand.end() || account->totalDemand <= 0 ? 0 : it->second / account->totalDemand;
-    out.share = evenShare / instances + (1 - evenShare) * std::min(1.0, demandShare);
+    out.share = shareOf(*account, instance);
     out.units = creditShare * out.share * std::max(0.0, account->level);
     return out;
 }
