Use the shares of quotas at once when the former issuer says that it is none

Cause: after a lease holder had lost its lease, instances waited two report intervals before they used their shares at a deputy, and refused callers for two to three seconds although the former holder told them that it had ended.

Change: its answer to a report or a request ends the wait. A holder that does not respond at all is still waited for, since it may go on granting.

--- a/src/include/bulrushstack/teams/quota_accounts.h
+++ b/src/include/bulrushstack/teams/quota_accounts.h
@@ -34,6 +34,9 @@
     /// without asking.
     void recordDenial(const std::string& team, std::chrono::milliseconds retryAfter);
 
+    /// Records that the issuer itself said that it is none any more. The shares can then be used at once.
+    void recordIssuerEnded() { m_hasIssuerEnded = true; }
+
     /// Returns the share of the quota that this instance may use at a deputy, as the issuer last told it; 0 if it heard
     /// of the issuer only just now, or too long ago.
     double share(const std::string& team) const;
@@ -65,6 +68,7 @@
     std::string m_instance;
     std::uint64_t m_process;
     std::map<std::string, Account> m_accounts; ///< by team
+    bool m_hasIssuerEnded = false;
 };
 
 } // namespace bulrushstack
--- a/src/libfront/placement_demand.cpp
+++ b/src/libfront/placement_demand.cpp
@@ -109,7 +109,10 @@
     }
     auto reply = decodeDemandReply(response->body);
     if (response->status == 200 && reply) {
-        m_quotas.applyCredits(use, reply->credits, sentAt);
+        if (reply->isHolder)
+            m_quotas.applyCredits(use, reply->credits, sentAt);
+        else if (!reader)
+            m_quotas.recordHolderEnded();
         handleReply(*reply, reader);
         co_return;
     }
--- a/src/libfront/quota_client.cpp
+++ b/src/libfront/quota_client.cpp
@@ -17,6 +17,7 @@
 /// Instances that are asked as deputies before an instance is its own deputy.
 constexpr std::size_t maxDeputies = 2;
 const std::string holderId;
+constexpr unsigned notHolderStatus = 503;
 
 } // namespace
 
@@ -59,6 +60,8 @@
     auto reply = co_await call(*holder, std::move(request), deadline);
     if (!reply)
         m_avoidedUntil[holderId] = m_state.clock().now() + avoidance;
+    if (!reply && reply.error().code == Errc::Refused)
+        m_accounts.recordIssuerEnded();
     co_return reply;
 }
 
@@ -69,7 +72,7 @@
     for (const auto& it : deputies(request.team)) {
         if (it.instance == m_state.instanceId())
             break;
-        const auto reply = co_await call(it.address, request, deadline);
+        auto reply = co_await call(it.address, request, deadline);
         if (reply)
             co_return *reply;
         m_avoidedUntil[it.instance] = m_state.clock().now() + avoidance;
@@ -83,7 +86,10 @@
     HttpRequest httpRequest { .method = "POST", .target = std::string(quotaPath), .body = encode(request) };
     const auto end = std::min(deadline, m_state.clock().now() + borrowTimeout);
     auto response = co_await m_client.call(address, std::move(httpRequest), { .deadline = end });
-    Result<QuotaReply> out = unavailableFailure("the instance does not keep accounts");
+    auto failure = unavailableFailure("the instance does not keep accounts");
+    if (response && response->status == notHolderStatus)
+        failure.code = Errc::Refused;
+    Result<QuotaReply> out = std::move(failure);
     if (!response)
         out = response.error();
     else if (response->status == 200)
--- a/src/libfront/quota_client.h
+++ b/src/libfront/quota_client.h
@@ -30,6 +30,9 @@
     void applyCredits(
         const std::optional<CreditUse>& reported, const std::vector<TeamCredit>& credits, SteadyTime sentAt);
 
+    /// Records that the former holder said that it does not hold the lease any more.
+    void recordHolderEnded() { m_accounts.recordIssuerEnded(); }
+
     /// Keeps the accounts up to date while this instance is the holder, so that they fill before the first request.
     void refreshAsHolder() { currentIssuer(); }
 
--- a/src/libteams/quota_accounts.cpp
+++ b/src/libteams/quota_accounts.cpp
@@ -52,7 +52,8 @@
     if (it == m_accounts.end())
         return 0;
     const auto silence = m_clock.bootNow() - it->second.shareAt;
-    return silence > silenceBeforeDeputy(it->second.reportInterval) && silence < shareLifetime ? it->second.share : 0;
+    const bool isIssuerLost = m_hasIssuerEnded || silence > silenceBeforeDeputy(it->second.reportInterval);
+    return isIssuerLost && silence < shareLifetime ? it->second.share : 0;
 }
 
 void QuotaAccounts::giveBack(const std::string& team, double units)
@@ -75,6 +76,7 @@
 
 void QuotaAccounts::applyCredits(const CreditUse& reported, const std::vector<TeamCredit>& credits, SteadyTime sentAt)
 {
+    m_hasIssuerEnded = false;
     for (const auto& it : credits) {
         const auto total = std::find_if(reported.totals.begin(), reported.totals.end(),
             [&](const TeamUnits& candidate) { return candidate.team == it.team; });
--- a/src/libteams/quota_test.cpp
+++ b/src/libteams/quota_test.cpp
@@ -395,7 +395,10 @@
     accounts.spend("zagreb", 1);
     accounts.applyCredits(accounts.creditUse(), { { "zagreb", 0, 0.1 } }, clock.bootNow());
     BOOST_TEST(accounts.share("zagreb") == 0);
+    accounts.recordIssuerEnded();
+    BOOST_TEST(accounts.share("zagreb") == 0.1);
     accounts.applyCredits(accounts.creditUse(), { { "zagreb", 0, 0.1 } }, clock.bootNow());
+    BOOST_TEST(accounts.share("zagreb") == 0);
     clock.suspend(seconds(1));
     BOOST_TEST(accounts.share("zagreb") == 0.1);
     clock.suspend(seconds(20));
