--- a/src/libfront/quota_client.cpp
+++ b/src/libfront/quota_client.cpp
@@ -39,12 +39,12 @@
     if (result.kind != SpendResult::Kind::MustBorrow)
         co_return QuotaReply { .isGranted = result.kind == SpendResult::Kind::Granted,
             .retryAfter = result.retryAfter };
-    const QuotaRequest request {
-        .instance = m_state.instanceId(), .team = name, .units = units, .share = m_accounts.share(name)
-    };
+    QuotaRequest request { .instance = m_state.instanceId(), .team = name, .units = units };
     auto reply = co_await askHolder(request, deadline);
-    if (!reply)
+    if (!reply) {
+        request.share = m_accounts.share(name);
         reply = co_await askDeputy(request, deadline);
+    }
     if (!reply->isGranted)
         m_accounts.recordDenial(name, reply->retryAfter);
     co_return *reply;
