Bound the memory that an instance holds for its clients

Cause: a whole request was read with http::async_read. Nothing bounded all connections together, and Beast does not bound trailers and chunk extensions: it reads on while one is incomplete.

Change: the server reads bodies in steps of 4 KiB and charges their capacity, the buffer and the header fields to a budget before it takes the memory. Buffered responses have their own part of the same budget. Where a body does not fit, connections that transferred less than 2 KiB in the last second are closed, first those that held the most for the longest; otherwise the request gets 503 with Retry-After, before its body is read if its size is announced. Trailers and chunk headers have the limit of a request header (431). The setting is client-buffer-limit, 48 MiB by default.

--- a/src/include/bulrushstack/net/buffer_budget.h
+++ b/src/include/bulrushstack/net/buffer_budget.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 
 namespace bulrushstack {
@@ -11,14 +12,23 @@
 /// buffers that grow without end get an equal share of the limit each, and the (n+1)th share stays free.
 class BufferBudget {
 public:
-    explicit BufferBudget(std::size_t limit);
+    /// A budget that is part of a whole is bounded by the rest of the whole as well.
+    explicit BufferBudget(std::size_t limit, std::shared_ptr<BufferBudget> whole = nullptr);
 
     std::size_t used() const { return m_used; } ///< in bytes
+    std::size_t limit() const { return m_limit; }
+
+    /// Sets a new limit; buffers that exceed it are kept, but cannot grow.
+    void setLimit(std::size_t limit) { m_limit = limit; }
 
 private:
     friend class BufferShare;
 
+    std::int64_t left() const; ///< in bytes; negative while buffers exceed the limit
+    void replace(std::size_t oldSize, std::size_t newSize);
+
     std::size_t m_limit;
+    std::shared_ptr<BufferBudget> m_whole;
     std::size_t m_used = 0;
 };
 
@@ -35,6 +45,14 @@
     /// it.
     bool resize(std::size_t size);
 
+    /// Accounts for a new size of a buffer that cannot be refused any more.
+    void hold(std::size_t size);
+
+    /// Returns whether the buffer may grow to the size once other buffers have released the given number of bytes.
+    bool fits(std::size_t size, std::size_t released = 0) const;
+
+    std::size_t size() const { return m_size; }
+
 private:
     std::shared_ptr<BufferBudget> m_budget;
     std::size_t m_size = 0;
--- a/src/include/bulrushstack/net/http_server.h
+++ b/src/include/bulrushstack/net/http_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bulrushstack/net/client_buffers.h"
 #include "bulrushstack/net/http.h"
 
 #include <boost/asio/io_context.hpp>
@@ -56,8 +57,8 @@
     virtual boost::asio::awaitable<void> handle(HttpExchange& exchange) = 0;
 
     /// Returns the response that the server sends without calling handle(): to a request that cannot be parsed (400),
-    /// is too large (413, 431) or has an unsupported transfer coding (501), above the connection limit (503), and after
-    /// handle() failed (500).
+    /// is too large (413, 431) or has an unsupported transfer coding (501), above the connection limit or without
+    /// memory (503), and after handle() failed (500).
     virtual HttpResponse protocolError(unsigned status, std::string_view detail);
 };
 
@@ -72,6 +73,9 @@
     std::chrono::nanoseconds writeTimeout = std::chrono::seconds(10);
     /// Maximum time that a connection may wait for its first or next request; it is then closed.
     std::chrono::nanoseconds idleTimeout = std::chrono::seconds(60);
+    /// Memory for requests and buffered responses of all connections; requests that do not fit get status 503.
+    /// Unbounded if null.
+    std::shared_ptr<ClientBuffers> buffers;
 };
 
 /// HTTP/1.1 server that listens on one address. All methods must be called on the thread of the io_context.
@@ -96,8 +100,8 @@
     /// balancer still routes new connections to this server.
     void disableKeepAlive();
 
-    /// Replaces all options except the address. The new limits apply at the latest to requests whose reading starts
-    /// after the call.
+    /// Replaces all options except the address and the buffers. The new limits apply at the latest to requests whose
+    /// reading starts after the call.
     void setLimits(const HttpServerOptions& limits);
 
     /// Stops accepting connections, closes connections on which no request is being handled, and completes when every
--- a/src/libfront/front_metrics.cpp
+++ b/src/libfront/front_metrics.cpp
@@ -82,6 +82,12 @@
           gauge(registry, "bulrush_front_idle_connections", "Connections to others that wait to be used again"))
     , m_evictedConnections(
           gauge(registry, "bulrush_front_evicted_connections", "Idle connections that were closed since the start"))
+    , m_clientBufferBytes(gauge(registry, "bulrush_front_client_buffer_bytes",
+          "Memory held for requests of clients and buffered responses of upstreams"))
+    , m_refusedForMemory(gauge(registry, "bulrush_front_client_buffer_refused_requests",
+          "Requests that were refused since the start because client-buffer-limit was reached"))
+    , m_closedForMemory(gauge(registry, "bulrush_front_client_buffer_closed_connections",
+          "Connections of stalled clients that were closed since the start because client-buffer-limit was reached"))
     , m_loopDelays(BuildHistogram()
                        .Name("bulrush_front_loop_delay_seconds")
                        .Help("How late the event loop runs a timer")
@@ -155,6 +161,13 @@
     m_evictedConnections.Set(static_cast<double>(counts.evicted));
 }
 
+void FrontMetrics::setClientBuffers(const ClientBufferCounts& counts)
+{
+    m_clientBufferBytes.Set(static_cast<double>(counts.bytes));
+    m_refusedForMemory.Set(static_cast<double>(counts.refusedRequests));
+    m_closedForMemory.Set(static_cast<double>(counts.closedConnections));
+}
+
 void FrontMetrics::recordLoopDelay(std::chrono::nanoseconds delay) { m_loopDelays.Observe(seconds(delay)); }
 
 void FrontMetrics::recordPlanningTime(std::chrono::nanoseconds duration) { m_planningTimes.Observe(seconds(duration)); }
--- a/src/libfront/front_metrics.h
+++ b/src/libfront/front_metrics.h
@@ -15,6 +15,12 @@
 
 namespace bulrushstack {
 
+struct ClientBufferCounts {
+    std::size_t bytes = 0;
+    std::uint64_t refusedRequests = 0;
+    std::uint64_t closedConnections = 0;
+};
+
 /// Prometheus metrics of the front. No label takes its values from requests, so that the number of time series is
 /// bounded.
 class FrontMetrics {
@@ -33,6 +39,7 @@
     void setLeaseHolder(bool isHolder);
     void setRelayStatus(const StoreRelayStatus& status);
     void setClientConnections(const HttpConnectionCounts& counts);
+    void setClientBuffers(const ClientBufferCounts& counts);
     void recordLoopDelay(std::chrono::nanoseconds delay);
     void recordPlanningTime(std::chrono::nanoseconds duration);
 
@@ -58,6 +65,9 @@
     prometheus::Gauge& m_openConnections;
     prometheus::Gauge& m_idleConnections;
     prometheus::Gauge& m_evictedConnections;
+    prometheus::Gauge& m_clientBufferBytes;
+    prometheus::Gauge& m_refusedForMemory;
+    prometheus::Gauge& m_closedForMemory;
     prometheus::Histogram& m_loopDelays;
     prometheus::Histogram& m_planningTimes;
 };
--- a/src/libfront/front_service.cpp
+++ b/src/libfront/front_service.cpp
@@ -32,8 +32,14 @@
 /// Time to receive the body of a request, in addition to the time for its header.
 constexpr std::chrono::seconds bodyTimeout { 10 };
 
-/// Maximum memory of all responses of upstreams that are being buffered, in bytes.
-constexpr std::size_t responseBufferLimit = 32 * 1024 * 1024;
+/// Parts of client-buffer-limit, which bounds all of them together. Requests and responses leave each other a third of
+/// it, so that neither flood takes all memory of the other.
+constexpr std::size_t requestBufferShare(std::size_t limit) { return limit / 3 * 2; }
+constexpr std::size_t responseBufferShare(std::size_t limit) { return limit / 3 * 2; }
+/// Requests on the port for other instances, which must still be read while clients take all of their part.
+constexpr std::size_t controlBufferShare(std::size_t limit) { return limit / 6; }
+/// Memory that a request may take beside its body, in bytes: many short header fields take more than their text.
+constexpr std::size_t headMemory = 1024 * 1024;
 constexpr std::size_t connectionLimit = 3000;
 constexpr std::size_t controlConnectionLimit = 1000;
 /// Maximum size in bytes of a request body on the ports other than the one for clients.
@@ -83,6 +89,43 @@
     return out;
 }
 
+/// The memory that is held for clients and for upstreams' responses to them.
+struct ClientMemory {
+    ClientMemory(const Clock& clock, std::size_t limit)
+        : clientBufferLimit(limit)
+        , requests(std::make_shared<BufferBudget>(requestBufferShare(limit), whole))
+        , control(std::make_shared<BufferBudget>(controlBufferShare(limit)))
+        , responses(std::make_shared<BufferBudget>(responseBufferShare(limit), whole))
+        , requestBuffers(std::make_shared<ClientBuffers>(clock, ClientBuffersOptions { .budget = requests }))
+        , controlBuffers(std::make_shared<ClientBuffers>(clock, ClientBuffersOptions { .budget = control }))
+    {
+        whole->setLimit(limit);
+    }
+
+    /// Raises limits where a single request of a permitted size would not fit: one takes at most half of a budget.
+    void setBodyLimit(std::uint64_t bodyBytes)
+    {
+        const std::size_t minimum = 2 * (bodyBytes + headMemory);
+        requests->setLimit(std::max(requestBufferShare(clientBufferLimit), minimum));
+        control->setLimit(std::max(controlBufferShare(clientBufferLimit), minimum));
+        whole->setLimit(std::max(clientBufferLimit, minimum));
+    }
+
+    std::size_t clientBufferLimit;
+    std::shared_ptr<BufferBudget> whole = std::make_shared<BufferBudget>(0);
+    std::shared_ptr<BufferBudget> requests;
+    std::shared_ptr<BufferBudget> control;
+    std::shared_ptr<BufferBudget> responses;
+    std::shared_ptr<ClientBuffers> requestBuffers;
+    std::shared_ptr<ClientBuffers> controlBuffers;
+};
+
+HttpServerOptions withBuffers(HttpServerOptions options, std::shared_ptr<ClientBuffers> buffers)
+{
+    options.buffers = std::move(buffers);
+    return options;
+}
+
 /// Handles the requests of clients.
 class Ingress final : public HttpHandler {
 public:
@@ -132,9 +175,10 @@
 
 class MetricsHandler final : public HttpHandler {
 public:
-    MetricsHandler(RuntimeService& runtime, const HttpClient& client, FrontMetrics& metrics)
+    MetricsHandler(RuntimeService& runtime, const HttpClient& client, const ClientMemory& memory, FrontMetrics& metrics)
         : m_runtime(runtime)
         , m_client(client)
+        , m_memory(memory)
         , m_metrics(metrics)
     {
     }
@@ -142,12 +186,18 @@
     asio::awaitable<void> handle(HttpExchange& exchange) override
     {
         m_metrics.setClientConnections(m_client.connectionCounts());
+        const auto& requests = *m_memory.requestBuffers;
+        const auto& control = *m_memory.controlBuffers;
+        m_metrics.setClientBuffers({ .bytes = m_memory.whole->used() + control.used(),
+            .refusedRequests = requests.refused() + control.refused(),
+            .closedConnections = requests.closed() + control.closed() });
         co_await exchange.respond(metricsResponse(m_runtime.metrics()));
     }
 
 private:
     RuntimeService& m_runtime;
     const HttpClient& m_client;
+    const ClientMemory& m_memory;
     FrontMetrics& m_metrics;
 };
 
@@ -220,6 +270,7 @@
         , settings(runtimeService.settings())
         , state(context, runtime.clock(), runtime.identity().id, runtime.identity().zone, readPlatformLimits(settings))
         , metrics(runtime.metrics())
+        , memory(runtime.clock(), settings.size("client-buffer-limit"))
         , binding(createBinding(client, runtime.clock(), settings.address("store-address")))
         , relay(context, client, runtime.clock(), relayOptions(runtime, settings, state.random()), binding->tableFeed())
         , origins(state, client, runtime.identity().id)
@@ -233,15 +284,19 @@
         , relayedRequests(requestDependencies(client))
         , controlHandler(relay.tables(), origins, agent, relayedRequests, refusalNotices)
         , readiness(runtime, binding->readinessPath())
-        , metricsHandler(runtime, client, metrics)
-        , ingressServer(context, ingressOptions(settings.address("listen-address"), {}), ingress)
+        , metricsHandler(runtime, client, memory, metrics)
+        , ingressServer(context,
+              withBuffers(ingressOptions(settings.address("listen-address"), {}), memory.requestBuffers), ingress)
         , readinessServer(context, controlOptions(settings.address("ready-address")), readiness)
-        , controlServer(context, controlOptions(settings.address("control-address")), controlHandler)
+        , controlServer(context,
+              withBuffers(controlOptions(settings.address("control-address")), memory.controlBuffers), controlHandler)
         , metricsServer(context, controlOptions(settings.address("metrics-address")), metricsHandler)
     {
+        memory.setBodyLimit(RequestLimits().bodyBytes);
         storeSynchronizer.onUpstreamsLoaded = [this] { runtime.setReady("directory", true); };
         storeSynchronizer.onConfigurationApplied = [this](const ServingConfiguration& configuration) {
             runtime.setReady("configuration", true);
+            memory.setBodyLimit(configuration.limits().bodyBytes);
             ingressServer.setLimits(ingressOptions(settings.address("listen-address"), configuration.limits()));
             controlServer.setLimits(controlOptions(settings.address("control-address"), configuration.limits()));
         };
@@ -260,7 +315,7 @@
             .relay = peerRelay,
             .refusals = refusalNotices,
             .metrics = metrics,
-            .responseBuffers = responseBuffers };
+            .responseBuffers = memory.responses };
     }
 
     RuntimeService& runtime;
@@ -268,8 +323,8 @@
     Settings settings;
     FrontState state;
     FrontMetrics metrics;
+    ClientMemory memory;
     std::unique_ptr<FrontBinding> binding;
-    std::shared_ptr<BufferBudget> responseBuffers = std::make_shared<BufferBudget>(responseBufferLimit);
     StoreRelay relay;
     StreamOriginService origins;
     PlacementAgent agent;
@@ -394,6 +449,14 @@
             .help = "the platform's store",
             .required = true,
             .isReloadable = true },
+        { .name = "client-buffer-limit",
+            .kind = SettingKind::Size,
+            .defaultValue = "48MiB",
+            .help
+            = "memory for requests of clients and buffered responses of upstreams; clients beyond it are refused, and "
+              "stalled ones closed",
+            .minimum = "1MiB",
+            .maximum = "1TiB" },
         { .name = "processor-share",
             .kind = SettingKind::Number,
             .defaultValue = "1",
--- a/src/libnet/buffer_budget_test.cpp
+++ b/src/libnet/buffer_budget_test.cpp
@@ -59,6 +59,21 @@
     BOOST_TEST(budget->used() == 0u);
 }
 
+// Guards against parts of a budget that take more than the whole together.
+BOOST_AUTO_TEST_CASE(PartsAreBoundedByTheWhole)
+{
+    BufferBudget* whole = budget.get();
+    BufferShare first(std::make_shared<BufferBudget>(limit, budget));
+    BufferShare second(std::make_shared<BufferBudget>(limit / 4, budget));
+    BOOST_TEST(first.resize(limit / 2));
+    BOOST_TEST(!second.resize(limit / 4));
+    BOOST_TEST(second.resize(limit / 8));
+    BOOST_TEST(whole->used() == limit / 2 + limit / 8);
+    BOOST_TEST(!second.fits(limit / 8 + 1));
+    BOOST_TEST(first.resize(0));
+    BOOST_TEST(whole->used() == limit / 8);
+}
+
 BOOST_AUTO_TEST_CASE(WithoutABudgetEverySizeIsPermitted)
 {
     BufferShare share(nullptr);
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -3,6 +3,7 @@
 #include "bulrushstack/kernel/clock.h"
 #include "http_beast.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -18,14 +19,36 @@
 
 constexpr std::size_t readSize = 4096; // maximum number of bytes that one read of a request header returns
 
+/// Estimated memory in bytes of a header field beside its text, in Beast's message and in the copy for the handler.
+constexpr std::size_t fieldOverhead = 192;
+/// A body whose size is not known yet starts with at most this capacity, in bytes.
+constexpr std::size_t initialBodyCapacity = readSize;
+
 struct Connection : std::enable_shared_from_this<Connection> {
-    explicit Connection(tcp::socket socket)
+    Connection(tcp::socket socket, std::shared_ptr<ClientBuffers> clientBuffers)
         : stream(std::move(socket))
+        , buffers(std::move(clientBuffers))
+        , memory(buffers, [this](std::size_t held) { closeAsStalled(held); })
     {
     }
 
+    std::string clientAddress() const
+    {
+        beast::error_code ec;
+        const auto endpoint = stream.socket().remote_endpoint(ec);
+        return ec ? "unknown" : endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+    }
+
+    void closeAsStalled(std::size_t held)
+    {
+        buffers->logRefusal("closed", clientAddress(), held);
+        stream.close();
+    }
+
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
+    std::shared_ptr<ClientBuffers> buffers;
+    ClientBuffer memory; ///< memory of the buffer, the request, and a response that is not sent yet
     bool isBusy = false; ///< whether a request is being handled
     bool isResetOnClose = false; ///< whether it must end with a TCP reset, because its response is not complete
     std::uint64_t requestNumber = 0; ///< lets watchForDisconnect() detect that its request has ended
@@ -70,6 +93,27 @@
     return beast::iequals(fields[http::field::transfer_encoding], "chunked") ? 0 : 501;
 }
 
+using RequestParser = http::request_parser<ReceivedBody>;
+
+/// Returns the memory in bytes of the header fields.
+std::size_t memoryOf(const http::fields& fields)
+{
+    std::size_t out = 0;
+    for (const auto& it : fields)
+        out += 2 * (it.name_string().size() + it.value().size()) + fieldOverhead;
+    return out;
+}
+
+/// Returns the capacity to which a body must grow for a size. Capacities double, and the last one is the maximum size,
+/// so that a body of that size takes no more.
+std::size_t bodyCapacity(std::size_t size, std::size_t maxSize)
+{
+    std::size_t out = maxSize;
+    while (out / 2 >= size && out > initialBodyCapacity)
+        out -= out / 2;
+    return out;
+}
+
 } // namespace
 
 struct HttpServer::State : std::enable_shared_from_this<HttpServer::State> {
@@ -88,6 +132,7 @@
     asio::awaitable<void> serve(std::shared_ptr<Connection> connection);
     asio::awaitable<bool> serveRequest(Connection& connection);
     asio::awaitable<beast::error_code> readHeaderSection(Connection& connection, std::string_view& syntaxError);
+    asio::awaitable<beast::error_code> readBody(Connection& connection, RequestParser& parser);
     asio::awaitable<void> sendProtocolError(Connection& connection, unsigned status, std::string detail);
     void onRequestFinished();
 
@@ -137,8 +182,21 @@
         } else {
             message.prepare_payload();
         }
+        auto& memory = m_connection.memory;
+        const std::size_t requestSize = memory.size();
+        memory.hold(requestSize + message.body().capacity());
+        memory.beginTransfer();
         m_connection.stream.expires_after(m_options.writeTimeout);
-        auto [ec, n] = co_await http::async_write(m_connection.stream, message, asTuple);
+        http::response_serializer<http::string_body> serializer(message);
+        beast::error_code ec;
+        while (!ec && !serializer.is_done()) {
+            std::size_t n = 0;
+            std::tie(ec, n) = co_await http::async_write_some(m_connection.stream, serializer, asTuple);
+            memory.recordProgress(n);
+        }
+        memory.endTransfer();
+        if (!memory.isClosed())
+            memory.hold(requestSize);
         m_isComplete = !ec;
         co_return ec;
     }
@@ -238,6 +296,8 @@
         return 431;
     if (ec == http::error::body_limit)
         return 413;
+    if (ec == asio::error::no_memory)
+        return 503;
     return 400;
 }
 
@@ -286,7 +346,7 @@
     }
     beast::error_code ec;
     socket.set_option(tcp::no_delay(true), ec);
-    auto connection = std::make_shared<Connection>(std::move(socket));
+    auto connection = std::make_shared<Connection>(std::move(socket), options.buffers);
     connections.insert(connection);
     asio::co_spawn(acceptor.get_executor(), serve(std::move(connection)), asio::detached);
 }
@@ -308,15 +368,20 @@
 asio::awaitable<void> HttpServer::State::refuseConnection(tcp::socket socket)
 {
     auto self = shared_from_this();
-    Connection connection(std::move(socket));
+    Connection connection(std::move(socket), nullptr);
     co_await sendProtocolError(connection, 503, "too many connections");
 }
 
 asio::awaitable<void> HttpServer::State::serve(std::shared_ptr<Connection> connection)
 {
     auto self = shared_from_this();
-    for (bool isKeptAlive = true; isKeptAlive && !isDraining;)
+    for (bool isKeptAlive = true; isKeptAlive && !isDraining;) {
         isKeptAlive = co_await serveRequest(*connection);
+        if (connection->buffer.size() == 0 && connection->buffer.capacity() > readSize)
+            connection->buffer.shrink_to_fit();
+        if (!connection->memory.isClosed())
+            connection->memory.hold(connection->buffer.capacity());
+    }
     beast::error_code ec;
     if (!connection->isResetOnClose)
         connection->stream.socket().shutdown(tcp::socket::shutdown_both, ec);
@@ -341,9 +406,59 @@
         if (ec)
             co_return ec == asio::error::eof ? beast::error_code(http::error::partial_message) : ec;
         connection.buffer.commit(n);
+        connection.memory.recordProgress(n);
+        if (!connection.memory.resize(connection.buffer.capacity()))
+            co_return asio::error::no_memory;
     }
 }
 
+/// Reads the body and the trailers in bounded steps, and charges the memory for each step before it is taken. Trailers
+/// and chunk headers, which stay in the connection's buffer until they are complete, have the limit of a header
+/// section.
+asio::awaitable<beast::error_code> HttpServer::State::readBody(Connection& connection, RequestParser& parser)
+{
+    const std::size_t fieldSize = memoryOf(parser.get().base());
+    const auto announced = parser.content_length();
+    const auto maxSize = static_cast<std::size_t>(announced ? *announced : options.bodyLimit);
+    const std::size_t headSize = fieldSize + connection.buffer.capacity();
+    if (!connection.memory.resize(headSize) || (announced && !connection.memory.makeRoom(headSize + maxSize)))
+        co_return asio::error::no_memory;
+    if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        http::response<http::empty_body> proceed(http::status::continue_, parser.get().version());
+        auto [ec, n] = co_await http::async_write(connection.stream, proceed, asTuple);
+        if (ec)
+            co_return ec;
+    }
+    auto& body = parser.get().body();
+    parser.eager(true);
+    while (!parser.is_done()) {
+        const std::size_t size = std::min(body.size() + connection.buffer.size() + readSize, maxSize);
+        const std::size_t capacity = std::max(body.capacity(), bodyCapacity(size, maxSize));
+        if (!connection.memory.resize(fieldSize + connection.buffer.capacity() + capacity))
+            co_return asio::error::no_memory;
+        body.reserve(capacity);
+        // http::async_read_some() reads on while a chunk is incomplete, without a limit.
+        beast::error_code ec;
+        connection.buffer.consume(parser.put(connection.buffer.data(), ec));
+        if (ec && ec != http::error::need_more)
+            co_return ec;
+        if (parser.is_done())
+            break;
+        if (connection.buffer.size() > options.headerLimit)
+            co_return http::error::header_limit;
+        std::size_t n = 0;
+        std::tie(ec, n) = co_await connection.stream.async_read_some(connection.buffer.prepare(readSize), asTuple);
+        if (ec)
+            co_return ec == asio::error::eof ? beast::error_code(http::error::partial_message) : ec;
+        connection.buffer.commit(n);
+        connection.memory.recordProgress(n);
+        if (connection.memory.isClosed())
+            co_return asio::error::operation_aborted;
+    }
+    connection.memory.hold(memoryOf(parser.get().base()) + connection.buffer.capacity() + body.capacity());
+    co_return beast::error_code();
+}
+
 asio::awaitable<bool> HttpServer::State::serveRequest(Connection& connection)
 {
     auto& stream = connection.stream;
@@ -356,7 +471,8 @@
         connection.buffer.commit(n);
     }
 
-    http::request_parser<ReceivedBody> parser;
+    connection.memory.beginTransfer();
+    RequestParser parser;
     parser.header_limit(static_cast<std::uint32_t>(options.headerLimit));
     parser.body_limit(options.bodyLimit);
     stream.expires_after(options.readTimeout);
@@ -375,13 +491,19 @@
             co_return false;
         }
     }
-    if (!ec && beast::iequals(parser.get()[http::field::expect], "100-continue")) {
-        http::response<http::empty_body> proceed(http::status::continue_, parser.get().version());
-        std::tie(ec, std::ignore) = co_await http::async_write(stream, proceed, asTuple);
-    }
-    if (!ec && !parser.is_done())
-        std::tie(ec, std::ignore) = co_await http::async_read(stream, connection.buffer, parser, asTuple);
+    if (!ec)
+        ec = co_await readBody(connection, parser);
+    connection.memory.endTransfer();
+    if (connection.memory.isClosed())
+        co_return false;
+    if (ec == asio::error::no_memory && connection.buffers)
+        connection.buffers->logRefusal("refused", connection.clientAddress(), connection.memory.size());
     if (ec) {
+        // What was read of the request is not needed for the response.
+        parser.release();
+        connection.buffer.clear();
+        connection.buffer.shrink_to_fit();
+        connection.memory.hold(0);
         if (!isConnectionLoss(ec))
             co_await sendProtocolError(connection, statusOfReadError(ec), ec.message());
         co_return false;
@@ -417,6 +539,8 @@
 {
     Exchange exchange(connection, options, isKeepAliveDisabled, HttpRequest(), 11, false);
     auto response = handler.protocolError(status, detail);
+    if (status == 503 && !response.headers.find("Retry-After"))
+        response.headers.set("Retry-After", "1");
     auto ec = co_await exchange.respond(std::move(response));
     if (!ec)
         co_await lingeringClose(connection.stream);
@@ -475,8 +599,10 @@
 void HttpServer::setLimits(const HttpServerOptions& limits)
 {
     auto address = m_state->options.address;
+    auto buffers = m_state->options.buffers;
     m_state->options = limits;
     m_state->options.address = std::move(address);
+    m_state->options.buffers = std::move(buffers);
 }
 
 asio::awaitable<void> HttpServer::drain()
--- a/src/libnet/http_server_test.cpp
+++ b/src/libnet/http_server_test.cpp
@@ -19,6 +19,43 @@
     }
 };
 
+constexpr std::size_t bufferLimit = 256 * 1024; // bytes
+constexpr std::size_t largeBody = 100 * 1024; // fits alone, but not beside two others
+
+struct BoundedMemoryFixture {
+    ManualClock manualClock;
+    std::shared_ptr<BufferBudget> budget = std::make_shared<BufferBudget>(bufferLimit);
+    std::shared_ptr<ClientBuffers> buffers
+        = std::make_shared<ClientBuffers>(manualClock, ClientBuffersOptions { .budget = budget });
+    ServerFixture server { { .buffers = buffers } };
+
+    static std::string head(std::size_t size)
+    {
+        return "POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(size) + "\r\n\r\n";
+    }
+
+    /// Runs the server until it has charged the bytes and has read all that has arrived.
+    void runUntilUsed(std::size_t size)
+    {
+        server.context.restart();
+        while (budget->used() < size)
+            server.context.run_one();
+        while (server.context.poll() > 0) { }
+    }
+
+    /// Opens a connection and sends all of a large body but its last byte.
+    boost::asio::ip::tcp::socket openIncomplete()
+    {
+        namespace asio = boost::asio;
+        asio::ip::tcp::socket socket(server.context);
+        socket.connect({ asio::ip::make_address(server.address.host), server.address.port });
+        const std::size_t before = budget->used();
+        asio::write(socket, asio::buffer(head(largeBody) + std::string(largeBody - 1, 'x')));
+        runUntilUsed(before + largeBody * 3 / 4); // the capacity of the whole body, without the free size
+        return socket;
+    }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Server)
@@ -153,6 +190,132 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(Memory, BoundedMemoryFixture)
+
+// Guards against a connection whose buffer grows with the trailers until the memory of the process is used up.
+BOOST_AUTO_TEST_CASE(EndlessTrailersGet431)
+{
+    std::string data = "POST /echo HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n";
+    for (int i = 0; i < 64; ++i)
+        data += "X-Trailer: " + std::string(1000, 't') + "\r\n";
+    BOOST_TEST(server.sendRaw(data).starts_with("HTTP/1.1 431"));
+    BOOST_TEST(server.handler.requests() == 0);
+    BOOST_TEST(budget->used() == 0u);
+}
+
+// Guards against the same with an endless extension of a chunk.
+BOOST_AUTO_TEST_CASE(EndlessChunkExtensionIsRefused)
+{
+    const auto response = server.sendRaw(
+        "POST /echo HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1;a=" + std::string(64 * 1024, 'x'));
+    BOOST_TEST(response.starts_with("HTTP/1.1 4"));
+    BOOST_TEST(server.handler.requests() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(ShortTrailersAreAccepted)
+{
+    const auto response = server.sendRaw("POST /echo HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+                                         "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX-Sum: 1\r\n\r\n");
+    BOOST_TEST(response.ends_with("abc"));
+}
+
+// Guards against memory that is charged for a request after its end, so that all later ones are refused.
+BOOST_AUTO_TEST_CASE(MemoryIsReleasedAfterEachRequest)
+{
+    for (int i = 0; i < 8; ++i)
+        BOOST_TEST(server.call("POST", "/echo", std::string(largeBody, 'x'))->body.size() == largeBody);
+    server.context.restart();
+    while (server.context.poll() > 0) { }
+    BOOST_TEST(budget->used() == 0u);
+    BOOST_TEST(buffers->refused() == 0u);
+}
+
+// Guards against bodies that are each permitted but take more than the memory of the process together.
+BOOST_AUTO_TEST_CASE(BodyBeyondTheBudgetGets503BeforeItIsRead)
+{
+    const auto holder = openIncomplete();
+    const auto response = server.sendRaw(head(largeBody));
+    BOOST_TEST(response.starts_with("HTTP/1.1 503"));
+    BOOST_TEST(response.find("Retry-After: 1\r\n") != std::string::npos);
+    BOOST_TEST(server.call("POST", "/echo", "small")->status == 200u);
+    BOOST_TEST(server.handler.requests() == 1);
+    BOOST_TEST(buffers->refused() == 1u);
+    BOOST_TEST(buffers->closed() == 0u);
+}
+
+// Guards against the same with a body whose size is not announced.
+BOOST_AUTO_TEST_CASE(ChunkedBodyBeyondTheBudgetGets503)
+{
+    const auto holder = openIncomplete();
+    std::string data = "POST /echo HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (std::size_t i = 0; i < largeBody / 16; ++i)
+        data += "10\r\n0123456789abcdef\r\n";
+    BOOST_TEST(server.sendRaw(data).starts_with("HTTP/1.1 503"));
+    BOOST_TEST(server.handler.requests() == 0);
+}
+
+// Guards against stalled clients that keep others from being served.
+BOOST_AUTO_TEST_CASE(StalledHolderIsClosedForAnActiveClient)
+{
+    auto holder = openIncomplete();
+    manualClock.advance(1s);
+    const auto response = server.call("POST", "/echo", std::string(largeBody, 'x'));
+    BOOST_TEST(response->status == 200u);
+    BOOST_TEST(buffers->closed() == 1u);
+    boost::system::error_code ec;
+    char c = 0;
+    BOOST_TEST(holder.read_some(boost::asio::buffer(&c, 1), ec) == 0u);
+    BOOST_TEST(bool(ec));
+}
+
+// Guards against slow clients that are disconnected although there is room for them.
+BOOST_AUTO_TEST_CASE(StalledHolderStaysWhileThereIsRoom)
+{
+    auto holder = openIncomplete();
+    manualClock.advance(1min);
+    BOOST_TEST(server.call("POST", "/echo", "small")->status == 200u);
+    boost::asio::write(holder, boost::asio::buffer("x", 1));
+    server.context.restart();
+    while (server.handler.requests() < 2)
+        server.context.run_one();
+    BOOST_TEST(buffers->closed() == 0u);
+}
+
+// Guards against a client that loses its connection although it makes progress.
+BOOST_AUTO_TEST_CASE(ActiveHolderIsNotClosed)
+{
+    ClientBuffer active(buffers, [](std::size_t) {});
+    ClientBuffer other(buffers, [](std::size_t) {});
+    active.beginTransfer();
+    BOOST_TEST(active.resize(largeBody));
+    for (int i = 0; i < 20; ++i) {
+        manualClock.advance(500ms);
+        active.recordProgress(2048);
+        BOOST_TEST(!other.resize(largeBody));
+    }
+    manualClock.advance(1s);
+    BOOST_TEST(other.resize(largeBody));
+    BOOST_TEST(active.isClosed());
+}
+
+// Guards against a choice that closes many small connections where one large one suffices.
+BOOST_AUTO_TEST_CASE(LargestStalledHolderIsClosedFirst)
+{
+    ClientBuffer small(buffers, [](std::size_t) {});
+    ClientBuffer large(buffers, [](std::size_t) {});
+    ClientBuffer active(buffers, [](std::size_t) {});
+    small.beginTransfer();
+    large.beginTransfer();
+    BOOST_TEST(small.resize(largeBody / 4));
+    BOOST_TEST(large.resize(largeBody));
+    manualClock.advance(1s);
+    BOOST_TEST(active.resize(largeBody));
+    BOOST_TEST(large.isClosed());
+    BOOST_TEST(!small.isClosed());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(Drain, ServerFixture)
 
 // Guards against a shutdown that aborts a request in progress.
