Leave file descriptors to upstreams when clients connect without end

Cause: clients got up to 3,000 connections whatever the limit on open files, and each refused connection above that kept a descriptor until its client had read the refusal, without a bound on their number.

Change: where the limit on open files is below 4,096, clients get what is left of it beside 1,096 descriptors, or half of it. At most 64 refused connections are told so at one time; further ones are closed at once.

Measured: net_test passes with the new test of the bound on refusals. Limits on open files below 4,096 were not run.

--- a/src/libfront/front_service.cpp
+++ b/src/libfront/front_service.cpp
@@ -12,6 +12,7 @@
 #include "store_synchronizer.h"
 #include <algorithm>
 #include <glog/logging.h>
+#include <sys/resource.h>
 
 namespace bulrushstack {
 
@@ -40,7 +41,10 @@
 constexpr std::size_t controlBufferShare(std::size_t limit) { return limit / 6; }
 /// Memory that a request may take beside its body, in bytes: many short header fields take more than their text.
 constexpr std::size_t headMemory = 1024 * 1024;
-constexpr std::size_t connectionLimit = 3000;
+constexpr std::size_t maxClientConnections = 3000;
+/// File descriptors that clients must leave for upstreams, the store, other instances and readiness checks, unless the
+/// process may open less than twice as many.
+constexpr std::size_t reservedDescriptors = 1096;
 constexpr std::size_t controlConnectionLimit = 1000;
 /// Maximum size in bytes of a request body on the ports other than the one for clients.
 constexpr std::uint64_t controlBodyLimit = 256 * 1024;
@@ -64,6 +68,17 @@
     return out;
 }
 
+/// Returns the maximum number of connections of clients: at least half of the descriptors that this process may open.
+std::size_t clientConnectionLimit()
+{
+    rlimit descriptors {};
+    if (::getrlimit(RLIMIT_NOFILE, &descriptors) != 0 || descriptors.rlim_cur == RLIM_INFINITY)
+        return maxClientConnections;
+    const std::size_t n = descriptors.rlim_cur;
+    const std::size_t unreserved = n - std::min(n, reservedDescriptors);
+    return std::min(maxClientConnections, std::max(n / 2, unreserved));
+}
+
 HttpServerOptions ingressOptions(const Address& address, const RequestLimits& limits)
 {
     // The idle timeout needs no margin: clients reuse an idle connection for at most four fifths of the idle timeout
@@ -72,7 +87,7 @@
     out.address = address;
     out.headerLimit = limits.headerBytes;
     out.bodyLimit = limits.bodyBytes;
-    out.connectionLimit = connectionLimit;
+    out.connectionLimit = clientConnectionLimit();
     out.readTimeout = limits.headerTimeout + bodyTimeout;
     out.idleTimeout = limits.idleTimeout;
     return out;
@@ -363,6 +378,7 @@
     startServer(m_components->readinessServer, "ready-address", settings.address("ready-address"));
     startServer(m_components->controlServer, "control-address", settings.address("control-address"));
     startServer(m_components->metricsServer, "metrics-address", settings.address("metrics-address"));
+    LOG(INFO) << "event=client-connection-limit limit=" << clientConnectionLimit();
     startServer(m_components->ingressServer, "listen-address", settings.address("listen-address"));
     m_components->storeSynchronizer.start();
     spawnLogged(m_components->context, m_components->loopMonitor.run(), "loop-monitor");
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -17,6 +17,9 @@
 
 namespace {
 
+/// Maximum number of connections above the limit that are told so at one time; further ones are closed at once, since
+/// each takes a file descriptor until its client has read the response.
+constexpr std::size_t refusalLimit = 64;
 constexpr std::size_t readSize = 4096; // maximum number of bytes that one read of a request header returns
 
 /// Estimated memory in bytes of a header field beside its text, in Beast's message and in the copy for the handler.
@@ -141,6 +144,7 @@
     tcp::acceptor acceptor;
     asio::steady_timer drained; ///< wakes drain(): cancelled when no request is in progress
     std::set<std::shared_ptr<Connection>> connections;
+    std::size_t openRefusals = 0; ///< connections above the limit that are still open
     std::size_t activeRequests = 0;
     bool isDraining = false;
     bool isKeepAliveDisabled = false; ///< whether responses carry "Connection: close"
@@ -368,8 +372,12 @@
 asio::awaitable<void> HttpServer::State::refuseConnection(tcp::socket socket)
 {
     auto self = shared_from_this();
+    if (openRefusals >= refusalLimit)
+        co_return;
+    ++openRefusals;
     Connection connection(std::move(socket), nullptr);
     co_await sendProtocolError(connection, 503, "too many connections");
+    --openRefusals;
 }
 
 asio::awaitable<void> HttpServer::State::serve(std::shared_ptr<Connection> connection)
--- a/src/libnet/http_server_test.cpp
+++ b/src/libnet/http_server_test.cpp
@@ -190,6 +190,31 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against refused connections that take all file descriptors of the process until their clients close them.
+BOOST_AUTO_TEST_CASE(RefusalsAreBounded)
+{
+    namespace asio = boost::asio;
+    static constexpr int refusalLimit = 64;
+    ServerFixture fixture({ .connectionLimit = 1 });
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address("127.0.0.1"), fixture.address.port);
+    std::vector<asio::ip::tcp::socket> sockets;
+    for (int i = 0; i < 1 + refusalLimit + 1; ++i) {
+        sockets.emplace_back(fixture.context);
+        sockets.back().connect(endpoint);
+    }
+    fixture.context.restart();
+    while (fixture.context.poll() > 0) { }
+    const auto firstBytes = [](asio::ip::tcp::socket& socket) {
+        std::string buf(12, ' ');
+        boost::system::error_code ec;
+        buf.resize(asio::read(socket, asio::buffer(buf), ec));
+        return buf;
+    };
+    for (int i = 1; i <= refusalLimit; ++i)
+        BOOST_TEST(firstBytes(sockets[i]) == "HTTP/1.1 503");
+    BOOST_TEST(firstBytes(sockets.back()).empty());
+}
+
 BOOST_FIXTURE_TEST_SUITE(Memory, BoundedMemoryFixture)
 
 // Guards against a connection whose buffer grows with the trailers until the memory of the process is used up.
