--- a/src/libteams/quota_issuer.cpp
+++ b/src/libteams/quota_issuer.cpp
@@ -194,9 +194,9 @@
     // An instance that is its own deputy grants no more than it has, since there may be many such instances.
     const bool isAlone = m_role == Role::Deputy && account->contacts.size() < 2;
     const double needed = isAlone ? request.units : 0;
-    if (account->level > needed || (isSmall && account->smallLevel >= request.units)) {
+    if (account->level >= needed || (isSmall && account->smallLevel >= request.units)) {
         account->granted += request.units;
-        if (account->level <= needed)
+        if (account->level < needed)
             account->smallLevel -= request.units;
         else
             account->deniedUnits = 0;
