--- a/src/include/bulrushstack/teams/quota_issuer.h
+++ b/src/include/bulrushstack/teams/quota_issuer.h
@@ -93,9 +93,9 @@
 /// an instance's even share of a whole window. Each account is a token bucket. An instance borrows the units of a
 /// request from it, and gets a credit that it may spend without asking while the account is well filled.
 ///
-/// A request is granted unless the level is below zero, whatever it weighs, so that small requests cannot starve a large
-/// one. A small request is granted below zero as well, up to a part of the quota, so that one large request does not
-/// have many small ones rejected.
+/// A request is granted unless the level is below zero, whatever it weighs, so that small requests cannot starve a
+/// large one. A small request is granted below zero as well, up to a part of the quota, so that one large request does
+/// not have many small ones rejected.
 ///
 /// An instance that cannot reach the issuer asks a deputy, which is another instance or itself. The accounts of a
 /// deputy refill only by the shares of the instances that ask it, and the issuer holds back the shares of silent
