Let only an instance that is its own deputy spend what it has

Cause: a deputy whose first caller was alone denied it, since its account starts at zero; a holder whose process had ended was waited for as one that may go on granting; and the interval of reports was taken for each team, so that the share of a rare team was not usable.

Change: an instance that is its own deputy may not overdraw, all others may; a refused connection counts as the end of the issuer; one interval for each instance. Comments that a first reader misunderstood are reworded.

--- a/src/include/bulrushstack/serving/upstream_pace.h
+++ b/src/include/bulrushstack/serving/upstream_pace.h
@@ -3,21 +3,21 @@
 #include "bulrushstack/kernel/clock.h"
 #include "bulrushstack/serving/upstream_directory.h"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
-#include <utility>
 
 namespace bulrushstack {
 
 /// How fast the upstreams of a model service work, as a factor on the usual time: 1 is usual, 2 takes twice as long.
 /// Performs no I/O.
 ///
-/// The load that it answers: some upstreams run on slower machines, and all share their machines with other work. A
-/// long prompt on a slow upstream breaks the pauses of all streams there. The speed is learnt from the time between the
-/// events of the streams under way, at no extra request, against the usual time of the same model. The median is
-/// tracked, since single events are late for other reasons, such as a prompt that is read in between.
+/// Some upstreams run on slower machines, and all share their machines with other work. A long prompt on a slow
+/// upstream delays the next event of every stream there beyond the gap objective. The speed is learnt from the time
+/// between the events of the streams under way, at no extra request, against the usual time of the same model. The
+/// median is tracked, since single events are late for other reasons, such as a prompt that is read in between.
 ///
 /// Nothing is learnt until upstreams state the speed of their machines in their responses, so that other deployments
 /// choose upstreams as before. Each estimate belongs to one process of an upstream and decays to the usual speed.
--- a/src/include/bulrushstack/teams/quota_accounts.h
+++ b/src/include/bulrushstack/teams/quota_accounts.h
@@ -41,7 +41,7 @@
     /// of the issuer only just now, or too long ago.
     double share(const std::string& team) const;
 
-    /// Returns the units of a request that certainly did not run.
+    /// Gives the units of a request that certainly did not run back to its team.
     void giveBack(const std::string& team, double units);
 
     /// Returns what was spent on credit, for the issuer. It names the teams that were active lately.
@@ -56,12 +56,11 @@
         double credit = 0;
         /// Reading of Clock::bootNow(), since a process that was suspended must not spend an old credit.
         SteadyTime creditUntil {};
-        double total = 0; ///< spent on credit since the start of the process
+        double total = 0; ///< units spent on credit less all units given back; may be negative
         SteadyTime usedAt {};
         std::optional<SteadyTime> deniedUntil;
-        double share = 0; ///< this instance's share of the team's demand, 0 to 1
+        double share = 0; ///< this instance's part of the team's quota, 0 to 1
         SteadyTime shareAt {}; ///< Reading of Clock::bootNow() at the last report that was replied to.
-        std::chrono::nanoseconds reportInterval {};
     };
 
     const Clock& m_clock;
@@ -69,6 +68,9 @@
     std::uint64_t m_process;
     std::map<std::string, Account> m_accounts; ///< by team
     bool m_hasIssuerEnded = false;
+    /// Reading of Clock::bootNow() at the last report that was replied to, and the time since the one before.
+    std::optional<SteadyTime> m_lastReportAt;
+    std::chrono::nanoseconds m_reportInterval {};
 };
 
 } // namespace bulrushstack
--- a/src/include/bulrushstack/teams/quota_issuer.h
+++ b/src/include/bulrushstack/teams/quota_issuer.h
@@ -26,7 +26,7 @@
     std::string instance;
     std::string team;
     double units = 0;
-    double share = 0; ///< The instance's share of the team's demand, as the issuer last told it.
+    double share = 0; ///< The instance's part of the team's quota, 0 to 1, as the issuer last told it.
     /// Whether the receiver is asked as a deputy, since the sender cannot reach the issuer.
     bool isForDeputy = false;
 
@@ -53,13 +53,14 @@
 struct TeamCredit {
     std::string team;
     double units = 0; ///< until its next report
-    double share = 0; ///< The instance's share of the team's demand, 0 to 1.
+    /// The instance's part of the team's quota, 0 to 1: mostly by its recent demand, a small part evenly.
+    double share = 0;
 
     friend bool operator==(const TeamCredit&, const TeamCredit&) = default;
 };
 
-/// What one process has spent on credit since its start. Totals instead of differences, so that a report that is lost,
-/// late or repeated does no harm.
+/// Units that one process has spent on credit, less those given back, since its start. Totals instead of differences,
+/// so that a report that is lost, late or repeated does no harm.
 struct CreditUse {
     std::string instance;
     std::uint64_t process = 0; ///< Random number that differs between two processes of the instance.
@@ -89,7 +90,7 @@
 
 /// Keeps the accounts of all teams with a quota, on the one instance that does so for all others. Performs no I/O.
 ///
-/// The load that it answers: callers of one team arrive at all instances, unevenly, and one request may weigh more than
+/// Callers of one team reach all instances, unevenly, and one request may weigh more than
 /// an instance's even share of a whole window. Each account is a token bucket. An instance borrows the units of a
 /// request from it, and gets a credit that it may spend without asking while the account is well filled.
 ///
@@ -115,15 +116,17 @@
     /// Applies the quotas of a configuration. Null means that there are none.
     void setTeams(const TeamDirectoryPtr& teams);
 
-    /// Empties all accounts at the beginning of a term as the issuer. `instances` is the number of instances, as far as
+    /// Sets the levels of all accounts to zero and forgets all reports, at the beginning of a term as the issuer. The
+    /// recent demand is kept. `instances` is the number of instances, as far as
     /// it is known. Those that have not reported yet may be cut off, with shares of the previous issuer.
     void beginTerm(std::size_t instances);
 
-    /// Grants or denies the units of one request. A team without a quota is always granted.
-    QuotaReply borrow(const QuotaRequest& request);
+    /// Grants or denies the units of one request. A team without a quota is always granted. `mayOverdraw` is false for
+    /// an instance that is its own deputy: there may be many such instances, so that each grants no more than it has.
+    QuotaReply borrow(const QuotaRequest& request, bool mayOverdraw = true);
 
-    /// Charges what a process spent on credit since its last report. The first report of a process in a term only sets
-    /// the base, since an earlier issuer has charged for it.
+    /// Charges what a process spent on credit since its last report. The first total of a team in a term only sets the
+    /// base, since an earlier issuer has charged for it.
     void recordCreditUse(const CreditUse& use);
 
     /// Returns the credit of an instance that has reported. Callers of a team come to few instances, so that each gets
@@ -145,12 +148,13 @@
         QuotaSpec quota;
         double capacity = 0;
         double level = 0;
-        double smallLevel = 0; ///< units that small requests may use while the level is not above zero
+        double smallLevel = 0; ///< units that small requests may use while the level does not suffice
         SteadyTime refilledAt {};
         std::map<std::string, double> demand; ///< recent units asked for, by instance
         std::map<std::string, Contact> contacts; ///< instances that asked this deputy
         double totalDemand = 0;
-        /// Units denied since the last grant. Each further caller is told to come after those before it.
+        /// Units denied that refills have not covered yet; reset when a request is granted from the level. Later
+        /// callers are told to come after those before them.
         double deniedUnits = 0;
         double granted = 0;
         std::uint64_t denials = 0;
--- a/src/libfront/front_service.cpp
+++ b/src/libfront/front_service.cpp
@@ -33,11 +33,11 @@
 /// Time to receive the body of a request, in addition to the time for its header.
 constexpr std::chrono::seconds bodyTimeout { 10 };
 
-/// Parts of client-buffer-limit, which bounds all of them together. Requests and responses leave each other a third of
-/// it, so that neither flood takes all memory of the other.
+/// Parts of client-buffer-limit, which bounds requests and responses together. Each leaves the other a third of it.
 constexpr std::size_t requestBufferShare(std::size_t limit) { return limit / 3 * 2; }
 constexpr std::size_t responseBufferShare(std::size_t limit) { return limit / 3 * 2; }
-/// Requests on the port for other instances, which must still be read while clients take all of their part.
+/// In addition to client-buffer-limit: requests on the port for other instances, which must still be read while clients
+/// use all of theirs.
 constexpr std::size_t controlBufferShare(std::size_t limit) { return limit / 6; }
 /// Memory that a request may take beside its body, in bytes: many short header fields take more than their text.
 constexpr std::size_t headMemory = 1024 * 1024;
--- a/src/libfront/peer_relay.cpp
+++ b/src/libfront/peer_relay.cpp
@@ -1,8 +1,7 @@
 #include "peer_relay.h"
 
-#include "request_forwarder.h"
-
 #include "bulrushstack/kernel/tasks.h"
+#include "request_forwarder.h"
 #include <algorithm>
 #include <charconv>
 #include <glog/logging.h>
--- a/src/libfront/placement_agent.cpp
+++ b/src/libfront/placement_agent.cpp
@@ -128,7 +128,7 @@
     if (!quotaRequest)
         return jsonErrorResponse(400, quotaRequest.error().detail);
     if (quotaRequest->isForDeputy)
-        return jsonResponse(200, encode(m_quotas.borrowAsDeputy(*quotaRequest)));
+        return jsonResponse(200, encode(m_quotas.borrowAsDeputy(*quotaRequest, true)));
     if (!m_leaseManager.isHolder())
         return jsonErrorResponse(503, "this instance does not hold the placement lease");
     return jsonResponse(200, encode(m_quotas.borrowAsHolder(*quotaRequest)));
--- a/src/libfront/quota_client.cpp
+++ b/src/libfront/quota_client.cpp
@@ -65,7 +65,8 @@
     co_return reply;
 }
 
-/// Asks the deputies in turn. An instance that reaches none of them is its own deputy.
+/// Asks the deputies in turn, up to this instance in the order. If none before it responds, this instance is the
+/// deputy.
 asio::awaitable<QuotaReply> QuotaClient::askDeputy(QuotaRequest request, SteadyTime deadline)
 {
     request.isForDeputy = true;
@@ -77,7 +78,7 @@
             co_return *reply;
         m_avoidedUntil[it.instance] = m_state.clock().now() + avoidance;
     }
-    co_return borrowAsDeputy(request);
+    co_return borrowAsDeputy(request, false);
 }
 
 asio::awaitable<Result<QuotaReply>> QuotaClient::call(Address address, QuotaRequest request, SteadyTime deadline)
@@ -87,12 +88,15 @@
     const auto end = std::min(deadline, m_state.clock().now() + borrowTimeout);
     auto response = co_await m_client.call(address, std::move(httpRequest), { .deadline = end });
     auto failure = unavailableFailure("the instance does not keep accounts");
-    if (response && response->status == notHolderStatus)
+    // A process that no longer listens has ended, and with it all that it kept.
+    const bool hasEnded
+        = response ? response->status == notHolderStatus : response.error().code == std::errc::connection_refused;
+    if (hasEnded)
         failure.code = Errc::Refused;
     Result<QuotaReply> out = std::move(failure);
-    if (!response)
+    if (!response && !hasEnded)
         out = response.error();
-    else if (response->status == 200)
+    else if (response && response->status == 200)
         out = decodeQuotaReply(response->body);
     if (!out)
         LOG(INFO) << "event=quota-issuer-unavailable team=" << team << " address=" << address.toString()
@@ -100,8 +104,8 @@
     co_return out;
 }
 
-/// Returns the instances to ask in place of the holder, in the order on which all instances agree for the team. The own
-/// one ends the list.
+/// Returns the instances to ask in place of the holder, in an order that depends on the team only. This instance may be
+/// one of them.
 std::vector<Peer> QuotaClient::deputies(const std::string& team)
 {
     auto out = m_peers.peers();
@@ -142,12 +146,12 @@
     return reply;
 }
 
-QuotaReply QuotaClient::borrowAsDeputy(const QuotaRequest& request)
+QuotaReply QuotaClient::borrowAsDeputy(const QuotaRequest& request, bool mayOverdraw)
 {
     m_deputy.setRule(m_state.platformLimits().quotaRule);
     const auto& configuration = m_state.configuration();
     m_deputy.setTeams(configuration ? configuration->teams() : nullptr);
-    return m_deputy.borrow(request);
+    return m_deputy.borrow(request, mayOverdraw);
 }
 
 std::vector<TeamCredit> QuotaClient::settleAsHolder(const CreditUse& use)
--- a/src/libfront/quota_client.h
+++ b/src/libfront/quota_client.h
@@ -39,8 +39,8 @@
     /// Grants or denies units as the holder of the placement lease.
     QuotaReply borrowAsHolder(const QuotaRequest& request);
 
-    /// Grants or denies units as a deputy.
-    QuotaReply borrowAsDeputy(const QuotaRequest& request);
+    /// Grants or denies units as a deputy, as QuotaIssuer::borrow() does.
+    QuotaReply borrowAsDeputy(const QuotaRequest& request, bool mayOverdraw);
 
     /// Charges what an instance spent on credit, as the holder, and returns its new credits.
     std::vector<TeamCredit> settleAsHolder(const CreditUse& use);
--- a/src/libfront/request_dependencies.h
+++ b/src/libfront/request_dependencies.h
@@ -136,7 +136,7 @@
     /// Obtains the units of one request of a team with a quota, or says when the team can expect units again.
     virtual boost::asio::awaitable<QuotaReply> obtain(const TeamSpec& team, double units, SteadyTime deadline) = 0;
 
-    /// Returns the units of a request that certainly did not run.
+    /// Gives the units of a request that certainly did not run back to its team.
     virtual void giveBack(const std::string& team, double units) = 0;
 };
 
--- a/src/libserving/upstream_selection.cpp
+++ b/src/libserving/upstream_selection.cpp
@@ -18,7 +18,7 @@
 constexpr double avoidedPenaltyMs = 10'000; ///< Exceeds any expected latency, so that avoided upstreams come last.
 constexpr double tieMarginMs = 1; ///< Latencies in the same interval of this length count as equal.
 
-/// Prefill time, as a part of the objective for pauses, up to which a prompt makes no running stream late.
+/// Prefill time, as a part of the gap objective, up to which a prompt makes no running stream late.
 constexpr double harmlessPrefillShare = 0.6;
 
 std::uint64_t hashOf(std::string_view text, std::uint64_t seed)
--- a/src/libteams/quota_accounts.cpp
+++ b/src/libteams/quota_accounts.cpp
@@ -52,7 +52,7 @@
     if (it == m_accounts.end())
         return 0;
     const auto silence = m_clock.bootNow() - it->second.shareAt;
-    const bool isIssuerLost = m_hasIssuerEnded || silence > silenceBeforeDeputy(it->second.reportInterval);
+    const bool isIssuerLost = m_hasIssuerEnded || silence > silenceBeforeDeputy(m_reportInterval);
     return isIssuerLost && silence < shareLifetime ? it->second.share : 0;
 }
 
@@ -77,6 +77,9 @@
 void QuotaAccounts::applyCredits(const CreditUse& reported, const std::vector<TeamCredit>& credits, SteadyTime sentAt)
 {
     m_hasIssuerEnded = false;
+    if (m_lastReportAt)
+        m_reportInterval = sentAt - *m_lastReportAt;
+    m_lastReportAt = sentAt;
     for (const auto& it : credits) {
         const auto total = std::find_if(reported.totals.begin(), reported.totals.end(),
             [&](const TeamUnits& candidate) { return candidate.team == it.team; });
@@ -86,7 +89,6 @@
         account.credit = it.units - std::max(0.0, account.total - total->units);
         account.creditUntil = sentAt + creditLifetime;
         account.share = it.share;
-        account.reportInterval = sentAt - account.shareAt;
         account.shareAt = sentAt;
     }
 }
--- a/src/libteams/quota_issuer.cpp
+++ b/src/libteams/quota_issuer.cpp
@@ -17,12 +17,12 @@
 constexpr double minDemandShare = 1e-4;
 /// Largest small request, as a part of a second's quota.
 constexpr double smallRequestShare = 0.02;
-/// Part of the quota that small requests may use while the level is not above zero.
+/// Part of the refill that small requests may use while the level does not suffice.
 constexpr double smallRate = 0.5;
 constexpr Seconds smallBurst { 0.25 };
 /// Share of the slack that is kept for the request that overdraws an account.
 constexpr double overdraftShare = 0.5;
-constexpr double minRefillPerSecond = 1e-6;
+constexpr double minRatePerSecond = 1e-6; // avoids a division by zero for a quota without a rate
 constexpr std::chrono::milliseconds minRetryAfter { 50 };
 /// Bounds the time for which a caller does not notice that a quota was raised.
 constexpr std::chrono::milliseconds maxRetryAfter { 2000 };
@@ -121,7 +121,7 @@
     const double decay = std::exp(-Seconds(now - account.refilledAt) / demandDecayTime);
     account.totalDemand = 0;
     for (auto& [instance, units] : account.demand) {
-        units *= isSilent(instance) ? 1 : decay;
+        units *= isSilent(instance) ? 1 : decay; // It may use the share that it was told.
         account.totalDemand += units;
     }
     account.refilledAt = now;
@@ -182,7 +182,7 @@
     account.level = std::clamp(account.level - units, -maxDebt, account.capacity);
 }
 
-QuotaReply QuotaIssuer::borrow(const QuotaRequest& request)
+QuotaReply QuotaIssuer::borrow(const QuotaRequest& request, bool mayOverdraw)
 {
     auto* account = refill(request.team);
     if (!account)
@@ -191,9 +191,7 @@
     if (m_role == Role::Deputy)
         account->contacts[request.instance] = { .share = request.share, .at = m_clock.now() };
     const bool isSmall = request.units <= smallRequestShare * account->quota.ratePerSecond;
-    // An instance that is its own deputy grants no more than it has, since there may be many such instances.
-    const bool isAlone = m_role == Role::Deputy && account->contacts.size() < 2;
-    const double needed = isAlone ? request.units : 0;
+    const double needed = mayOverdraw ? 0 : request.units;
     if (account->level >= needed || (isSmall && account->smallLevel >= request.units)) {
         account->granted += request.units;
         if (account->level < needed)
@@ -203,7 +201,7 @@
         account->level -= request.units;
         return { .isGranted = true };
     }
-    const double rate = std::max(minRefillPerSecond, account->quota.ratePerSecond);
+    const double rate = std::max(minRatePerSecond, account->quota.ratePerSecond);
     const Seconds delay { (account->deniedUnits - account->level) / rate };
     account->deniedUnits += request.units;
     ++account->denials;
--- a/src/libteams/quota_test.cpp
+++ b/src/libteams/quota_test.cpp
@@ -159,7 +159,7 @@
         QuotaRequest request {
             .instance = nameOf(it), .team = m_team.name, .units = units, .share = it.accounts->share(m_team.name)
         };
-        const auto reply = isIssuerReachable(it) ? borrow(request) : deputyOf(it).borrow(request);
+        const auto reply = isIssuerReachable(it) ? borrow(request) : borrowFromDeputy(it, request);
         if (!reply.isGranted)
             it.accounts->recordDenial(m_team.name, reply.retryAfter);
         return reply.isGranted;
@@ -175,13 +175,12 @@
     }
 
     /// An instance that is cut off reaches only itself; the others all ask the first that is not.
-    QuotaIssuer& deputyOf(Instance& it)
+    QuotaReply borrowFromDeputy(Instance& it, const QuotaRequest& request)
     {
-        if (m_clock.now() < it.cutUntil)
-            return *it.deputy;
         const auto first = std::find_if(m_instances.begin(), m_instances.end(),
             [this](const Instance& candidate) { return m_clock.now() >= candidate.cutUntil; });
-        return *first->deputy;
+        auto& deputy = m_clock.now() < it.cutUntil ? it : *first;
+        return deputy.deputy->borrow(request, &deputy != &it);
     }
 
     void recordGrant(double units)
