Name the connection of each failed attempt, and count stray responses

Callers saw requests run that had been refused, and requests run twice. The log could not tell a refusal that was received from one that this instance concluded, nor whether two refusals of a request came on one connection.

attempt-failed and stray-answer now name the connection and the number of the request on it; attempt-failed says if a refusal names no request. New metrics count stray responses of upstreams and idle connections on which a server had sent bytes without a request. No decision changes.

--- a/src/include/bulrushstack/net/http_client.h
+++ b/src/include/bulrushstack/net/http_client.h
@@ -93,6 +93,19 @@
 
 std::string_view toString(BodyFraming framing);
 
+/// The connection on which a response arrives.
+struct HttpConnectionInfo {
+    std::uint64_t number = 0; ///< identifies the connection among all of its client
+    unsigned requests = 0; ///< number of requests sent on it, including that of the response
+    SteadyTime establishedAt {};
+
+    /// Returns whether the request was the first one, so that no response to an earlier request can take the place of
+    /// its own.
+    bool isNew() const { return requests == 1; }
+
+    friend bool operator==(const HttpConnectionInfo&, const HttpConnectionInfo&) = default;
+};
+
 /// A response whose body is read incrementally. Destroying it before the end of the body closes the connection.
 class HttpStream {
 public:
@@ -102,12 +115,7 @@
     virtual const HttpHeaders& headers() const = 0;
     virtual BodyFraming framing() const = 0;
 
-    /// Returns whether the request was the first one on its connection, so that no response to an earlier request can
-    /// take the place of its own.
-    virtual bool isOnNewConnection() const = 0;
-
-    /// Returns the time at which the connection was established.
-    virtual SteadyTime connectionEstablishedAt() const = 0;
+    virtual const HttpConnectionInfo& connection() const = 0;
 
     /// Returns the next part of the body, or an empty optional once the body is complete. A connection that closes
     /// before the end given by Content-Length or by the last chunk is a failure. Every failure has the verdict
@@ -130,6 +138,7 @@
     std::size_t open = 0; ///< connections that are in use, idle or being established
     std::size_t idle = 0; ///< connections that can be reused
     std::uint64_t evicted = 0; ///< idle connections that were closed since the start
+    std::uint64_t unsolicited = 0; ///< those of them on which the server had sent bytes without a request
 
     friend bool operator==(const HttpConnectionCounts&, const HttpConnectionCounts&) = default;
 };
--- a/src/libfront/front_metrics.cpp
+++ b/src/libfront/front_metrics.cpp
@@ -44,6 +44,11 @@
                     .Name("bulrush_front_retries_total")
                     .Help("Decisions after a failed attempt")
                     .Register(registry))
+    , m_strayResponses(BuildCounter()
+                           .Name("bulrush_front_stray_responses_total")
+                           .Help("Responses of upstreams that were skipped because they name another request")
+                           .Register(registry)
+                           .Add({}))
     , m_orders(BuildCounter()
                    .Name("bulrush_front_orders_total")
                    .Help("Orders to upstreams, by kind and answer")
@@ -82,6 +87,8 @@
           gauge(registry, "bulrush_front_idle_connections", "Connections to others that wait to be used again"))
     , m_evictedConnections(
           gauge(registry, "bulrush_front_evicted_connections", "Idle connections that were closed since the start"))
+    , m_unsolicitedConnections(gauge(registry, "bulrush_front_unsolicited_connections",
+          "Idle connections that were closed since the start because their server had sent bytes without a request"))
     , m_clientBufferBytes(gauge(registry, "bulrush_front_client_buffer_bytes",
           "Memory held for requests of clients and buffered responses of upstreams"))
     , m_refusedForMemory(gauge(registry, "bulrush_front_client_buffer_refused_requests",
@@ -114,6 +121,8 @@
     m_attempts.Add({ { "outcome", std::string(outcome) } }).Increment();
 }
 
+void FrontMetrics::recordStrayResponse() { m_strayResponses.Increment(); }
+
 void FrontMetrics::recordRetryDecision(std::string_view decision)
 {
     m_retries.Add({ { "decision", std::string(decision) } }).Increment();
@@ -159,6 +168,7 @@
     m_openConnections.Set(static_cast<double>(counts.open));
     m_idleConnections.Set(static_cast<double>(counts.idle));
     m_evictedConnections.Set(static_cast<double>(counts.evicted));
+    m_unsolicitedConnections.Set(static_cast<double>(counts.unsolicited));
 }
 
 void FrontMetrics::setClientBuffers(const ClientBufferCounts& counts)
--- a/src/libfront/front_metrics.h
+++ b/src/libfront/front_metrics.h
@@ -31,6 +31,7 @@
     void recordFirstEvent(std::chrono::nanoseconds duration);
     void recordAttempt(std::string_view outcome);
     void recordRetryDecision(std::string_view decision);
+    void recordStrayResponse();
     void recordOrder(std::string_view kind, std::string_view result);
     void recordStoreFailure(std::string_view table);
     void setConfigurationVersion(std::uint64_t version);
@@ -48,6 +49,7 @@
     prometheus::Family<prometheus::Histogram>& m_requestDurations;
     prometheus::Family<prometheus::Counter>& m_attempts;
     prometheus::Family<prometheus::Counter>& m_retries;
+    prometheus::Counter& m_strayResponses;
     prometheus::Family<prometheus::Counter>& m_orders;
     prometheus::Family<prometheus::Counter>& m_storeFailures;
     prometheus::Histogram& m_firstEventTimes;
@@ -65,6 +67,7 @@
     prometheus::Gauge& m_openConnections;
     prometheus::Gauge& m_idleConnections;
     prometheus::Gauge& m_evictedConnections;
+    prometheus::Gauge& m_unsolicitedConnections;
     prometheus::Gauge& m_clientBufferBytes;
     prometheus::Gauge& m_refusedForMemory;
     prometheus::Gauge& m_closedForMemory;
--- a/src/libfront/request_attempt.cpp
+++ b/src/libfront/request_attempt.cpp
@@ -176,7 +176,7 @@
     attempt.wasSent = true;
     ++m_attemptsSent;
     attempt.stream = std::move(*stream);
-    if (attempt.stream->isOnNewConnection())
+    if (attempt.stream->connection().isNew())
         m_state.reachability().recordConnected();
     co_return std::nullopt;
 }
@@ -187,7 +187,10 @@
     attempt.head = m_dependencies.format.decodeResponseHead(stream.status(), stream.headers());
     for (unsigned i = 0; !attempt.head.requestId.empty() && attempt.head.requestId != m_request.id; ++i) {
         LOG(WARNING) << "event=stray-answer request=" << m_request.id << " upstream=" << attempt.upstreamId
-                     << " answer_for=" << attempt.head.requestId << " status=" << stream.status();
+                     << " answer_for=" << attempt.head.requestId << " status=" << stream.status()
+                     << " connection=" << stream.connection().number
+                     << " connection_requests=" << stream.connection().requests;
+        m_dependencies.metrics.recordStrayResponse();
         if (i >= mismatchedResponseLimit)
             co_return invalidResponse(Errc::MismatchedResponse, "the response belongs to another request");
         auto next = co_await stream.nextResponse();
@@ -213,7 +216,7 @@
         co_return Failure { .code = Errc::Refused,
             .verdict = Verdict::NotRun,
             .detail = "the upstream did not execute the request, status " + std::to_string(status)
-                + (body ? "" : ", body unreadable") };
+                + (head.requestId.empty() ? ", naming no request" : "") + (body ? "" : ", body unreadable") };
     }
     if (head.isContentEncoded)
         co_return invalidResponse(Errc::Malformed, "the response has a content encoding");
@@ -231,7 +234,7 @@
 /// again.
 bool RequestForwarder::isOwnRefusal(const Attempt& attempt) const
 {
-    return attempt.head.requestId == m_request.id || attempt.stream->isOnNewConnection();
+    return attempt.head.requestId == m_request.id || attempt.stream->connection().isNew();
 }
 
 /// Applies what the response announces about its upstream. The response to a misdirected request says nothing about the
@@ -443,6 +446,7 @@
     }
     m_state.upstreamLoads().recordEnd(attempt.upstreamId, attempt.sentRequest, attempt.hasFirstResponse, outcome);
     m_wasLastAttemptSent = attempt.wasSent;
+    m_lastConnection = attempt.stream ? attempt.stream->connection() : HttpConnectionInfo();
     if (!attempt.wasSent)
         ++m_connectFailures;
     if (attempt.wasSent && (!failure || failure->verdict != Verdict::NotRun))
--- a/src/libfront/request_forwarder.cpp
+++ b/src/libfront/request_forwarder.cpp
@@ -440,6 +440,7 @@
     const std::string_view label = isAllowed ? "retry" : decision == RetryDecision::GiveUp ? "give-up" : "no-budget";
     m_dependencies.metrics.recordRetryDecision(label);
     LOG(INFO) << "event=attempt-failed request=" << m_request.id << " upstream=" << m_lastUpstream
+              << " connection=" << m_lastConnection.number << " connection_requests=" << m_lastConnection.requests
               << " verdict=" << toString(failure.verdict) << " decision=" << label << " tried=" << m_attemptsSent
               << " run=" << m_attemptsMaybeExecuted << " left_ms=" << timeLeft().count()
               << " budget=" << m_state.retryBudget(m_service->name).balance() << " error=\"" << failure.code.message()
--- a/src/libfront/request_forwarder.h
+++ b/src/libfront/request_forwarder.h
@@ -167,6 +167,8 @@
     Verdict m_verdict = Verdict::NotRun;
     /// Whether the last attempt sent any bytes of the request to its upstream.
     bool m_wasLastAttemptSent = false;
+    /// Connection on which the last attempt got a response; its number is 0 if there was no response.
+    HttpConnectionInfo m_lastConnection;
     /// Time from receipt of the request to the first event or the complete response.
     std::optional<Milliseconds> m_firstResponseAfter;
     std::optional<SteadyTime> m_lastEventAt;
--- a/src/libfront/request_stream_version.cpp
+++ b/src/libfront/request_stream_version.cpp
@@ -75,7 +75,7 @@
     m_streamVersion = attempt.softwareVersion;
     m_beganAt = m_state.clock().now();
     const auto limit = provenConnectionLimit();
-    m_isOriginProven = limit && attempt.stream->connectionEstablishedAt() < *limit;
+    m_isOriginProven = limit && attempt.stream->connection().establishedAt < *limit;
     m_origin = StreamOrigin { .request = m_request.id,
         .service = m_service->name,
         .softwareVersion = attempt.softwareVersion,
--- a/src/libnet/connection_pool.cpp
+++ b/src/libnet/connection_pool.cpp
@@ -34,7 +34,9 @@
 
 ClientConnectionPtr ConnectionPool::create()
 {
-    return std::make_shared<ClientConnection>(m_context, m_connectionCount);
+    auto connection = std::make_shared<ClientConnection>(m_context, m_connectionCount);
+    connection->info.number = ++m_lastNumber;
+    return connection;
 }
 
 ClientConnectionPtr ConnectionPool::acquire(
@@ -47,7 +49,7 @@
     for (std::size_t i = idle.size(); i > 0; --i) {
         if (m_clock.now() - idle[i - 1]->idleSince >= maxIdle)
             return nullptr;
-        if (idle[i - 1]->establishedAt >= establishedBefore)
+        if (idle[i - 1]->info.establishedAt >= establishedBefore)
             continue;
         auto connection = std::move(idle[i - 1]);
         idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i - 1));
@@ -56,6 +58,7 @@
             return connection;
         }
         recordEvicted(1);
+        recordUnsolicited(*connection);
     }
     return nullptr;
 }
@@ -65,7 +68,7 @@
     const auto it = m_idle.find(address);
     return it != m_idle.end()
         && std::any_of(it->second.begin(), it->second.end(), [&](const ClientConnectionPtr& connection) {
-               return connection->establishedAt < establishedBefore && isReusable(*connection);
+               return connection->info.establishedAt < establishedBefore && isReusable(*connection);
            });
 }
 
@@ -103,7 +106,7 @@
 
 HttpConnectionCounts ConnectionPool::counts() const
 {
-    return { .open = *m_connectionCount, .idle = m_idleCount, .evicted = m_evicted };
+    return { .open = *m_connectionCount, .idle = m_idleCount, .evicted = m_evicted, .unsolicited = m_unsolicited };
 }
 
 bool ConnectionPool::isReusable(ClientConnection& connection) const
@@ -115,8 +118,14 @@
 void ConnectionPool::closeUnusable()
 {
     m_checkedAt = m_clock.now();
+    const auto isUnusable = [this](const ClientConnectionPtr& it) {
+        if (isReusable(*it))
+            return false;
+        recordUnsolicited(*it);
+        return true;
+    };
     for (auto& [address, idle] : m_idle)
-        recordEvicted(std::erase_if(idle, [this](const ClientConnectionPtr& it) { return !isReusable(*it); }));
+        recordEvicted(std::erase_if(idle, isUnusable));
     std::erase_if(m_idle, [](const auto& it) { return it.second.empty(); });
 }
 
@@ -139,6 +148,12 @@
     m_evicted += count;
 }
 
+void ConnectionPool::recordUnsolicited(ClientConnection& connection)
+{
+    if (hasInput(connection.stream.socket()))
+        ++m_unsolicited;
+}
+
 bool ConnectionPool::maySend(const HttpCallOptions& options) const
 {
     return !options.sendBy || m_clock.bootNow() < *options.sendBy;
--- a/src/libnet/connection_pool.h
+++ b/src/libnet/connection_pool.h
@@ -24,10 +24,9 @@
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
-    SteadyTime establishedAt {};
+    HttpConnectionInfo info;
     SteadyTime idleSince {};
     std::chrono::nanoseconds idleLimit = std::chrono::nanoseconds::max(); ///< from the server's Keep-Alive header
-    unsigned requests = 0; ///< number of requests sent
     bool isSending = false; ///< whether a request is still being written in the background
 
 private:
@@ -77,6 +76,7 @@
     using IdleConnections = std::map<Address, std::vector<ClientConnectionPtr>>;
 
     bool isReusable(ClientConnection& connection) const;
+    void recordUnsolicited(ClientConnection& connection);
     void closeUnusable();
     void closeLongestIdle();
     void recordEvicted(std::size_t count);
@@ -86,6 +86,8 @@
     IdleConnections m_idle;
     std::size_t m_idleCount = 0;
     std::uint64_t m_evicted = 0;
+    std::uint64_t m_unsolicited = 0;
+    std::uint64_t m_lastNumber = 0; ///< number of the connection that was created last
     SteadyTime m_checkedAt {}; ///< time of the last closeUnusable()
     std::shared_ptr<std::size_t> m_connectionCount = std::make_shared<std::size_t>(0);
 };
--- a/src/libnet/http_beast.cpp
+++ b/src/libnet/http_beast.cpp
@@ -41,6 +41,8 @@
 
 bool isPeerClosed(asio::ip::tcp::socket& socket) { return !socket.is_open() || peek(socket) == SocketInput::Closed; }
 
+bool hasInput(asio::ip::tcp::socket& socket) { return socket.is_open() && peek(socket) == SocketInput::Data; }
+
 bool isUnusable(asio::ip::tcp::socket& socket) { return !socket.is_open() || peek(socket) != SocketInput::None; }
 
 } // namespace bulrushstack::detail
--- a/src/libnet/http_beast.h
+++ b/src/libnet/http_beast.h
@@ -65,6 +65,9 @@
 /// Returns whether the connection is closed locally or by the peer. Does not block and consumes no input.
 bool isPeerClosed(asio::ip::tcp::socket& socket);
 
+/// Returns whether the connection is open and has input that was not read yet. Does not block and consumes no input.
+bool hasInput(asio::ip::tcp::socket& socket);
+
 /// Returns whether an idle connection cannot be reused because it is closed or has unexpected input.
 bool isUnusable(asio::ip::tcp::socket& socket);
 
--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -79,8 +79,7 @@
         , m_address(std::move(address))
         , m_options(options)
         , m_connection(std::move(connection))
-        , m_isOnNewConnection(m_connection->requests == 1)
-        , m_establishedAt(m_connection->establishedAt)
+        , m_connectionInfo(m_connection->info)
     {
     }
 
@@ -96,8 +95,7 @@
     unsigned status() const override { return m_parser->get().result_int(); }
     const HttpHeaders& headers() const override { return m_headers; }
 
-    bool isOnNewConnection() const override { return m_isOnNewConnection; }
-    SteadyTime connectionEstablishedAt() const override { return m_establishedAt; }
+    const HttpConnectionInfo& connection() const override { return m_connectionInfo; }
 
     BodyFraming framing() const override
     {
@@ -241,8 +239,7 @@
     Address m_address;
     HttpCallOptions m_options;
     ClientConnectionPtr m_connection;
-    bool m_isOnNewConnection;
-    SteadyTime m_establishedAt;
+    HttpConnectionInfo m_connectionInfo;
     std::optional<Parser> m_parser;
     HttpHeaders m_headers;
     bool m_isConnectionKept = false; ///< whether read() keeps the connection after the body for the next response
@@ -305,7 +302,7 @@
     connection->stream.socket().set_option(tcp::no_delay(true), ec);
     if (options.tcpKeepAliveTimeout > std::chrono::milliseconds(0))
         setTcpKeepAliveTimeout(connection->stream.socket(), options.tcpKeepAliveTimeout);
-    connection->establishedAt = pool->now();
+    connection->info.establishedAt = pool->now();
     co_return connection;
 }
 
@@ -365,7 +362,7 @@
     if (!pool->maySend(options))
         co_return deadlineFailure(Verdict::NotRun);
     const bool isHead = request.method == "HEAD";
-    ++connection->requests;
+    ++connection->info.requests;
     auto ec = co_await sendRequest(connection, toMessage(address, std::move(request)));
     if (ec)
         co_return failureOf(ec, Verdict::MayHaveRun, "sending the request");
