Send each request id over a connection once at most

Callers got 503 for requests that ran, and requests ran at two upstreams. An upstream may send a refusal again on its connection. The copy names the refused request, also while that request is under way again on the same connection, and the pool hands out the connection that was released last: the copy was taken for the response to the later attempt.

The id names the request, not the attempt. HttpClient now keeps the ids that a connection has carried, 256 at most, and sends a request only over a connection that has not carried its id; id and connection together name one attempt. The rule is that of the client, so that it holds for all statuses, for streams, for requests that are handed to another instance and for the standalone binding. The special case for status 421 within one request is gone.

Weighed: closing the connection after each refusal costs new connections when upstreams are overloaded; waiting proves nothing; upstreams repeat no mark of ours.

Two cases of engine_test and two of front_test sent one id twice and expected one connection; they now use another id for the second attempt and still demand one connection. Old and new instances send each other the same messages.

--- a/src/include/bulrushstack/net/http_client.h
+++ b/src/include/bulrushstack/net/http_client.h
@@ -146,7 +146,12 @@
 /// HTTP/1.1 client with a pool of persistent connections per address.
 ///
 /// A failure has the verdict NotRun if no byte of the request was written to a socket, and MayHaveRun otherwise. The
-/// client never retries a request. All methods must be called on the thread of the io_context.
+/// client never retries a request.
+///
+/// A connection carries each HttpRequest::id once at most. A server may send a response again later; on a connection
+/// that has carried the id before, such a copy could not be told from the response to a later request.
+///
+/// All methods must be called on the thread of the io_context.
 class HttpClient {
 public:
     HttpClient(boost::asio::io_context& context, const Clock& clock);
@@ -170,8 +175,9 @@
     /// others probably did too.
     void closeIdleConnections(const Address& address);
 
-    /// Returns whether a call with HttpCallOptions::establishedBefore could use an idle connection to the address.
-    bool hasIdleConnection(const Address& address, SteadyTime establishedBefore) const;
+    /// Returns whether a call with HttpCallOptions::establishedBefore could use an idle connection to
+    /// the address for a request with this id.
+    bool hasIdleConnection(const Address& address, SteadyTime establishedBefore, std::string_view requestId = {}) const;
 
     HttpConnectionCounts connectionCounts() const;
 
--- a/src/libengine/engine_stream_test.cpp
+++ b/src/libengine/engine_stream_test.cpp
@@ -19,10 +19,12 @@
 };
 
 struct StreamFixture : UpstreamFixture {
+    std::string attemptId = "attempt-1";
+
     Result<std::unique_ptr<EngineStream>> open(AttemptLimits limits = {})
     {
         EngineRequest request;
-        request.attemptId = "attempt-1";
+        request.attemptId = attemptId;
         request.path = "/v1/completions";
         request.body = R"({"model":"m","stream":true})";
         return run(engine.openStream(address, std::move(request), limits));
@@ -30,7 +32,7 @@
 
     Result<std::unique_ptr<EngineStream>> resume(std::optional<std::uint64_t> lastOffset)
     {
-        return run(engine.resumeStream(address, "attempt-1", "salt-1", lastOffset, AttemptLimits()));
+        return run(engine.resumeStream(address, attemptId, "salt-1", lastOffset, AttemptLimits()));
     }
 
     StreamResult readAll(EngineStream& stream)
@@ -101,10 +103,21 @@
     BOOST_TEST(!readStream({ first, second, done }).failure);
     context.restart();
     context.poll();
+    attemptId = "attempt-2";
     BOOST_TEST(!readStream({ first, second, done }).failure);
     BOOST_TEST(connections == 1);
 }
 
+// Guards against a copy of a refusal that is taken for the response to a later request for the same stream.
+BOOST_AUTO_TEST_CASE(ConnectionIsNotReusedForTheSameAttempt)
+{
+    respondWith(503, "", "X-Request-Id: {id}\r\nX-Not-Started: 1\r\n");
+    BOOST_TEST(resume(1).has_error());
+    respondWithStream({ second, done });
+    BOOST_TEST(resume(0).has_value());
+    BOOST_TEST(connections == 2);
+}
+
 // Guards against a caller that mistakes the end for an error when it calls next() again.
 BOOST_AUTO_TEST_CASE(EndMarkerIsReturnedAgain)
 {
--- a/src/libengine/http_engine_client_test.cpp
+++ b/src/libengine/http_engine_client_test.cpp
@@ -9,10 +9,12 @@
 namespace {
 
 struct EngineFixture : UpstreamFixture {
+    std::string attemptId = "attempt-1";
+
     Result<HttpResponse> complete(AttemptLimits limits = {})
     {
         EngineRequest request;
-        request.attemptId = "attempt-1";
+        request.attemptId = attemptId;
         request.path = "/v1/completions";
         request.body = R"({"model":"m"})";
         request.priority = 2;
@@ -143,6 +145,7 @@
     respondWith(200, "{}");
     respondWith(200, "{}");
     BOOST_TEST(complete().has_value());
+    attemptId = "attempt-2";
     BOOST_TEST(complete().has_value());
     BOOST_TEST(connections == 1);
 }
--- a/src/libengine/upstream_call.cpp
+++ b/src/libengine/upstream_call.cpp
@@ -92,6 +92,7 @@
     HttpRequest request, std::string requestId, HttpCallOptions options, RequestIdEcho rule)
 {
     request.headers.set("X-Request-Id", requestId);
+    request.id = requestId;
     auto stream = co_await client.open(address, std::move(request), options);
     if (!stream) {
         closeIdleAfterTimeout(client, address, stream.error());
--- a/src/libfront/faulty_response_test.cpp
+++ b/src/libfront/faulty_response_test.cpp
@@ -8,7 +8,6 @@
 
 const std::string firstEvent = "id: 1\ndata: a\n\n";
 const std::string secondEvent = "id: 2\ndata: b\n\n";
-const std::string okResponseTo8 = rawResponse("200 OK", "X-Id: 8\r\nX-Seal: s\r\n", "whole");
 const std::string refusalWithoutId = rawResponse("503 Busy", "X-Not-Run: 1\r\n", "");
 
 } // namespace
@@ -53,6 +52,54 @@
     BOOST_TEST(state.directory().countAnnouncements().leaving == 1u);
 }
 
+BOOST_AUTO_TEST_SUITE(WhenTheRefusedRequestComesBack)
+
+// Guards against REFUSED: a caller is told that a request has not run which the upstream is running.
+BOOST_AUTO_TEST_CASE(DoesNotRefuseTheRequestThatRuns)
+{
+    for (const auto* status :
+        { "503 Busy", "429 Many", "408 Late", "421 Misdirected", "400 Bad", "413 Large", "500 Error" }) {
+        const auto refusal = rawResponse(status, "X-Id: 7\r\nX-Not-Run: 1\r\n", "refused");
+        FrontFixture front;
+        auto& upstream = front.addRefusingUpstream(refusal, okResponse);
+        const auto refused = front.call("/once/x");
+        const auto served = upstream.runs() > 0 ? refused : front.call("/once/x");
+        BOOST_TEST(served->status == 200u, status);
+        BOOST_TEST(upstream.runs() == 1u, status);
+    }
+}
+
+// Guards against TWICE: the request runs at one upstream and is sent to another one.
+BOOST_AUTO_TEST_CASE(DoesNotSendTheRequestThatRunsToAnotherUpstream)
+{
+    auto& first = addRefusingUpstream(notExecutedResponse, okResponse);
+    auto& second = addRefusingUpstream(notExecutedResponse, okResponse);
+    BOOST_TEST(call("/once/x")->status == 503u);
+    BOOST_TEST(call("/once/x")->status == 200u);
+    BOOST_TEST(first.runs() + second.runs() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(DoesNotRefuseAStreamThatRuns)
+{
+    const auto stream = streamResponseHead + chunk(firstEvent) + chunk("");
+    auto& upstream = addRefusingUpstream(notExecutedResponse, stream);
+    BOOST_TEST(call("/events/x")->status == 503u);
+    BOOST_TEST(call("/events/x")->body == firstEvent);
+    BOOST_TEST(upstream.runs() == 1u);
+}
+
+// Guards against a copy that changes what is known of the upstream: its load, its pause, its refusals.
+BOOST_AUTO_TEST_CASE(IsNotCountedAsARefusalOfTheUpstream)
+{
+    const auto brittle = rawResponse("503 Busy", "X-Id: 7\r\nX-Not-Run: 1\r\nX-Brittle: 3\r\n", "");
+    addRefusingUpstream(brittle, okResponse);
+    BOOST_TEST(call("/once/x")->status == 503u);
+    BOOST_TEST(call("/once/x")->status == 200u);
+    BOOST_TEST(refusals.upstreams.size() == 1u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 // Guards against a refusal of the first attempt that is taken for one of the second attempt at the same upstream.
 BOOST_AUTO_TEST_CASE(DoesNotReachALaterAttemptAtTheSameUpstream)
 {
--- a/src/libfront/front_test_support.h
+++ b/src/libfront/front_test_support.h
@@ -4,6 +4,7 @@
 #include "bulrushstack/serving/retry_after.h"
 #include "peer_relay.h"
 #include "raw_server.h"
+#include "refusing_server.h"
 #include "request_forwarder.h"
 
 #include <boost/test/unit_test.hpp>
@@ -247,6 +248,7 @@
 }
 
 inline const std::string okResponse = rawResponse("200 OK", "X-Id: 7\r\nX-Seal: s\r\n", "whole");
+inline const std::string okResponseTo8 = rawResponse("200 OK", "X-Id: 8\r\nX-Seal: s\r\n", "whole");
 inline const std::string notExecutedResponse = rawResponse("503 Busy", "X-Id: 7\r\nX-Not-Run: 1\r\n", "");
 inline const std::string okResponseWhileLeaving
     = rawResponse("200 OK", "X-Id: 7\r\nX-Seal: s\r\nX-Leaving: 1\r\n", "whole");
@@ -298,6 +300,7 @@
         .metrics = metrics } };
     HttpServer server { context, { .address = { .host = "127.0.0.1", .port = 0 } }, ingress };
     std::vector<std::unique_ptr<RawServer>> upstreams;
+    std::vector<std::unique_ptr<RefusingServer>> refusingUpstreams;
 
     FrontFixture()
     {
@@ -318,15 +321,29 @@
     RawServer& addUpstream(std::vector<std::string> responses, bool isClosing = false, RawServerPace pace = {})
     {
         upstreams.push_back(std::make_unique<RawServer>(context, std::move(responses), isClosing, SIZE_MAX, pace));
+        listUpstream(upstreams.back()->address());
+        return *upstreams.back();
+    }
+
+    /// Adds an upstream that refuses the first request and sends its refusal again on the same connection.
+    RefusingServer& addRefusingUpstream(std::string refusal, std::string response)
+    {
+        RefusingServer::Options options { .refusal = std::move(refusal), .response = std::move(response) };
+        refusingUpstreams.push_back(std::make_unique<RefusingServer>(context, std::move(options)));
+        listUpstream(refusingUpstreams.back()->address());
+        return *refusingUpstreams.back();
+    }
+
+    void listUpstream(Address address)
+    {
         // The first upstream is in the zone of the front, so that it is the preferred choice.
-        const auto n = upstreams.size();
+        const auto n = upstreams.size() + refusingUpstreams.size();
         state.directory().apply({ .id = "u" + std::to_string(n),
             .service = "s",
-            .address = upstreams.back()->address(),
+            .address = std::move(address),
             .zone = n == 1 ? "z" : "y",
             .slots = 4,
             .startedAt = 1 });
-        return *upstreams.back();
     }
 
     void runFor(std::chrono::milliseconds duration)
--- a/src/libfront/request_attempt.cpp
+++ b/src/libfront/request_attempt.cpp
@@ -153,9 +153,6 @@
     HttpCallOptions options;
     options.deadline = attemptDeadline();
     options.maxIdle = m_route->isRepeatable() ? maxConnectionIdleTime : maxIdleTimeForNonRepeatable;
-    // A second copy of the refusal would name this request as well.
-    if (m_misdirectedTo.count(attempt.upstreamId))
-        options.maxIdle = {};
     options.connectTimeout = connectTimeout;
     options.tcpKeepAliveTimeout = tcpKeepAliveTimeout;
     options.isCloseDelimitedBodyAccepted = true;
@@ -164,8 +161,9 @@
     options.cancellation = m_cancellation;
     options.sendBy = m_permit.sendBy;
     options.establishedBefore = m_establishedBefore;
-    auto stream = co_await m_dependencies.client.open(
-        attempt.address, m_dependencies.format.encode(clientRequest(), forwardingFields), options);
+    auto request = m_dependencies.format.encode(clientRequest(), forwardingFields);
+    request.id = m_request.id;
+    auto stream = co_await m_dependencies.client.open(attempt.address, std::move(request), options);
     if (!stream) {
         attempt.wasSent = stream.error().verdict != Verdict::NotRun;
         if (!attempt.wasSent && !m_cancellation->isCancelled() && !m_permit.sendBy && !m_establishedBefore)
@@ -206,8 +204,6 @@
             Errc::Malformed, "a refusal on a used connection names no request, status " + std::to_string(status));
     if (head.isNotExecuted || head.isMisdirected) {
         applyRefusal(attempt);
-        if (head.isMisdirected)
-            m_misdirectedTo.insert(attempt.upstreamId);
         if (head.isMisdirected)
             m_state.residencyHints().recordAbsent(attempt.upstreamId, m_request.model, m_request.adapter);
         if (head.isMisdirected && !m_request.adapter.empty())
@@ -230,8 +226,8 @@
     co_return std::nullopt;
 }
 
-/// Returns whether a refusal is one of this request. A faulty upstream may send the refusal of an earlier request
-/// again.
+/// Returns whether a refusal is one of this attempt. A faulty upstream may send an earlier refusal again on the same
+/// connection. The id tells whether it is one, since the connection has not carried this request before.
 bool RequestForwarder::isOwnRefusal(const Attempt& attempt) const
 {
     return attempt.head.requestId == m_request.id || attempt.stream->connection().isNew();
--- a/src/libfront/request_forwarder.h
+++ b/src/libfront/request_forwarder.h
@@ -158,8 +158,6 @@
     /// Size of the incomplete event at which the last response stream ended, in bytes.
     std::size_t m_partialEventBytes = 0;
     std::set<std::string, std::less<>> m_triedUpstreams;
-    /// Upstreams that refused the request as misdirected. They may get it again, once the adapter is loaded.
-    std::set<std::string> m_misdirectedTo;
     unsigned m_attemptsSent = 0;
     unsigned m_attemptsMaybeExecuted = 0;
     unsigned m_connectFailures = 0;
--- a/src/libfront/request_relay.cpp
+++ b/src/libfront/request_relay.cpp
@@ -34,6 +34,7 @@
         .possibleRuns = m_attemptsMaybeExecuted,
         .cancellation = m_cancellation };
     auto request = m_dependencies.format.encodeForPeer(clientRequest(), timeLeft());
+    request.id = m_request.id;
     auto stream = co_await m_dependencies.relay.open(std::move(request), options);
     m_dependencies.metrics.recordAttempt(stream ? "relayed" : "relay-failed");
     LOG(INFO) << "event=request-relayed request=" << m_request.id << " taken=" << bool(stream) << " error=\""
--- a/src/libfront/request_stream_version.cpp
+++ b/src/libfront/request_stream_version.cpp
@@ -162,7 +162,8 @@
 {
     const auto limit = provenConnectionLimit();
     const auto* entry = m_state.directory().find(upstream);
-    const bool isConfirmed = limit && entry && m_dependencies.client.hasIdleConnection(entry->address, *limit);
+    const bool isConfirmed
+        = limit && entry && m_dependencies.client.hasIdleConnection(entry->address, *limit, m_request.id);
     if (isConfirmed)
         m_establishedBefore = limit;
     else
--- a/src/libfront/software_version_test.cpp
+++ b/src/libfront/software_version_test.cpp
@@ -140,11 +140,11 @@
 // Guards against streams that are broken off although the upstreams are known to be the same processes as before.
 BOOST_AUTO_TEST_CASE(IsContinuedWhileTheStoreIsAwayOverConnectionsFromBefore)
 {
-    addUpstream({ okResponse, brokenStream }, true);
-    BOOST_TEST(call("/once/x")->status == 200u);
-    addUpstream({ okResponse, restOfStream });
+    addUpstream({ okResponseTo8, brokenStream }, true);
+    BOOST_TEST(call("/once/x", "8")->status == 200u);
+    addUpstream({ okResponseTo8, restOfStream });
     state.directory().recordPause("u1", firstStart, std::chrono::milliseconds(200));
-    BOOST_TEST(call("/once/x")->status == 200u);
+    BOOST_TEST(call("/once/x", "8")->status == 200u);
     runFor(std::chrono::milliseconds(250));
     readDirectoryLater();
     state.directory().recordStoreLost();
@@ -284,8 +284,8 @@
 
 BOOST_AUTO_TEST_CASE(GoesOnWhileTheStoreIsAwayOverAConnectionFromBefore)
 {
-    addUpstream({ okResponse, restOfStream });
-    BOOST_TEST(call("/once/x")->status == 200u);
+    addUpstream({ okResponseTo8, restOfStream });
+    BOOST_TEST(call("/once/x", "8")->status == 200u);
     readDirectoryLater();
     rows.isStoreAway = true;
     origins.reply = { .origin = StreamOrigin { "6", "s", "", "u1", firstStart, std::chrono::seconds(10) } };
--- a/src/libnet/connection_pool.cpp
+++ b/src/libnet/connection_pool.cpp
@@ -14,6 +14,11 @@
 constexpr std::chrono::seconds maxIdleTime { 30 };
 constexpr std::chrono::seconds checkInterval { 5 };
 
+bool isPermitted(const ClientConnection& connection, SteadyTime establishedBefore, std::string_view requestId)
+{
+    return connection.info.establishedAt < establishedBefore && !connection.sentIds.contains(requestId);
+}
+
 } // namespace
 
 ClientConnection::ClientConnection(asio::io_context& context, std::shared_ptr<std::size_t> connectionCount)
@@ -40,16 +45,17 @@
 }
 
 ClientConnectionPtr ConnectionPool::acquire(
-    const Address& address, std::chrono::nanoseconds maxIdle, SteadyTime establishedBefore)
+    const Address& address, const HttpCallOptions& options, std::string_view requestId)
 {
+    const auto establishedBefore = options.establishedBefore.value_or(SteadyTime::max());
     const auto found = m_idle.find(address);
     if (found == m_idle.end())
         return nullptr;
     auto& idle = found->second;
     for (std::size_t i = idle.size(); i > 0; --i) {
-        if (m_clock.now() - idle[i - 1]->idleSince >= maxIdle)
+        if (m_clock.now() - idle[i - 1]->idleSince >= options.maxIdle)
             return nullptr;
-        if (idle[i - 1]->info.establishedAt >= establishedBefore)
+        if (!isPermitted(*idle[i - 1], establishedBefore, requestId))
             continue;
         auto connection = std::move(idle[i - 1]);
         idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i - 1));
@@ -63,12 +69,12 @@
     return nullptr;
 }
 
-bool ConnectionPool::hasIdle(const Address& address, SteadyTime establishedBefore) const
+bool ConnectionPool::hasIdle(const Address& address, SteadyTime establishedBefore, std::string_view requestId) const
 {
     const auto it = m_idle.find(address);
     return it != m_idle.end()
         && std::any_of(it->second.begin(), it->second.end(), [&](const ClientConnectionPtr& connection) {
-               return connection->info.establishedAt < establishedBefore && isReusable(*connection);
+               return isPermitted(*connection, establishedBefore, requestId) && isReusable(*connection);
            });
 }
 
@@ -76,6 +82,8 @@
 {
     if (m_clock.now() - m_checkedAt >= checkInterval)
         closeUnusable();
+    if (connection->sentIds.isFull())
+        return;
     auto& idle = m_idle[address];
     connection->idleSince = m_clock.now();
     connection->stream.expires_never();
--- a/src/libnet/connection_pool.h
+++ b/src/libnet/connection_pool.h
@@ -3,6 +3,7 @@
 #include "bulrushstack/kernel/clock.h"
 #include "bulrushstack/net/http_client.h"
 #include "http_beast.h"
+#include "sent_request_ids.h"
 
 #include <boost/asio/io_context.hpp>
 #include <chrono>
@@ -25,6 +26,7 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     HttpConnectionInfo info;
+    SentRequestIds sentIds;
     SteadyTime idleSince {};
     std::chrono::nanoseconds idleLimit = std::chrono::nanoseconds::max(); ///< from the server's Keep-Alive header
     bool isSending = false; ///< whether a request is still being written in the background
@@ -50,13 +52,12 @@
     /// Returns a connection that is not established yet.
     ClientConnectionPtr create();
 
-    /// Removes and returns a usable connection that was established before `establishedBefore` and has been idle for
-    /// less than `maxIdle`; null if there is none.
-    ClientConnectionPtr acquire(
-        const Address& address, std::chrono::nanoseconds maxIdle, SteadyTime establishedBefore = SteadyTime::max());
+    /// Removes and returns a usable connection that satisfies HttpCallOptions::maxIdle and ::establishedBefore and has
+    /// not carried the id; null if there is none.
+    ClientConnectionPtr acquire(const Address& address, const HttpCallOptions& options, std::string_view requestId);
 
-    /// Returns whether a usable connection to the address was established before that time.
-    bool hasIdle(const Address& address, SteadyTime establishedBefore) const;
+    /// Returns whether a usable connection to the address was established before that time and has not carried the id.
+    bool hasIdle(const Address& address, SteadyTime establishedBefore, std::string_view requestId) const;
 
     void release(const Address& address, ClientConnectionPtr connection);
 
--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -341,11 +341,11 @@
     auto pool = m_pool;
     if (options.cancellation && options.cancellation->isCancelled())
         co_return cancellationFailure(Verdict::NotRun);
-    auto connection = pool->acquire(address, options.maxIdle, options.establishedBefore.value_or(SteadyTime::max()));
+    auto connection = pool->acquire(address, options, request.id);
     if (!connection && options.establishedBefore)
         co_return Failure { .code = Errc::Unavailable,
             .verdict = Verdict::NotRun,
-            .detail = "no connection to " + address.toString() + " is old enough" };
+            .detail = "no connection to " + address.toString() + " is old enough and has not carried the request" };
     if (!connection) {
         auto connected = co_await connect(pool, address, options);
         if (!connected)
@@ -363,6 +363,7 @@
         co_return deadlineFailure(Verdict::NotRun);
     const bool isHead = request.method == "HEAD";
     ++connection->info.requests;
+    connection->sentIds.add(request.id);
     auto ec = co_await sendRequest(connection, toMessage(address, std::move(request)));
     if (ec)
         co_return failureOf(ec, Verdict::MayHaveRun, "sending the request");
@@ -398,9 +399,10 @@
 
 void HttpClient::closeIdleConnections(const Address& address) { m_pool->closeIdle(address); }
 
-bool HttpClient::hasIdleConnection(const Address& address, SteadyTime establishedBefore) const
+bool HttpClient::hasIdleConnection(
+    const Address& address, SteadyTime establishedBefore, std::string_view requestId) const
 {
-    return m_pool->hasIdle(address, establishedBefore);
+    return m_pool->hasIdle(address, establishedBefore, requestId);
 }
 
 HttpConnectionCounts HttpClient::connectionCounts() const { return m_pool->counts(); }
--- a/src/libnet/http_client_test.cpp
+++ b/src/libnet/http_client_test.cpp
@@ -98,6 +98,13 @@
         options.deadline = clock.now() + 10s;
         return runAwaitable(context, client.call(server.address(), std::move(request), options));
     }
+
+    void callWithId(const RawServer& server, std::string id)
+    {
+        HttpRequest request;
+        request.id = std::move(id);
+        BOOST_REQUIRE(runAwaitable(context, client.call(server.address(), std::move(request))));
+    }
 };
 
 const std::string responseText(std::string_view body, std::string_view fields = "")
@@ -136,6 +143,32 @@
     BOOST_TEST(server.connections() == 2u);
 }
 
+// Guards against a copy of an earlier response that is taken for the response to a later request with the same id.
+BOOST_AUTO_TEST_CASE(NotReusedForARequestIdThatItHasCarried)
+{
+    RawServer server(context, std::vector(5, responseText("a")));
+    callWithId(server, "1");
+    callWithId(server, "2");
+    BOOST_TEST(server.connections() == 1u);
+    BOOST_TEST(client.hasIdleConnection(server.address(), SteadyTime::max(), "3"));
+    BOOST_TEST(!client.hasIdleConnection(server.address(), SteadyTime::max(), "1"));
+    callWithId(server, "1");
+    BOOST_TEST(server.connections() == 2u);
+    callWithId(server, "2");
+    callWithId(server, "");
+    BOOST_TEST(server.connections() == 2u);
+}
+
+// Guards against ids that are kept without bound for a connection in continuous use.
+BOOST_AUTO_TEST_CASE(NotReusedAfterManyRequestIds)
+{
+    constexpr unsigned idsPerConnection = 256;
+    RawServer server(context, std::vector(2 * idsPerConnection + 1, responseText("a")));
+    for (unsigned i = 0; i < 2 * idsPerConnection + 1; ++i)
+        callWithId(server, std::to_string(i));
+    BOOST_TEST(server.connections() == 3u);
+}
+
 // Guards against reading unexpected bytes after a response as the response to the next request.
 BOOST_AUTO_TEST_CASE(NotReusedWithUnreadInput)
 {
