Take no response for a request's own if it names none on a used connection

Found while looking for the cause of repeated-refusals elsewhere. A refusal that names no request already counted only on a new connection; a success or an error counted on any, and so did the pause or the departure that such a response announces. A late response to another request could be delivered to a caller.

Now every response must name the request or be the first one on its connection, and nothing is taken from it before that is checked. IsNoResponseIfItNamesNoRequest failed before: status 200, 404 and 500 were forwarded, and the pause of 30 s was recorded.

--- a/src/libfront/faulty_response_test.cpp
+++ b/src/libfront/faulty_response_test.cpp
@@ -35,6 +35,18 @@
     BOOST_TEST(upstreams[1]->connections() == 0u);
 }
 
+// Guards against the response to another request, and against a pause that it announces.
+BOOST_AUTO_TEST_CASE(IsNoResponseIfItNamesNoRequest)
+{
+    for (const auto* status : { "200 OK", "404 None", "500 Error" }) {
+        FrontFixture front;
+        front.addUpstream({ okResponse, rawResponse(status, "X-Seal: s\r\nX-Pause: 30\r\n", "other") });
+        BOOST_TEST(front.call("/once/x")->status == 200u);
+        BOOST_TEST(front.call("/once/x", "8")->status == 502u, status);
+        BOOST_TEST(front.state.directory().countAnnouncements().pausing == 0u);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(IsARefusalOnANewConnection)
 {
     addUpstream({ refusalWithoutId });
--- a/src/libfront/request_attempt.cpp
+++ b/src/libfront/request_attempt.cpp
@@ -196,12 +196,12 @@
             co_return next.error();
         attempt.head = m_dependencies.format.decodeResponseHead(stream.status(), stream.headers());
     }
-    applyResponseState(attempt);
     const auto& head = attempt.head;
     const unsigned status = stream.status();
-    if ((head.isNotExecuted || head.isMisdirected) && !isOwnRefusal(attempt))
+    if (!isOwnResponse(attempt))
         co_return invalidResponse(
-            Errc::Malformed, "a refusal on a used connection names no request, status " + std::to_string(status));
+            Errc::Malformed, "a response on a used connection names no request, status " + std::to_string(status));
+    applyResponseState(attempt);
     if (head.isNotExecuted || head.isMisdirected) {
         applyRefusal(attempt);
         if (head.isMisdirected)
@@ -226,9 +226,9 @@
     co_return std::nullopt;
 }
 
-/// Returns whether a refusal is one of this attempt. A faulty upstream may send an earlier refusal again on the same
+/// Returns whether a response is that of this attempt. A faulty upstream may send an earlier response again on the same
 /// connection. The id tells whether it is one, since the connection has not carried this request before.
-bool RequestForwarder::isOwnRefusal(const Attempt& attempt) const
+bool RequestForwarder::isOwnResponse(const Attempt& attempt) const
 {
     return attempt.head.requestId == m_request.id || attempt.stream->connection().isNew();
 }
--- a/src/libfront/request_forwarder.h
+++ b/src/libfront/request_forwarder.h
@@ -87,7 +87,7 @@
     boost::asio::awaitable<void> respondWithFailure(Failure failure);
     boost::asio::awaitable<void> endQuarantined(Problem problem);
 
-    bool isOwnRefusal(const Attempt& attempt) const;
+    bool isOwnResponse(const Attempt& attempt) const;
     void applyResponseState(const Attempt& attempt);
     void applyRateLimit(const Attempt& attempt);
     void applyRefusal(const Attempt& attempt);
