Read the response to a HEAD request after a stray response

After a response to another request had been skipped, the response to a HEAD request was read as if it had a body, so that the call waited until its deadline and its caller got an error. NextResponseToAHeadRequestHasNoBody failed before.

--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -73,13 +73,14 @@
 public:
     using Parser = http::response_parser<ReceivedBody>;
 
-    PooledStream(
-        std::shared_ptr<ConnectionPool> pool, Address address, HttpCallOptions options, ClientConnectionPtr connection)
+    PooledStream(std::shared_ptr<ConnectionPool> pool, Address address, HttpCallOptions options,
+        ClientConnectionPtr connection, bool isHead)
         : m_pool(std::move(pool))
         , m_address(std::move(address))
         , m_options(options)
         , m_connection(std::move(connection))
         , m_connectionInfo(m_connection->info)
+        , m_isHead(isHead)
     {
     }
 
@@ -105,7 +106,7 @@
     }
 
     /// Reads the header of the final response and skips interim responses (1xx).
-    asio::awaitable<Result<void>> readHeader(bool isHead)
+    asio::awaitable<Result<void>> readHeader()
     {
         auto limits = m_options;
         if (m_options.headerDeadline) {
@@ -121,7 +122,7 @@
                     .detail = "more than " + std::to_string(interimResponseLimit) + " interim responses" };
             m_parser.emplace();
             m_parser->body_limit(boost::none);
-            m_parser->skip(isHead);
+            m_parser->skip(m_isHead);
             if (!m_pool->setOperationTimeout(m_connection->stream, limits))
                 co_return deadlineFailure(Verdict::MayHaveRun);
             auto [ec, n]
@@ -203,7 +204,7 @@
         m_isConnectionKept = false;
         if (!rest)
             co_return rest.error();
-        co_return co_await readHeader(false);
+        co_return co_await readHeader();
     }
 
     void close() override
@@ -240,6 +241,7 @@
     HttpCallOptions m_options;
     ClientConnectionPtr m_connection;
     HttpConnectionInfo m_connectionInfo;
+    bool m_isHead; ///< whether the request is a HEAD request, whose response has no body
     std::optional<Parser> m_parser;
     HttpHeaders m_headers;
     bool m_isConnectionKept = false; ///< whether read() keeps the connection after the body for the next response
@@ -367,8 +369,9 @@
     auto ec = co_await sendRequest(connection, toMessage(address, std::move(request)));
     if (ec)
         co_return failureOf(ec, Verdict::MayHaveRun, "sending the request");
-    auto stream = std::make_unique<PooledStream>(std::move(pool), std::move(address), options, std::move(connection));
-    auto header = co_await stream->readHeader(isHead);
+    auto stream
+        = std::make_unique<PooledStream>(std::move(pool), std::move(address), options, std::move(connection), isHead);
+    auto header = co_await stream->readHeader();
     if (!header)
         co_return header.error();
     co_return std::unique_ptr<HttpStream>(std::move(stream));
--- a/src/libnet/http_client_test.cpp
+++ b/src/libnet/http_client_test.cpp
@@ -412,6 +412,19 @@
     BOOST_TEST(runAwaitable(context, (*stream)->readAll()).value() == "own");
 }
 
+// Guards against waiting for a body that the response to a HEAD request does not have.
+BOOST_AUTO_TEST_CASE(NextResponseToAHeadRequestHasNoBody)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n";
+    RawServer server(context, { head + head });
+    HttpRequest request { .method = "HEAD" };
+    const HttpCallOptions options { .deadline = clock.now() + 1s };
+    auto stream = runAwaitable(context, client.open(server.address(), std::move(request), options));
+    BOOST_REQUIRE(stream);
+    BOOST_REQUIRE(runAwaitable(context, (*stream)->nextResponse()));
+    BOOST_TEST(runAwaitable(context, (*stream)->readAll()).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(Cancellation, ServerFixture)
