--- a/testsuite/lib/soak_faults.py
+++ b/testsuite/lib/soak_faults.py
@@ -26,7 +26,8 @@
 class FaultInjector:
     """Injects randomly drawn faults and undoes them when their duration is over; several may overlap."""
 
-    def __init__(self, site, random, with_notices=False, with_clock_steps=False, with_copies=False, with_versions=False):
+    def __init__(self, site, random, with_notices=False, with_clock_steps=False, with_copies=False, with_versions=False,
+                 with_repeats=False):
         self.site, self.random = site, random
         self.start = time.monotonic()
         self.active, self.history = [], []
@@ -42,6 +43,8 @@
             self.kinds += [self.restore_store, self.limit_worker_rate] * 3
         if with_versions:
             self.kinds += [self.release_worker] * 4 + [self.kill_instance] * 2
+        if with_repeats:
+            self.kinds += [self.repeat_refusals] * 8
 
     def now(self):
         return time.monotonic() - self.start
@@ -244,6 +247,21 @@
             worker.pause = None
         return self._fault("requests pauses", worker.name, undo)
 
+    def repeat_refusals(self):
+        """Makes a worker refuse many requests and send copies of its refusals."""
+        worker = self._pick_worker()
+        if not worker:
+            return None
+        worker.repeats = workers.RefusalRepeats(
+            copies=self.random.choice([1, 1, 2]), delay=self.random.choice([None, None, 0.001, 0.015]),
+            is_split=self.random.random() < 0.2)
+        worker.shed_status = self.random.choice([503, 503, 429, 421])
+        worker.shed_share = self.random.choice([0.3, 0.6])
+
+        def undo():
+            worker.repeats, worker.shed_status, worker.shed_share = None, 503, 0.0
+        return self._fault("repeats refusals", worker.name, undo)
+
     def limit_worker_rate(self):
         worker = self._pick_worker()
         if not worker:
