--- a/src/include/bulrushstack/net/http_client.h
+++ b/src/include/bulrushstack/net/http_client.h
@@ -175,8 +175,8 @@
     /// others probably did too.
     void closeIdleConnections(const Address& address);
 
-    /// Returns whether a call with HttpCallOptions::establishedBefore could use an idle connection to
-    /// the address for a request with this id.
+    /// Returns whether a call with HttpCallOptions::establishedBefore could use an idle connection to the address for a
+    /// request with this id.
     bool hasIdleConnection(const Address& address, SteadyTime establishedBefore, std::string_view requestId = {}) const;
 
     HttpConnectionCounts connectionCounts() const;
--- a/src/libnet/connection_pool.cpp
+++ b/src/libnet/connection_pool.cpp
@@ -14,6 +14,7 @@
 constexpr std::chrono::seconds maxIdleTime { 30 };
 constexpr std::chrono::seconds checkInterval { 5 };
 
+/// Returns whether a request with this id, and with HttpCallOptions::establishedBefore, may use the connection.
 bool isPermitted(const ClientConnection& connection, SteadyTime establishedBefore, std::string_view requestId)
 {
     return connection.info.establishedAt < establishedBefore && !connection.sentIds.contains(requestId);
