Let a connection carry more ids, and replace the one that carried the id

A caller that always uses one id added an idle connection with each request, 64 for each address, and so evicted those to other servers; now the new connection takes the place of one that has carried the id. A connection is closed after 1,024 ids instead of 256 (8 KiB at most), since while the store is away streams go on only over connections that are older than its last response.

--- a/src/include/bulrushstack/net/http.h
+++ b/src/include/bulrushstack/net/http.h
@@ -49,8 +49,8 @@
     std::string target = "/";
     HttpHeaders headers;
     std::string body;
-    /// Id by which the response names the request; empty if responses name none. HttpClient does not send it: the
-    /// header field that carries it depends on the protocol.
+    /// For HttpClient: id by which the response names the request; empty if responses name none. It is not sent, since
+    /// the header field that carries it depends on the protocol.
     std::string id;
 
     /// Returns the path: the part of the target before '?', still percent-encoded.
--- a/src/libnet/connection_pool.cpp
+++ b/src/libnet/connection_pool.cpp
@@ -14,8 +14,8 @@
 constexpr std::chrono::seconds maxIdleTime { 30 };
 constexpr std::chrono::seconds checkInterval { 5 };
 
-/// Returns whether a request with this id, and with HttpCallOptions::establishedBefore, may use the connection.
-bool isPermitted(const ClientConnection& connection, SteadyTime establishedBefore, std::string_view requestId)
+/// Returns whether the connection may carry a request with this id and with HttpCallOptions::establishedBefore.
+bool mayCarry(const ClientConnection& connection, SteadyTime establishedBefore, std::string_view requestId)
 {
     return connection.info.establishedAt < establishedBefore && !connection.sentIds.contains(requestId);
 }
@@ -56,7 +56,7 @@
     for (std::size_t i = idle.size(); i > 0; --i) {
         if (m_clock.now() - idle[i - 1]->idleSince >= options.maxIdle)
             return nullptr;
-        if (!isPermitted(*idle[i - 1], establishedBefore, requestId))
+        if (!mayCarry(*idle[i - 1], establishedBefore, requestId))
             continue;
         auto connection = std::move(idle[i - 1]);
         idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i - 1));
@@ -67,6 +67,12 @@
         recordEvicted(1);
         recordUnsolicited(*connection);
     }
+    // The new connection takes the place of one that has carried the id. Otherwise requests that repeat an id would add
+    // a connection each.
+    if (!options.establishedBefore && !idle.empty()) {
+        idle.erase(idle.begin());
+        recordEvicted(1);
+    }
     return nullptr;
 }
 
@@ -75,7 +81,7 @@
     const auto it = m_idle.find(address);
     return it != m_idle.end()
         && std::any_of(it->second.begin(), it->second.end(), [&](const ClientConnectionPtr& connection) {
-               return isPermitted(*connection, establishedBefore, requestId) && isReusable(*connection);
+               return mayCarry(*connection, establishedBefore, requestId) && isReusable(*connection);
            });
 }
 
--- a/src/libnet/sent_request_ids.h
+++ b/src/libnet/sent_request_ids.h
@@ -12,7 +12,7 @@
 class SentRequestIds {
 public:
     /// Number of ids that are kept. A connection with as many is not used again.
-    static constexpr std::size_t capacity = 256;
+    static constexpr std::size_t capacity = 1024;
 
     /// Adds an id; an empty one is ignored.
     void add(std::string_view id);
