Recognise the refusal of another instance by its status too

A response with the field Bulrush-Relay-Refused counted as the refusal of a handed-on request, also if an upstream had sent the field with a success: the request, which had run, was offered to the next instance. A refusal has status 503, and a response of an upstream that is passed on never has.

IsServedWhateverFieldsItsUpstreamSends failed before. It and the test that a handed-on request goes over a new connection when it comes back are new; with the choice of the pool taken out, the latter failed.

--- a/src/libfront/peer_relay.cpp
+++ b/src/libfront/peer_relay.cpp
@@ -94,7 +94,9 @@
             avoid(peer, stream.error().detail);
             continue;
         }
-        const auto reason = (*stream)->headers().find(relayRefusedHeader);
+        // A response of an upstream that happens to have this field never has this status.
+        const bool isRefused = (*stream)->status() == relayRefusedStatus;
+        const auto reason = isRefused ? (*stream)->headers().find(relayRefusedHeader) : std::nullopt;
         if (!reason)
             co_return std::move(*stream);
         if (*reason == otherConfiguration)
@@ -132,7 +134,7 @@
 {
     const auto reason = refusalReason(exchange.request());
     if (!reason.empty()) {
-        HttpResponse response { .status = 503 };
+        HttpResponse response { .status = relayRefusedStatus };
         response.headers.set(relayRefusedHeader, reason);
         co_await exchange.respond(std::move(response));
         co_return;
--- a/src/libfront/peer_relay.h
+++ b/src/libfront/peer_relay.h
@@ -18,6 +18,7 @@
 inline constexpr std::string_view relayedConfigurationHeader = "Bulrush-Relayed-Configuration";
 /// Header of a response that says that the instance did not take the request, and why.
 inline constexpr std::string_view relayRefusedHeader = "Bulrush-Relay-Refused";
+inline constexpr unsigned relayRefusedStatus = 503;
 
 /// Hands requests to other instances while this one is cut off from the upstreams. An instance that is cut off as well,
 /// is shutting down, or has another configuration in force refuses; the next one is then asked.
--- a/src/libfront/request_relay_test.cpp
+++ b/src/libfront/request_relay_test.cpp
@@ -65,6 +65,19 @@
     BOOST_TEST(upstream.connections() == 0u);
 }
 
+// Guards against the response to an earlier attempt that is taken for the one to a request which came back.
+BOOST_AUTO_TEST_CASE(GoesOverANewConnectionWhenItComesBack)
+{
+    const auto refused = rawResponse("503 Busy", "X-Id: 7\r\n", "");
+    RawServer other(context, { refused, okResponseTo8, okResponse });
+    peers.list.push_back({ .instance = "front-2", .address = other.address() });
+    BOOST_TEST(call("/once/x")->status == 503u);
+    BOOST_TEST(call("/once/x", "8")->status == 200u);
+    BOOST_TEST(other.connections() == 1u);
+    BOOST_TEST(call("/once/x")->status == 200u);
+    BOOST_TEST(other.connections() == 2u);
+}
+
 // Guards against a response to another request, and one that no upstream has made.
 BOOST_AUTO_TEST_CASE(GetsOnlyTheResponseOfAnUpstreamToItself)
 {
@@ -85,6 +98,14 @@
     BOOST_TEST(call("/events/x").has_error());
 }
 
+// Guards against a second run at another instance because of a field in the response of an upstream.
+BOOST_AUTO_TEST_CASE(IsServedWhateverFieldsItsUpstreamSends)
+{
+    const auto fields = "X-Id: 7\r\nX-Seal: s\r\n" + std::string(relayRefusedHeader) + ": cut-off\r\n";
+    addInstance({ rawResponse("200 OK", fields, "whole") });
+    BOOST_TEST(call("/once/x")->body == "whole");
+}
+
 BOOST_AUTO_TEST_CASE(GetsTheWholeStream)
 {
     addInstance({ streamResponseHead + chunk(firstEvent) + "0\r\n\r\n" });
