Promise nothing for a handed-on request that may have run

An instance that is cut off from the upstreams after an attempt hands a request that may be repeated to another instance. That one answered 503 or 429 for a quarantined request, a used-up quota or a missing configuration, although the attempt may have run; callers were told that it had not. It now answers 502 without Retry-After.

--- a/src/libfront/front_test_support.h
+++ b/src/libfront/front_test_support.h
@@ -287,17 +287,7 @@
     CountedRefusals refusals;
     prometheus::Registry registry;
     FrontMetrics metrics { registry };
-    Ingress ingress { { .state = state,
-        .client = client,
-        .format = format,
-        .adapters = adapters,
-        .permits = permits,
-        .quotas = quotas,
-        .origins = origins,
-        .upstreams = rows,
-        .relay = relay,
-        .refusals = refusals,
-        .metrics = metrics } };
+    Ingress ingress { dependencies() };
     HttpServer server { context, { .address = { .host = "127.0.0.1", .port = 0 } }, ingress };
     std::vector<std::unique_ptr<RawServer>> upstreams;
     std::vector<std::unique_ptr<RefusingServer>> refusingUpstreams;
@@ -309,6 +299,21 @@
         BOOST_REQUIRE(!server.start());
     }
 
+    RequestDependencies dependencies()
+    {
+        return { .state = state,
+            .client = client,
+            .format = format,
+            .adapters = adapters,
+            .permits = permits,
+            .quotas = quotas,
+            .origins = origins,
+            .upstreams = rows,
+            .relay = relay,
+            .refusals = refusals,
+            .metrics = metrics };
+    }
+
     void configure()
     {
         std::vector<RouteSpec> routes { route("/once/", CallKind::NonIdempotent, 1),
--- a/src/libfront/request_attempt.cpp
+++ b/src/libfront/request_attempt.cpp
@@ -49,9 +49,6 @@
     return { .code = code, .verdict = Verdict::MayHaveRun, .detail = std::move(detail) };
 }
 
-/// Returns whether the status implies that the request was not executed.
-bool impliesNotExecuted(unsigned status) { return status == 408 || status == 421 || status == 429 || status == 503; }
-
 /// Returns the suspects as fields of a log line.
 std::string suspectsForLog(const std::vector<CrashSuspect>& suspects)
 {
@@ -227,7 +224,8 @@
 }
 
 /// Returns whether a response is that of this attempt. A faulty upstream may send an earlier response again on the same
-/// connection. The id tells whether it is one, since the connection has not carried this request before.
+/// connection. Its id tells it apart, since the connection has not carried this request before; without an id, the
+/// response must be the first one on its connection.
 bool RequestForwarder::isOwnResponse(const Attempt& attempt) const
 {
     return attempt.head.requestId == m_request.id || attempt.stream->connection().isNew();
--- a/src/libfront/request_forwarder.cpp
+++ b/src/libfront/request_forwarder.cpp
@@ -490,8 +490,15 @@
     co_await respondWithFailure(unavailableFailure(std::move(problem.detail)));
 }
 
+/// Sends an error response. One that promises that the request has not run is replaced if it may have run, which is so
+/// for a request that another instance handed on after an attempt.
 asio::awaitable<void> RequestForwarder::sendError(Problem problem, std::optional<Milliseconds> retryAfter)
 {
+    if (m_verdict != Verdict::NotRun && impliesNotExecuted(statusOf(problem.code))) {
+        problem.code = ProblemCode::UpstreamFailed;
+        problem.verdict = m_verdict;
+        retryAfter.reset();
+    }
     auto response = problemResponse(problem, m_request.id);
     m_dependencies.format.completeErrorResponse(response, m_request.id, retryAfter);
     const unsigned status = response.status;
--- a/src/libfront/request_forwarder.h
+++ b/src/libfront/request_forwarder.h
@@ -15,6 +15,12 @@
 
 namespace bulrushstack {
 
+/// Returns whether the status of a response promises that its request was not executed.
+inline bool impliesNotExecuted(unsigned status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 /// Handles one request of a client: admission, choice of upstreams, attempts, and relaying of the response.
 class RequestForwarder final : private AbortableRequest {
 public:
--- a/src/libfront/request_relay_test.cpp
+++ b/src/libfront/request_relay_test.cpp
@@ -113,3 +113,29 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(ARequestThatAnotherInstanceHandedOn, FrontFixture)
+
+// Guards against the promise that a request has not run which an upstream of the other instance may have run.
+BOOST_AUTO_TEST_CASE(IsNotRefusedIfItMayHaveRunThere)
+{
+    RelayedRequestHandler handler(dependencies());
+    HttpServer control(context, { .address = { .host = "127.0.0.1", .port = 0 } }, handler);
+    BOOST_REQUIRE(!control.start());
+    const ServingRequest sent { .host = "host" };
+    const auto suspects = suspectsOf(sent, requestDigest(sent, "/read/x", ""));
+    state.recordCrash("u1", 1, suspects);
+    state.recordCrash("u1", 2, suspects);
+    for (const auto& [attempts, status] : { std::pair("0", 503u), std::pair("1", 502u) }) {
+        HttpRequest request { .method = "POST", .target = "/read/x" };
+        request.headers.set("X-Id", "7");
+        request.headers.set(relayedAttemptsHeader, attempts);
+        request.headers.set(relayedConfigurationHeader, "1");
+        const Address address { .host = "127.0.0.1", .port = control.port() };
+        const auto response = runAwaitable(context, client.call(address, std::move(request)));
+        BOOST_REQUIRE(response);
+        BOOST_TEST(response->status == status);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
