--- a/src/libengine/engine_stream_test.cpp
+++ b/src/libengine/engine_stream_test.cpp
@@ -108,13 +108,13 @@
     BOOST_TEST(connections == 1);
 }
 
-// Guards against a copy of a refusal that is taken for the response to a later request for the same stream.
+// Guards against a copy of an earlier response that is taken for the response to a later request for the same stream.
 BOOST_AUTO_TEST_CASE(ConnectionIsNotReusedForTheSameAttempt)
 {
-    respondWith(503, "", "X-Request-Id: {id}\r\nX-Not-Started: 1\r\n");
-    BOOST_TEST(resume(1).has_error());
-    respondWithStream({ second, done });
-    BOOST_TEST(resume(0).has_value());
+    BOOST_TEST(!readStream({ first, second, done }).failure);
+    context.restart();
+    context.poll();
+    BOOST_TEST(!readStream({ first, second, done }).failure);
     BOOST_TEST(connections == 2);
 }
 
--- a/src/libfront/faulty_response_test.cpp
+++ b/src/libfront/faulty_response_test.cpp
@@ -66,7 +66,7 @@
 
 BOOST_AUTO_TEST_SUITE(WhenTheRefusedRequestComesBack)
 
-// Guards against REFUSED: a caller is told that a request has not run which the upstream is running.
+// Guards against telling a caller that a request has not run which the upstream is running.
 BOOST_AUTO_TEST_CASE(DoesNotRefuseTheRequestThatRuns)
 {
     for (const auto* status :
@@ -81,7 +81,7 @@
     }
 }
 
-// Guards against TWICE: the request runs at one upstream and is sent to another one.
+// Guards against a second run, at another upstream, of a request that the first one is running.
 BOOST_AUTO_TEST_CASE(DoesNotSendTheRequestThatRunsToAnotherUpstream)
 {
     auto& first = addRefusingUpstream(notExecutedResponse, okResponse);
@@ -100,7 +100,16 @@
     BOOST_TEST(upstream.runs() == 1u);
 }
 
-// Guards against a copy that changes what is known of the upstream: its load, its pause, its refusals.
+// Guards against a copy of an earlier success that is delivered for the same request.
+BOOST_AUTO_TEST_CASE(IsNotDeliveredIfItIsASuccess)
+{
+    const auto earlier = rawResponse("200 OK", "X-Id: 7\r\nX-Seal: s\r\n", "earlier");
+    addRefusingUpstream(earlier, okResponse);
+    BOOST_TEST(call("/read/x")->body == "earlier");
+    BOOST_TEST(call("/read/x")->body == "whole");
+}
+
+// Guards against other instances that are told of more refusals than there were.
 BOOST_AUTO_TEST_CASE(IsNotCountedAsARefusalOfTheUpstream)
 {
     const auto brittle = rawResponse("503 Busy", "X-Id: 7\r\nX-Not-Run: 1\r\nX-Brittle: 3\r\n", "");
--- a/testsuite/repeated-refusals/run.py
+++ b/testsuite/repeated-refusals/run.py
@@ -7,7 +7,7 @@
 import asyncio
 
 import serving_site
-from serving_site import brief_request, checkout_request, lookup_request
+from serving_site import brief_request, checkout_request, lookup_request, note_request
 from transcript import Transcript
 from worker import RefusalRepeats
 
@@ -27,6 +27,7 @@
     ("a copy of status 421", checkout_request, 421, RefusalRepeats()),
     ("a copy of status 429", checkout_request, 429, RefusalRepeats()),
     ("streams that may not be resumed", brief_request, 503, RefusalRepeats()),
+    ("streams that may be resumed", note_request, 503, RefusalRepeats()),
     ("requests that may be repeated", lookup_request, 503, RefusalRepeats()),
 )
 
