Log and count each connection that ends without a complete response

Change: the server reports each request of which a byte has arrived and whose connection ends without a complete response: reason, phase, bytes read and unread, age of the last byte. The front logs it as event=unanswered with the request's id and the configuration in force, and counts the reasons. No decision changes. The lines have the volume bound of all INFO lines.

--- a/src/include/bulrushstack/front/front_binding.h
+++ b/src/include/bulrushstack/front/front_binding.h
@@ -71,6 +71,9 @@
     /// Decodes the request of a client. Fails with Errc::Malformed.
     virtual Result<ServingRequest> decode(const HttpRequest& request) const = 0;
 
+    /// Returns the id of a request from its headers; empty if they name none.
+    virtual std::string requestId(const HttpHeaders& headers) const = 0;
+
     /// Returns the request to send to an upstream.
     virtual HttpRequest encode(const HttpRequest& request, const ForwardingFields& forwardingFields) const = 0;
 
--- a/src/include/bulrushstack/net/http_server.h
+++ b/src/include/bulrushstack/net/http_server.h
@@ -2,6 +2,7 @@
 
 #include "bulrushstack/net/client_buffers.h"
 #include "bulrushstack/net/http.h"
+#include "bulrushstack/net/unanswered_request.h"
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -60,6 +61,10 @@
     /// is too large (413, 431) or has an unsupported transfer coding (501), above the connection limit or without
     /// memory (503), and after handle() failed (500).
     virtual HttpResponse protocolError(unsigned status, std::string_view detail);
+
+    /// Called for each connection that ends without a complete response to a request of which at least one byte has
+    /// arrived. The default implementation does nothing.
+    virtual void onUnanswered(const UnansweredRequest&) { }
 };
 
 struct HttpServerOptions {
--- a/src/libfront/front_metrics.cpp
+++ b/src/libfront/front_metrics.cpp
@@ -49,6 +49,10 @@
                            .Help("Responses of upstreams that were skipped because they name another request")
                            .Register(registry)
                            .Add({}))
+    , m_unanswered(BuildCounter()
+                       .Name("bulrush_front_unanswered_requests_total")
+                       .Help("Requests whose connection ended without a complete response, by reason")
+                       .Register(registry))
     , m_orders(BuildCounter()
                    .Name("bulrush_front_orders_total")
                    .Help("Orders to upstreams, by kind and answer")
@@ -123,6 +127,11 @@
 
 void FrontMetrics::recordStrayResponse() { m_strayResponses.Increment(); }
 
+void FrontMetrics::recordUnanswered(std::string_view reason)
+{
+    m_unanswered.Add({ { "reason", std::string(reason) } }).Increment();
+}
+
 void FrontMetrics::recordRetryDecision(std::string_view decision)
 {
     m_retries.Add({ { "decision", std::string(decision) } }).Increment();
--- a/src/libfront/front_metrics.h
+++ b/src/libfront/front_metrics.h
@@ -32,6 +32,7 @@
     void recordAttempt(std::string_view outcome);
     void recordRetryDecision(std::string_view decision);
     void recordStrayResponse();
+    void recordUnanswered(std::string_view reason);
     void recordOrder(std::string_view kind, std::string_view result);
     void recordStoreFailure(std::string_view table);
     void setConfigurationVersion(std::uint64_t version);
@@ -50,6 +51,7 @@
     prometheus::Family<prometheus::Counter>& m_attempts;
     prometheus::Family<prometheus::Counter>& m_retries;
     prometheus::Counter& m_strayResponses;
+    prometheus::Family<prometheus::Counter>& m_unanswered;
     prometheus::Family<prometheus::Counter>& m_orders;
     prometheus::Family<prometheus::Counter>& m_storeFailures;
     prometheus::Histogram& m_firstEventTimes;
--- a/src/libfront/front_service.cpp
+++ b/src/libfront/front_service.cpp
@@ -10,6 +10,7 @@
 #include "refusal_notices.h"
 #include "request_forwarder.h"
 #include "store_synchronizer.h"
+#include "unanswered_log.h"
 #include <algorithm>
 #include <glog/logging.h>
 #include <sys/resource.h>
@@ -146,6 +147,7 @@
 public:
     explicit Ingress(RequestDependencies dependencies)
         : m_dependencies(dependencies)
+        , m_unanswered("listen-address", dependencies.state, dependencies.format, dependencies.metrics)
     {
     }
 
@@ -163,8 +165,11 @@
         return response;
     }
 
+    void onUnanswered(const UnansweredRequest& request) override { m_unanswered.record(request); }
+
 private:
     RequestDependencies m_dependencies;
+    UnansweredLog m_unanswered;
 };
 
 /// Handles the readiness checks of the load balancer.
@@ -221,8 +226,9 @@
 class ControlHandler final : public HttpHandler {
 public:
     ControlHandler(TableRelay& tables, HttpHandler& origins, HttpHandler& agent, HttpHandler& relayedRequests,
-        HttpHandler& refusalNotices)
-        : m_relayedRequests(relayedRequests)
+        HttpHandler& refusalNotices, UnansweredLog unanswered)
+        : m_unanswered(std::move(unanswered))
+        , m_relayedRequests(relayedRequests)
         , m_refusalNotices(refusalNotices)
         , m_tables(tables)
         , m_origins(origins)
@@ -248,7 +254,10 @@
         }
     }
 
+    void onUnanswered(const UnansweredRequest& request) override { m_unanswered.record(request); }
+
 private:
+    UnansweredLog m_unanswered;
     HttpHandler& m_relayedRequests;
     HttpHandler& m_refusalNotices;
     TableRelay& m_tables;
@@ -297,7 +306,8 @@
         , refusalNotices(state, client, origins)
         , ingress(requestDependencies(client))
         , relayedRequests(requestDependencies(client))
-        , controlHandler(relay.tables(), origins, agent, relayedRequests, refusalNotices)
+        , controlHandler(relay.tables(), origins, agent, relayedRequests, refusalNotices,
+              { "control-address", state, binding->requestFormat(), metrics })
         , readiness(runtime, binding->readinessPath())
         , metricsHandler(runtime, client, memory, metrics)
         , ingressServer(context,
--- a/src/libfront/front_test_support.h
+++ b/src/libfront/front_test_support.h
@@ -17,10 +17,12 @@
 /// X-Limit, X-Brittle, X-Resumes, X-Key, X-Team and X-Retry-Ms.
 class TestFormat final : public RequestFormat {
 public:
+    std::string requestId(const HttpHeaders& headers) const override { return headers.find("X-Id").value_or(""); }
+
     Result<ServingRequest> decode(const HttpRequest& request) const override
     {
         ServingRequest out;
-        out.id = request.headers.find("X-Id").value_or("");
+        out.id = requestId(request.headers);
         out.host = "host";
         out.path = std::string(request.path());
         out.model = request.headers.find("X-Model").value_or("");
--- a/src/libnet/http_beast.cpp
+++ b/src/libnet/http_beast.cpp
@@ -11,6 +11,7 @@
     None,
     Data,
     Closed,
+    Broken,
 };
 
 SocketInput peek(asio::ip::tcp::socket& socket)
@@ -21,7 +22,7 @@
         return SocketInput::Data;
     if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
         return SocketInput::None;
-    return SocketInput::Closed;
+    return n == 0 ? SocketInput::Closed : SocketInput::Broken;
 }
 
 } // namespace
@@ -39,7 +40,28 @@
     stream.close();
 }
 
-bool isPeerClosed(asio::ip::tcp::socket& socket) { return !socket.is_open() || peek(socket) == SocketInput::Closed; }
+PeerState peerState(asio::ip::tcp::socket& socket)
+{
+    if (!socket.is_open())
+        return PeerState::Closed;
+    switch (peek(socket)) {
+    case SocketInput::Closed:
+        return PeerState::Closed;
+    case SocketInput::Broken:
+        return PeerState::Reset;
+    default:
+        return PeerState::Open;
+    }
+}
+
+std::size_t unreadBytes(asio::ip::tcp::socket& socket)
+{
+    beast::error_code ec;
+    const std::size_t n = socket.is_open() ? socket.available(ec) : 0;
+    return ec ? 0 : n;
+}
+
+bool isPeerClosed(asio::ip::tcp::socket& socket) { return peerState(socket) != PeerState::Open; }
 
 bool hasInput(asio::ip::tcp::socket& socket) { return socket.is_open() && peek(socket) == SocketInput::Data; }
 
--- a/src/libnet/http_beast.h
+++ b/src/libnet/http_beast.h
@@ -62,6 +62,19 @@
 /// input sends a TCP reset, which could destroy the response before the client has read it.
 asio::awaitable<void> lingeringClose(beast::tcp_stream& stream);
 
+/// State of the peer of a connection.
+enum class PeerState {
+    Open,
+    Closed, ///< the peer has closed its sending direction, or this side has closed the socket
+    Reset, ///< the connection was reset, or broke
+};
+
+/// Does not block and consumes no input.
+PeerState peerState(asio::ip::tcp::socket& socket);
+
+/// Returns the number of bytes that wait to be read; 0 if the socket is closed.
+std::size_t unreadBytes(asio::ip::tcp::socket& socket);
+
 /// Returns whether the connection is closed locally or by the peer. Does not block and consumes no input.
 bool isPeerClosed(asio::ip::tcp::socket& socket);
 
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -48,6 +48,7 @@
     tcp::acceptor acceptor;
     asio::steady_timer drained; ///< wakes drain(): cancelled when no request is in progress
     std::set<std::shared_ptr<ServerConnection>> connections;
+    std::uint64_t lastNumber = 0; ///< number of the connection that was accepted last
     std::size_t openRefusals = 0; ///< connections above the limit that are still open
     std::size_t activeRequests = 0;
     bool isDraining = false;
@@ -84,6 +85,21 @@
         || ec == asio::error::connection_reset || ec == asio::error::operation_aborted || ec == beast::error::timeout;
 }
 
+/// Returns why a request whose reading ended with this error stays without a response.
+UnansweredReason reasonOf(const beast::error_code& ec, const ServerConnection& connection)
+{
+    if (connection.memory.isClosed())
+        return UnansweredReason::ClientStalled;
+    if (ec == beast::error::timeout)
+        return connection.phase == ConnectionPhase::Idle ? UnansweredReason::IdleTimeout
+                                                         : UnansweredReason::ReadTimeout;
+    if (ec == asio::error::operation_aborted)
+        return UnansweredReason::Draining;
+    if (ec == asio::error::connection_reset)
+        return UnansweredReason::ClientReset;
+    return UnansweredReason::ClientClosed;
+}
+
 } // namespace
 
 HttpResponse HttpHandler::protocolError(unsigned status, std::string_view detail)
@@ -123,7 +139,7 @@
     }
     beast::error_code ec;
     socket.set_option(tcp::no_delay(true), ec);
-    auto connection = std::make_shared<ServerConnection>(std::move(socket), options.buffers);
+    auto connection = std::make_shared<ServerConnection>(std::move(socket), ++lastNumber, options.buffers);
     connections.insert(connection);
     asio::co_spawn(acceptor.get_executor(), serve(std::move(connection)), asio::detached);
 }
@@ -145,10 +161,12 @@
 asio::awaitable<void> HttpServer::State::refuseConnection(tcp::socket socket)
 {
     auto self = shared_from_this();
-    if (openRefusals >= refusalLimit)
+    ServerConnection connection(std::move(socket), ++lastNumber, nullptr);
+    if (openRefusals >= refusalLimit) {
+        handler.onUnanswered(connection.unanswered(UnansweredReason::ConnectionLimit));
         co_return;
+    }
     ++openRefusals;
-    ServerConnection connection(std::move(socket), nullptr);
     co_await sendProtocolError(connection, 503, "too many connections");
     --openRefusals;
 }
@@ -173,15 +191,21 @@
 asio::awaitable<bool> HttpServer::State::serveRequest(ServerConnection& connection)
 {
     auto& stream = connection.stream;
-    ++connection.requestNumber;
+    connection.beginRequest();
     if (connection.buffer.size() == 0) {
         stream.expires_after(options.idleTimeout);
         auto [ec, n] = co_await stream.async_read_some(connection.buffer.prepare(headerReadSize), asTuple);
-        if (ec)
+        if (n > 0)
+            connection.recordReceived(n);
+        if (ec) {
+            if (n > 0)
+                handler.onUnanswered(connection.unanswered(reasonOf(ec, connection)));
             co_return false;
+        }
         connection.buffer.commit(n);
     }
 
+    connection.phase = ConnectionPhase::Header;
     connection.memory.beginTransfer();
     stream.expires_after(options.readTimeout);
     RequestReader reader(connection, options);
@@ -195,31 +219,38 @@
             co_await sendProtocolError(connection, status, "ambiguous framing or unsupported transfer coding");
             co_return false;
         }
+        connection.phase = ConnectionPhase::Body;
         ec = co_await reader.readBody();
     }
     connection.memory.endTransfer();
     if (connection.memory.isClosed())
-        co_return false;
+        ec = asio::error::operation_aborted;
     if (ec == asio::error::no_memory && connection.buffers)
         connection.buffers->logRefusal("refused", connection.clientAddress(), connection.memory.size());
+    if (ec && isConnectionLoss(ec)) {
+        handler.onUnanswered(connection.unanswered(reasonOf(ec, connection), copyFields(reader.parser().get())));
+        co_return false;
+    }
     if (ec) {
         // What was read of the request is not needed for the response.
         reader.parser().release();
         connection.buffer.clear();
         connection.buffer.shrink_to_fit();
         connection.memory.hold(0);
-        if (!isConnectionLoss(ec))
-            co_await sendProtocolError(connection, statusOfReadError(ec), ec.message());
+        co_await sendProtocolError(connection, statusOfReadError(ec), ec.message());
         co_return false;
     }
 
     ServerExchange exchange(connection, options, isKeepAliveDisabled, releaseRequest(reader.parser()));
 
     connection.isBusy = true;
+    connection.phase = ConnectionPhase::Response;
     ++activeRequests;
+    bool hasFailed = false;
     try {
         co_await handler.handle(exchange);
     } catch (const std::exception& error) {
+        hasFailed = true;
         LOG(ERROR) << "event=handler-failed target=" << exchange.request().path() << " error=\"" << error.what()
                    << "\"";
     }
@@ -227,6 +258,10 @@
         auto response = handler.protocolError(500, "internal error");
         co_await exchange.respond(std::move(response));
     }
+    if (!exchange.isComplete()) {
+        const auto reason = hasFailed ? UnansweredReason::HandlerFailed : exchange.incompleteReason();
+        handler.onUnanswered(connection.unanswered(reason, exchange.request().headers));
+    }
     connection.isBusy = false;
     onRequestFinished();
     co_return exchange.isReusable();
@@ -240,7 +275,9 @@
     if (status == 503 && !response.headers.find("Retry-After"))
         response.headers.set("Retry-After", "1");
     auto ec = co_await exchange.respond(std::move(response));
-    if (!ec)
+    if (ec)
+        handler.onUnanswered(connection.unanswered(exchange.incompleteReason()));
+    else
         co_await lingeringClose(connection.stream);
 }
 
--- a/src/libnet/request_reader.cpp
+++ b/src/libnet/request_reader.cpp
@@ -147,6 +147,7 @@
     if (ec)
         co_return ec == asio::error::eof ? beast::error_code(http::error::partial_message) : ec;
     m_connection.buffer.commit(n);
+    m_connection.recordReceived(n);
     m_connection.memory.recordProgress(n);
     co_return beast::error_code();
 }
--- a/src/libnet/request_reader.h
+++ b/src/libnet/request_reader.h
@@ -20,8 +20,8 @@
     /// http::error::header_limit if it is too large, asio::error::no_memory if there is no room for it.
     asio::awaitable<beast::error_code> readHeader();
 
-    /// Reads the body and the trailers. Trailers and chunk headers, which stay in the connection's buffer until they are
-    /// complete, have the limit of a header section. Errors are those of readHeader() and http::error::body_limit.
+    /// Reads the body and the trailers. Trailers and chunk headers, which stay in the connection's buffer until they
+    /// are complete, have the limit of a header section. Errors are those of readHeader() and http::error::body_limit.
     asio::awaitable<beast::error_code> readBody();
 
     /// Returns what is wrong with the syntax of the header section; empty if nothing is.
--- a/src/libnet/server_exchange.cpp
+++ b/src/libnet/server_exchange.cpp
@@ -46,6 +46,7 @@
     if (!memory.isClosed())
         memory.hold(requestSize);
     m_isComplete = !ec;
+    m_writeError = ec;
     co_return ec;
 }
 
@@ -63,6 +64,7 @@
     http::response_serializer<http::empty_body> serializer(message);
     m_connection.stream.expires_after(m_options.writeTimeout);
     auto [ec, n] = co_await http::async_write_header(m_connection.stream, serializer, asTuple);
+    m_writeError = ec;
     co_return ec;
 }
 
@@ -79,6 +81,7 @@
     } else {
         std::tie(ec, std::ignore) = co_await asio::async_write(m_connection.stream, buf, asTuple);
     }
+    m_writeError = ec;
     co_return ec;
 }
 
@@ -93,6 +96,7 @@
         setResetOnClose(false);
     }
     m_isComplete = !ec;
+    m_writeError = ec;
     co_return ec;
 }
 
@@ -103,8 +107,20 @@
     m_connection.stream.close();
 }
 
-template <typename Message>
-void ServerExchange::prepare(Message& message, unsigned status, const HttpHeaders& headers)
+UnansweredReason ServerExchange::incompleteReason() const
+{
+    if (m_connection.memory.isClosed())
+        return UnansweredReason::ClientStalled;
+    if (m_writeError == beast::error::timeout)
+        return UnansweredReason::WriteTimeout;
+    if (m_connection.clientEnd)
+        return *m_connection.clientEnd;
+    if (m_writeError && m_writeError != asio::error::operation_aborted)
+        return UnansweredReason::ClientReset;
+    return UnansweredReason::HandlerClosed;
+}
+
+template <typename Message> void ServerExchange::prepare(Message& message, unsigned status, const HttpHeaders& headers)
 {
     m_isStarted = true;
     m_isKeptAlive = m_isKeptAlive && !m_isKeepAliveDisabled;
--- a/src/libnet/server_exchange.h
+++ b/src/libnet/server_exchange.h
@@ -32,6 +32,12 @@
     /// Returns whether the connection can be used for another request.
     bool isReusable() const { return m_isComplete && m_isKeptAlive; }
 
+    /// Returns whether the whole response was written.
+    bool isComplete() const { return m_isComplete; }
+
+    /// Returns why the response is not complete.
+    UnansweredReason incompleteReason() const;
+
 private:
     template <typename Message> void prepare(Message& message, unsigned status, const HttpHeaders& headers);
     void setResetOnClose(bool isEnabled);
@@ -45,6 +51,7 @@
     bool m_isStarted = false;
     bool m_isChunked = false;
     bool m_isComplete = false;
+    beast::error_code m_writeError;
 };
 
 } // namespace bulrushstack::detail
--- a/src/libnet/test_server.h
+++ b/src/libnet/test_server.h
@@ -13,14 +13,15 @@
 
 namespace bulrushstack {
 
-/// Responds with the request body. "/stream" sends three chunks, "/cut" returns and "/abort" closes the exchange after
-/// the first of them,
+/// Responds with the request body, and watches its client as the handlers of the daemon do. "/stream" sends three
+/// chunks, "/cut" returns and "/abort" closes the exchange after the first of them,
 /// "/slow" responds after 200 ms, "/throw" throws an exception, and "/nothing" returns without a response.
 class EchoHandler final : public HttpHandler {
 public:
     boost::asio::awaitable<void> handle(HttpExchange& exchange) override
     {
         ++m_requests;
+        exchange.onClientGone([] {});
         const auto path = exchange.request().path();
         if (path == "/throw")
             throw std::runtime_error("handler error");
@@ -46,10 +47,14 @@
         co_await exchange.respond(std::move(response));
     }
 
+    void onUnanswered(const UnansweredRequest& request) override { m_unanswered.push_back(request); }
+
     int requests() const { return m_requests; }
+    const std::vector<UnansweredRequest>& unanswered() const { return m_unanswered; }
 
 private:
     int m_requests = 0;
+    std::vector<UnansweredRequest> m_unanswered;
 };
 
 /// Runs an HttpServer with EchoHandler on a free port of the loopback address and an HttpClient to call it.
