Let no timer take precedence over what has arrived on a connection

Callers saw: a whole request on a kept connection, and the connection closed without a response, beside a change of the configuration.

Cause: beast::tcp_stream closes the socket when the handler of its timer runs before that of the operation, and drops what the operation has read. The wait of watchForDisconnect() for the request before is still pending on the socket, so that the reactor appends the completion of the read to the end of its queue, behind timers that expired in the same iteration. It takes one iteration in which the idle timeout expires and a request arrives; where the loop is late, the iteration is long. A change that raises idleTimeoutMs makes it frequent: clients reuse a connection for up to four fifths of the new timeout, while one that waits already was closed after the old timeout.

Change: SocketDeadline replaces the timeouts of tcp_stream in the server and in the client. Its timer looks at the socket before it cancels the operation, an operation that completes keeps its result, and a deadline that the loop was late for is put off once by that time. A connection that waits for a request takes over a longer idle timeout. The client reads a response that has arrived before the deadline of its call, for 100 ms at most.

--- a/src/libnet/connection_pool.cpp
+++ b/src/libnet/connection_pool.cpp
@@ -93,7 +93,6 @@
         return;
     auto& idle = m_idle[address];
     connection->idleSince = m_clock.now();
-    connection->stream.expires_never();
     idle.push_back(std::move(connection));
     ++m_idleCount;
     if (idle.size() > idleLimitPerAddress) {
@@ -174,7 +173,7 @@
     return !options.sendBy || m_clock.bootNow() < *options.sendBy;
 }
 
-bool ConnectionPool::setOperationTimeout(beast::tcp_stream& stream, const HttpCallOptions& options) const
+bool ConnectionPool::setOperationTimeout(ClientConnection& connection, const HttpCallOptions& options) const
 {
     auto limit = std::chrono::nanoseconds::max();
     if (options.deadline != SteadyTime::max())
@@ -183,10 +182,7 @@
         return false;
     if (options.progressTimeout > std::chrono::nanoseconds(0))
         limit = std::min(limit, options.progressTimeout);
-    if (limit == std::chrono::nanoseconds::max())
-        stream.expires_never();
-    else
-        stream.expires_after(limit);
+    connection.deadline.expiresAfter(limit);
     return true;
 }
 
--- a/src/libnet/connection_pool.h
+++ b/src/libnet/connection_pool.h
@@ -4,6 +4,7 @@
 #include "bulrushstack/net/http_client.h"
 #include "http_beast.h"
 #include "sent_request_ids.h"
+#include "socket_deadline.h"
 
 #include <boost/asio/io_context.hpp>
 #include <chrono>
@@ -24,6 +25,7 @@
     ClientConnection& operator=(const ClientConnection&) = delete;
 
     beast::tcp_stream stream;
+    SocketDeadline deadline { stream.socket() }; ///< of the operation in progress
     beast::flat_buffer buffer;
     HttpConnectionInfo info;
     SentRequestIds sentIds;
@@ -69,9 +71,9 @@
     /// Returns whether a request may still be sent; see HttpCallOptions::sendBy.
     bool maySend(const HttpCallOptions& options) const;
 
-    /// Sets the timeout of the next operation on the stream from the deadline and the progress timeout. Returns false
-    /// if the deadline has passed.
-    bool setOperationTimeout(beast::tcp_stream& stream, const HttpCallOptions& options) const;
+    /// Sets the deadline of the next operation on the connection from the deadline of the call and the progress
+    /// timeout. Returns false if the deadline of the call has passed.
+    bool setOperationTimeout(ClientConnection& connection, const HttpCallOptions& options) const;
 
 private:
     using IdleConnections = std::map<Address, std::vector<ClientConnectionPtr>>;
--- a/src/libnet/http_beast.cpp
+++ b/src/libnet/http_beast.cpp
@@ -1,6 +1,7 @@
 #include "http_beast.h"
 
 #include <array>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace bulrushstack::detail {
@@ -25,6 +26,13 @@
     return n == 0 ? SocketInput::Closed : SocketInput::Broken;
 }
 
+bool isReady(const asio::ip::tcp::socket& socket, short events)
+{
+    // native_handle() is not const, but changes nothing.
+    pollfd descriptor { .fd = const_cast<asio::ip::tcp::socket&>(socket).native_handle(), .events = events };
+    return ::poll(&descriptor, 1, 0) > 0;
+}
+
 } // namespace
 
 asio::awaitable<void> lingeringClose(beast::tcp_stream& stream)
@@ -65,6 +73,10 @@
 
 bool hasInput(asio::ip::tcp::socket& socket) { return socket.is_open() && peek(socket) == SocketInput::Data; }
 
+bool isReadable(const asio::ip::tcp::socket& socket) { return socket.is_open() && isReady(socket, POLLIN); }
+
+bool isWritable(const asio::ip::tcp::socket& socket) { return socket.is_open() && isReady(socket, POLLOUT); }
+
 bool isUnusable(asio::ip::tcp::socket& socket) { return !socket.is_open() || peek(socket) != SocketInput::None; }
 
 } // namespace bulrushstack::detail
--- a/src/libnet/http_beast.h
+++ b/src/libnet/http_beast.h
@@ -81,6 +81,12 @@
 /// Returns whether the connection is open and has input that was not read yet. Does not block and consumes no input.
 bool hasInput(asio::ip::tcp::socket& socket);
 
+/// Returns whether a read on the socket returns at once, with data, the end of the input or an error.
+bool isReadable(const asio::ip::tcp::socket& socket);
+
+/// Returns whether a write on the socket can take data at once, or fails at once.
+bool isWritable(const asio::ip::tcp::socket& socket);
+
 /// Returns whether an idle connection cannot be reused because it is closed or has unexpected input.
 bool isUnusable(asio::ip::tcp::socket& socket);
 
--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -69,6 +69,9 @@
     return message;
 }
 
+/// Time after the deadline for which a response that has begun to arrive is read.
+constexpr std::chrono::milliseconds lateReadTime { 100 };
+
 class PooledStream final : public HttpStream {
 public:
     using Parser = http::response_parser<ReceivedBody>;
@@ -123,11 +126,11 @@
             m_parser.emplace();
             m_parser->body_limit(boost::none);
             m_parser->skip(m_isHead);
-            if (!m_pool->setOperationTimeout(m_connection->stream, limits))
+            if (!beginRead(limits))
                 co_return deadlineFailure(Verdict::MayHaveRun);
-            auto [ec, n]
+            auto [readError, n]
                 = co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, asTuple);
-            if (ec)
+            if (auto ec = m_connection->deadline.end(readError))
                 co_return failureOf(ec, Verdict::MayHaveRun, "reading the response header");
         } while (status() / 100 == 1);
         m_headers = copyFields(m_parser->get().base());
@@ -155,11 +158,11 @@
                 co_return Failure { .code = Errc::Cancelled,
                     .verdict = Verdict::MayHaveRun,
                     .detail = "the response stream was closed by the caller" };
-            if (!m_pool->setOperationTimeout(m_connection->stream, m_options))
+            if (!beginRead(m_options))
                 co_return deadlineFailure(Verdict::MayHaveRun);
-            auto [ec, n]
+            auto [readError, n]
                 = co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, asTuple);
-            if (ec)
+            if (auto ec = m_connection->deadline.end(readError))
                 co_return failureOf(ec, Verdict::MayHaveRun, "reading the response body");
         }
         if (!body.empty())
@@ -215,6 +218,24 @@
     }
 
 private:
+    /// Begins the deadline of a read. Returns false if it has passed and nothing has arrived, or if what arrived has
+    /// been read for long enough.
+    bool beginRead(const HttpCallOptions& limits)
+    {
+        auto& deadline = m_connection->deadline;
+        if (!m_pool->setOperationTimeout(*m_connection, limits)) {
+            const bool hasArrived = m_connection->buffer.size() > 0 || hasInput(m_connection->stream.socket());
+            const auto now = m_pool->now();
+            if (hasArrived && !m_lateReadEnd)
+                m_lateReadEnd = now + lateReadTime;
+            if (!hasArrived || now >= *m_lateReadEnd)
+                return false;
+            deadline.expiresAfter(*m_lateReadEnd - now);
+        }
+        deadline.begin(SocketDeadline::Direction::Read);
+        return true;
+    }
+
     Failure oversizedBodyFailure() const
     {
         return { .code = Errc::TooLarge,
@@ -246,6 +267,8 @@
     HttpHeaders m_headers;
     bool m_isConnectionKept = false; ///< whether read() keeps the connection after the body for the next response
     bool m_isClosed = false;
+    /// Time until which a response is read that arrived before the deadline, while the event loop was late.
+    std::optional<SteadyTime> m_lateReadEnd;
 };
 
 using RequestMessage = http::request<http::string_body>;
@@ -268,14 +291,22 @@
     static constexpr std::size_t immediateSendLimit = 4096; // bytes
     auto shared = std::make_shared<const RequestMessage>(std::move(message));
     if (shared->body().size() <= immediateSendLimit) {
+        connection->deadline.begin(SocketDeadline::Direction::Write);
         auto [ec, n] = co_await http::async_write(connection->stream, *shared, asTuple);
-        co_return ec;
+        co_return connection->deadline.end(ec);
     }
     connection->isSending = true;
     asio::co_spawn(connection->stream.get_executor(), sendInBackground(connection, std::move(shared)), asio::detached);
     co_return beast::error_code();
 }
 
+asio::awaitable<beast::error_code> establish(ClientConnection& connection, const tcp::endpoint& endpoint)
+{
+    connection.deadline.begin(SocketDeadline::Direction::Write);
+    auto [ec] = co_await connection.stream.async_connect(endpoint, asTuple);
+    co_return connection.deadline.end(ec);
+}
+
 asio::awaitable<Result<ClientConnectionPtr>> connect(
     std::shared_ptr<ConnectionPool> pool, Address address, HttpCallOptions options)
 {
@@ -289,15 +320,15 @@
     auto limits = options;
     if (options.connectTimeout > std::chrono::nanoseconds(0))
         limits.progressTimeout = options.connectTimeout;
-    if (!pool->setOperationTimeout(connection->stream, limits))
+    if (!pool->setOperationTimeout(*connection, limits))
         co_return deadlineFailure(Verdict::NotRun);
     if (options.cancellation)
         options.cancellation->setCloseCallback(makeCloseCallback(connection));
     const tcp::endpoint endpoint(host, address.port);
-    std::tie(ec) = co_await connection->stream.async_connect(endpoint, asTuple);
+    ec = co_await establish(*connection, endpoint);
     if (ec == asio::error::no_descriptors) {
         pool->closeAllIdle();
-        std::tie(ec) = co_await connection->stream.async_connect(endpoint, asTuple);
+        ec = co_await establish(*connection, endpoint);
     }
     if (ec)
         co_return failureOf(ec, Verdict::NotRun, "connecting to " + address.toString());
@@ -354,7 +385,7 @@
             co_return connected.error();
         connection = std::move(*connected);
     }
-    if (!pool->setOperationTimeout(connection->stream, options))
+    if (!pool->setOperationTimeout(*connection, options))
         co_return deadlineFailure(Verdict::NotRun);
     if (options.cancellation) {
         if (options.cancellation->isCancelled())
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -39,6 +39,7 @@
     void acceptPendingAndClose();
     asio::awaitable<void> refuseConnection(tcp::socket socket);
     asio::awaitable<void> serve(std::shared_ptr<ServerConnection> connection);
+    asio::awaitable<beast::error_code> awaitRequest(ServerConnection& connection);
     asio::awaitable<bool> serveRequest(ServerConnection& connection);
     asio::awaitable<void> sendProtocolError(ServerConnection& connection, unsigned status, std::string detail);
     void onRequestFinished();
@@ -188,26 +189,42 @@
     connections.erase(connection);
 }
 
+/// Reads the first bytes of the next request. Returns an error if the connection ends before.
+asio::awaitable<beast::error_code> HttpServer::State::awaitRequest(ServerConnection& connection)
+{
+    const auto idleSince = SocketDeadline::Timer::clock_type::now();
+    for (auto timeout = options.idleTimeout;; timeout = options.idleTimeout) {
+        connection.deadline.expiresAt(idleSince + timeout);
+        connection.deadline.begin(SocketDeadline::Direction::Read);
+        auto [readError, n]
+            = co_await connection.stream.async_read_some(connection.buffer.prepare(headerReadSize), asTuple);
+        const auto ec = connection.deadline.end(readError);
+        if (!ec) {
+            connection.buffer.commit(n);
+            connection.recordReceived(n);
+            co_return ec;
+        }
+        // Clients know of a longer idle timeout as soon as the connection does.
+        const bool isTimeoutRaised = options.idleTimeout > timeout;
+        if (ec != beast::error::timeout || !isTimeoutRaised)
+            co_return ec;
+    }
+}
+
 asio::awaitable<bool> HttpServer::State::serveRequest(ServerConnection& connection)
 {
-    auto& stream = connection.stream;
     connection.beginRequest();
     if (connection.buffer.size() == 0) {
-        stream.expires_after(options.idleTimeout);
-        auto [ec, n] = co_await stream.async_read_some(connection.buffer.prepare(headerReadSize), asTuple);
-        if (n > 0)
-            connection.recordReceived(n);
-        if (ec) {
-            if (n > 0)
+        if (auto ec = co_await awaitRequest(connection)) {
+            if (unreadBytes(connection.stream.socket()) > 0)
                 handler.onUnanswered(connection.unanswered(reasonOf(ec, connection)));
             co_return false;
         }
-        connection.buffer.commit(n);
     }
 
     connection.phase = ConnectionPhase::Header;
     connection.memory.beginTransfer();
-    stream.expires_after(options.readTimeout);
+    connection.deadline.expiresAfter(options.readTimeout);
     RequestReader reader(connection, options);
     auto ec = co_await reader.readHeader();
     if (!reader.syntaxError().empty()) {
--- a/src/libnet/late_loop_test.cpp
+++ b/src/libnet/late_loop_test.cpp
@@ -114,6 +114,18 @@
     BOOST_TEST(handler.unanswered().empty());
 }
 
+// Guards against a connection that is closed early, when clients know of a longer idle timeout than it does.
+BOOST_AUTO_TEST_CASE(StaysOpenIfTheIdleTimeoutIsRaisedMeanwhile)
+{
+    auto socket = openIdle();
+    server.setLimits({ .idleTimeout = 1h });
+    standStill();
+    serve();
+    send(socket, smallRequest);
+    serve();
+    BOOST_TEST(receive(socket).ends_with("hi"));
+}
+
 // Guards against connections that are never closed once their idle timeout has been put off.
 BOOST_AUTO_TEST_CASE(IsClosedAfterTheIdleTimeout)
 {
@@ -153,8 +165,7 @@
 {
     LongStreamHandler stream;
     LateLoopFixture fixture;
-    HttpServer server(fixture.context,
-        ServerFixture::withLoopback({ .writeTimeout = timeLimit }), stream);
+    HttpServer server(fixture.context, ServerFixture::withLoopback({ .writeTimeout = timeLimit }), stream);
     BOOST_TEST(!server.start());
     fixture.address.port = server.port();
     auto socket = fixture.connect();
--- a/src/libnet/request_reader.cpp
+++ b/src/libnet/request_reader.cpp
@@ -110,8 +110,9 @@
         co_return asio::error::no_memory;
     if (beast::iequals(m_parser.get()[http::field::expect], "100-continue")) {
         http::response<http::empty_body> proceed(http::status::continue_, m_parser.get().version());
-        auto [ec, n] = co_await http::async_write(m_connection.stream, proceed, asTuple);
-        if (ec)
+        m_connection.deadline.begin(SocketDeadline::Direction::Write);
+        auto [writeError, n] = co_await http::async_write(m_connection.stream, proceed, asTuple);
+        if (auto ec = m_connection.deadline.end(writeError))
             co_return ec;
     }
     auto& body = m_parser.get().body();
@@ -143,8 +144,9 @@
 /// Appends what one read returns to the connection's buffer.
 asio::awaitable<beast::error_code> RequestReader::readSome(std::size_t size)
 {
-    auto [ec, n] = co_await m_connection.stream.async_read_some(m_connection.buffer.prepare(size), asTuple);
-    if (ec)
+    m_connection.deadline.begin(SocketDeadline::Direction::Read);
+    auto [readError, n] = co_await m_connection.stream.async_read_some(m_connection.buffer.prepare(size), asTuple);
+    if (auto ec = m_connection.deadline.end(readError))
         co_return ec == asio::error::eof ? beast::error_code(http::error::partial_message) : ec;
     m_connection.buffer.commit(n);
     m_connection.recordReceived(n);
--- a/src/libnet/server_connection.cpp
+++ b/src/libnet/server_connection.cpp
@@ -43,7 +43,7 @@
 void ServerConnection::recordReceived(std::size_t n)
 {
     m_receivedBytes += n;
-    m_lastByteAt = Timer::clock_type::now();
+    m_lastByteAt = SocketDeadline::Timer::clock_type::now();
 }
 
 UnansweredRequest ServerConnection::unanswered(UnansweredReason reason, HttpHeaders headers)
@@ -57,7 +57,7 @@
         .receivedBytes = m_receivedBytes,
         .unreadBytes = unreadBytes(stream.socket()) };
     if (m_receivedBytes > 0)
-        out.sinceLastByte = Timer::clock_type::now() - m_lastByteAt;
+        out.sinceLastByte = SocketDeadline::Timer::clock_type::now() - m_lastByteAt;
     return out;
 }
 
--- a/src/libnet/server_connection.h
+++ b/src/libnet/server_connection.h
@@ -2,9 +2,8 @@
 
 #include "bulrushstack/net/client_buffers.h"
 #include "bulrushstack/net/unanswered_request.h"
-#include "http_beast.h"
+#include "socket_deadline.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -35,6 +34,7 @@
     UnansweredRequest unanswered(UnansweredReason reason, HttpHeaders headers = {});
 
     beast::tcp_stream stream;
+    SocketDeadline deadline { stream.socket() }; ///< of the read or write in progress
     beast::flat_buffer buffer;
     std::uint64_t number; ///< number of this connection at its server
     std::shared_ptr<ClientBuffers> buffers;
@@ -47,11 +47,9 @@
     std::optional<UnansweredReason> clientEnd;
 
 private:
-    using Timer = asio::steady_timer;
-
     std::string m_clientAddress;
     std::size_t m_receivedBytes = 0;
-    Timer::time_point m_lastByteAt {};
+    SocketDeadline::Timer::time_point m_lastByteAt {};
 
     void closeAsStalled(std::size_t held);
 };
--- a/src/libnet/server_exchange.cpp
+++ b/src/libnet/server_exchange.cpp
@@ -34,19 +34,19 @@
     const std::size_t requestSize = memory.size();
     memory.hold(requestSize + message.body().capacity());
     memory.beginTransfer();
-    m_connection.stream.expires_after(m_options.writeTimeout);
     http::response_serializer<http::string_body> serializer(message);
+    beginWrite();
     beast::error_code ec;
     while (!ec && !serializer.is_done()) {
         std::size_t n = 0;
         std::tie(ec, n) = co_await http::async_write_some(m_connection.stream, serializer, asTuple);
         memory.recordProgress(n);
     }
+    ec = endWrite(ec);
     memory.endTransfer();
     if (!memory.isClosed())
         memory.hold(requestSize);
     m_isComplete = !ec;
-    m_writeError = ec;
     co_return ec;
 }
 
@@ -62,17 +62,16 @@
         setResetOnClose(true);
     }
     http::response_serializer<http::empty_body> serializer(message);
-    m_connection.stream.expires_after(m_options.writeTimeout);
+    beginWrite();
     auto [ec, n] = co_await http::async_write_header(m_connection.stream, serializer, asTuple);
-    m_writeError = ec;
-    co_return ec;
+    co_return endWrite(ec);
 }
 
 asio::awaitable<std::error_code> ServerExchange::write(std::string_view data)
 {
     if (data.empty())
         co_return std::error_code();
-    m_connection.stream.expires_after(m_options.writeTimeout);
+    beginWrite();
     const auto buf = asio::const_buffer(data.data(), data.size());
     beast::error_code ec;
     if (m_isChunked) {
@@ -81,22 +80,21 @@
     } else {
         std::tie(ec, std::ignore) = co_await asio::async_write(m_connection.stream, buf, asTuple);
     }
-    m_writeError = ec;
-    co_return ec;
+    co_return endWrite(ec);
 }
 
 asio::awaitable<std::error_code> ServerExchange::endStream()
 {
     beast::error_code ec;
     if (m_isChunked) {
-        m_connection.stream.expires_after(m_options.writeTimeout);
+        beginWrite();
         const auto last = http::make_chunk_last();
         std::tie(ec, std::ignore) = co_await asio::async_write(m_connection.stream, last, asTuple);
+        ec = endWrite(ec);
     } else {
         setResetOnClose(false);
     }
     m_isComplete = !ec;
-    m_writeError = ec;
     co_return ec;
 }
 
@@ -107,6 +105,19 @@
     m_connection.stream.close();
 }
 
+void ServerExchange::beginWrite()
+{
+    m_connection.deadline.expiresAfter(m_options.writeTimeout);
+    m_connection.deadline.begin(SocketDeadline::Direction::Write);
+}
+
+/// Returns the error of the write, and keeps it for incompleteReason().
+beast::error_code ServerExchange::endWrite(const beast::error_code& ec)
+{
+    m_writeError = m_connection.deadline.end(ec);
+    return m_writeError;
+}
+
 UnansweredReason ServerExchange::incompleteReason() const
 {
     if (m_connection.memory.isClosed())
--- a/src/libnet/server_exchange.h
+++ b/src/libnet/server_exchange.h
@@ -39,6 +39,8 @@
     UnansweredReason incompleteReason() const;
 
 private:
+    void beginWrite();
+    beast::error_code endWrite(const beast::error_code& ec);
     template <typename Message> void prepare(Message& message, unsigned status, const HttpHeaders& headers);
     void setResetOnClose(bool isEnabled);
 
