Answer a request that is not complete in time with 408

Callers saw: a connection that closed without a response after they had sent part of a request. Cause: the server counted its own read timeout as a loss of the connection by the client. Class: an end of its own that a server takes for one of its peer's.

The case SlowWriterIsDisconnected asserted the silence; it now asserts 408, the end of the connection and that no handler ran, for a partial body and for a partial header.

--- a/src/include/bulrushstack/net/http_server.h
+++ b/src/include/bulrushstack/net/http_server.h
@@ -58,8 +58,8 @@
     virtual boost::asio::awaitable<void> handle(HttpExchange& exchange) = 0;
 
     /// Returns the response that the server sends without calling handle(): to a request that cannot be parsed (400),
-    /// is too large (413, 431) or has an unsupported transfer coding (501), above the connection limit or without
-    /// memory (503), and after handle() failed (500).
+    /// is not complete in time (408), is too large (413, 431) or has an unsupported transfer coding (501), above the
+    /// connection limit or without memory (503), and after handle() failed (500).
     virtual HttpResponse protocolError(unsigned status, std::string_view detail);
 
     /// Called for each connection that ends without a complete response to a request of which at least one byte has
@@ -72,7 +72,7 @@
     std::size_t headerLimit = 16 * 1024; ///< maximum size of request line and header fields, in bytes
     std::uint64_t bodyLimit = 8 * 1024 * 1024; ///< maximum size of a request body, in bytes
     std::size_t connectionLimit = 1024; ///< maximum number of open connections; further ones get status 503
-    /// Maximum time to receive a complete request, from its first byte; the connection is then closed.
+    /// Maximum time to receive a complete request, from its first byte; one that takes longer gets status 408.
     std::chrono::nanoseconds readTimeout = std::chrono::seconds(10);
     /// Maximum time to write one chunk or one complete response; the connection is then closed.
     std::chrono::nanoseconds writeTimeout = std::chrono::seconds(10);
--- a/src/include/bulrushstack/net/unanswered_request.h
+++ b/src/include/bulrushstack/net/unanswered_request.h
@@ -20,7 +20,6 @@
 /// Why a connection ended without a complete response.
 enum class UnansweredReason {
     IdleTimeout, ///< the idle timeout expired, although a request had arrived
-    ReadTimeout, ///< the request was not complete in time
     WriteTimeout, ///< the client did not receive the response in time
     ClientClosed, ///< the client closed its sending direction
     ClientReset, ///< the client reset the connection
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -66,6 +66,8 @@
         return 413;
     if (ec == asio::error::no_memory)
         return 503;
+    if (ec == beast::error::timeout)
+        return 408;
     return 400;
 }
 
@@ -83,7 +85,7 @@
 bool isConnectionLoss(const beast::error_code& ec)
 {
     return ec == http::error::end_of_stream || ec == http::error::partial_message || ec == asio::error::eof
-        || ec == asio::error::connection_reset || ec == asio::error::operation_aborted || ec == beast::error::timeout;
+        || ec == asio::error::connection_reset || ec == asio::error::operation_aborted;
 }
 
 /// Returns why a request whose reading ended with this error stays without a response.
@@ -92,8 +94,7 @@
     if (connection.memory.isClosed())
         return UnansweredReason::ClientStalled;
     if (ec == beast::error::timeout)
-        return connection.phase == ConnectionPhase::Idle ? UnansweredReason::IdleTimeout
-                                                         : UnansweredReason::ReadTimeout;
+        return UnansweredReason::IdleTimeout;
     if (ec == asio::error::operation_aborted)
         return UnansweredReason::Draining;
     if (ec == asio::error::connection_reset)
--- a/src/libnet/http_server_test.cpp
+++ b/src/libnet/http_server_test.cpp
@@ -171,9 +171,10 @@
 }
 
 // Guards against connections that a client keeps open by never completing its request.
-BOOST_AUTO_TEST_CASE(SlowWriterIsDisconnected)
+BOOST_AUTO_TEST_CASE(SlowWriterGets408AndIsDisconnected)
 {
-    BOOST_TEST(sendRaw("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabc").empty());
+    BOOST_TEST(sendRaw("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabc").starts_with("HTTP/1.1 408"));
+    BOOST_TEST(sendRaw("POST / HTTP/1.1\r\nHo").starts_with("HTTP/1.1 408"));
     BOOST_TEST(handler.requests() == 0);
 }
 
--- a/src/libnet/socket_deadline.h
+++ b/src/libnet/socket_deadline.h
@@ -10,10 +10,10 @@
 
 /// Cancels operations on a socket that cannot go on when their deadline has passed.
 ///
-/// Its timer looks at the socket before it cancels: where input has arrived, or the peer has taken output, the operation
-/// goes on, however late the event loop runs. An operation that completes keeps its result, also if its deadline has
-/// passed. beast::tcp_stream, in contrast, closes the socket when its timer's handler runs first, and drops what the
-/// operation has read.
+/// Its timer looks at the socket before it cancels: where input has arrived, or the peer has taken output, the
+/// operation goes on, however late the event loop runs. An operation that completes keeps its result, also if its
+/// deadline has passed. beast::tcp_stream, in contrast, closes the socket when its timer's handler runs first, and
+/// drops what the operation has read.
 ///
 ///     deadline.expiresAfter(timeout);
 ///     deadline.begin(SocketDeadline::Direction::Read);
--- a/src/libnet/unanswered_request.cpp
+++ b/src/libnet/unanswered_request.cpp
@@ -22,8 +22,6 @@
     switch (reason) {
     case UnansweredReason::IdleTimeout:
         return "idle-timeout";
-    case UnansweredReason::ReadTimeout:
-        return "read-timeout";
     case UnansweredReason::WriteTimeout:
         return "write-timeout";
     case UnansweredReason::ClientClosed:
