Read requests that have begun to arrive when a drain begins

Callers saw: a request that was being read when its instance began to drain got no response; also one whose last bytes waited in the socket, where the loop was late. Cause: drain() cancelled every connection without a running handler. Class: an event of this process goes before what has arrived.

Change: only connections on which nothing has arrived end at once. A request that is being read counts as active and has 1 s to arrive whole; if it does not, it gets 503. isDrained() holds once drain() has completed.

--- a/src/include/bulrushstack/net/http_server.h
+++ b/src/include/bulrushstack/net/http_server.h
@@ -98,7 +98,7 @@
     /// Returns the bound port, which differs from the configured one if that is 0.
     std::uint16_t port() const;
 
-    /// Returns the number of requests that are being handled.
+    /// Returns the number of requests that are being read or handled.
     std::size_t activeRequests() const;
 
     /// Adds "Connection: close" to all further responses but keeps accepting connections, for the time in which a load
@@ -109,8 +109,9 @@
     /// reading starts after the call.
     void setLimits(const HttpServerOptions& limits);
 
-    /// Stops accepting connections, closes connections on which no request is being handled, and completes when every
-    /// request in progress has been handled. Their responses carry "Connection: close".
+    /// Stops accepting connections, closes connections on which no request has arrived, and completes when every
+    /// request in progress has been read and handled. One that is not complete within 1 s gets status 503. Their
+    /// responses carry "Connection: close".
     boost::asio::awaitable<void> drain();
 
     /// Returns whether drain() has ended all requests.
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <glog/logging.h>
 #include <set>
@@ -23,6 +24,9 @@
 /// each takes a file descriptor until its client has read the response.
 constexpr std::size_t refusalLimit = 64;
 
+/// Time in which a request that is being read when the server begins to drain must be complete.
+constexpr std::chrono::seconds drainReadTime { 1 };
+
 } // namespace
 
 struct HttpServer::State : std::enable_shared_from_this<HttpServer::State> {
@@ -41,6 +45,9 @@
     asio::awaitable<void> serve(std::shared_ptr<ServerConnection> connection);
     asio::awaitable<beast::error_code> awaitRequest(ServerConnection& connection);
     asio::awaitable<bool> serveRequest(ServerConnection& connection);
+    asio::awaitable<bool> readAndHandle(ServerConnection& connection);
+    void beginReading(ServerConnection& connection);
+    void endIdleConnections();
     asio::awaitable<void> sendProtocolError(ServerConnection& connection, unsigned status, std::string detail);
     void onRequestFinished();
 
@@ -53,6 +60,7 @@
     std::size_t openRefusals = 0; ///< connections above the limit that are still open
     std::size_t activeRequests = 0;
     bool isDraining = false;
+    bool isDrained = false;
     bool isKeepAliveDisabled = false; ///< whether responses carry "Connection: close"
 };
 
@@ -223,9 +231,24 @@
         }
     }
 
+    ++activeRequests;
+    const bool isReusable = co_await readAndHandle(connection);
+    onRequestFinished();
+    co_return isReusable;
+}
+
+void HttpServer::State::beginReading(ServerConnection& connection)
+{
     connection.phase = ConnectionPhase::Header;
     connection.memory.beginTransfer();
-    connection.deadline.expiresAfter(options.readTimeout);
+    connection.deadline.expiresAfter(
+        isDraining ? std::min<std::chrono::nanoseconds>(drainReadTime, options.readTimeout) : options.readTimeout);
+}
+
+/// Reads the rest of a request and has it handled. Returns whether the connection can be used for another one.
+asio::awaitable<bool> HttpServer::State::readAndHandle(ServerConnection& connection)
+{
+    beginReading(connection);
     RequestReader reader(connection, options);
     auto ec = co_await reader.readHeader();
     if (!reader.syntaxError().empty()) {
@@ -255,15 +278,14 @@
         connection.buffer.clear();
         connection.buffer.shrink_to_fit();
         connection.memory.hold(0);
-        co_await sendProtocolError(connection, statusOfReadError(ec), ec.message());
+        const bool isCutShort = isDraining && ec == beast::error::timeout;
+        co_await sendProtocolError(connection, isCutShort ? 503 : statusOfReadError(ec), ec.message());
         co_return false;
     }
 
     ServerExchange exchange(connection, options, isKeepAliveDisabled, releaseRequest(reader.parser()));
 
-    connection.isBusy = true;
     connection.phase = ConnectionPhase::Response;
-    ++activeRequests;
     bool hasFailed = false;
     try {
         co_await handler.handle(exchange);
@@ -280,8 +302,6 @@
         const auto reason = hasFailed ? UnansweredReason::HandlerFailed : exchange.incompleteReason();
         handler.onUnanswered(connection.unanswered(reason, exchange.request().headers));
     }
-    connection.isBusy = false;
-    onRequestFinished();
     co_return exchange.isReusable();
 }
 
@@ -299,6 +319,18 @@
         co_await lingeringClose(connection.stream);
 }
 
+/// Ends the connections on which no request has arrived. One that is being read gets a little time to arrive whole.
+void HttpServer::State::endIdleConnections()
+{
+    const auto readEnd = SocketDeadline::Timer::clock_type::now() + drainReadTime;
+    for (const auto& it : connections) {
+        if (it->phase == ConnectionPhase::Header || it->phase == ConnectionPhase::Body)
+            it->deadline.expiresBy(readEnd);
+        else if (it->phase == ConnectionPhase::Idle && !it->deadline.canGoOn())
+            it->stream.cancel();
+    }
+}
+
 void HttpServer::State::onRequestFinished()
 {
     if (--activeRequests == 0)
@@ -345,7 +377,7 @@
 
 std::size_t HttpServer::activeRequests() const { return m_state->activeRequests; }
 
-bool HttpServer::isDrained() const { return m_state->isDraining && m_state->activeRequests == 0; }
+bool HttpServer::isDrained() const { return m_state->isDrained; }
 
 void HttpServer::disableKeepAlive() { m_state->isKeepAliveDisabled = true; }
 
@@ -368,14 +400,16 @@
     state->acceptPendingAndClose();
     co_await settled.async_wait(asTuple);
     state->isDraining = true;
-    for (const auto& it : state->connections) {
-        if (!it->isBusy)
-            it->stream.cancel();
-    }
+    state->endIdleConnections();
+    settled.expires_after(settleTime);
+    co_await settled.async_wait(asTuple);
+    // Lets the reads that have completed by now run first.
+    co_await asio::post(state->acceptor.get_executor(), asio::use_awaitable);
     while (state->activeRequests > 0) {
         state->drained.expires_at(SteadyTime::max());
         co_await state->drained.async_wait(asTuple);
     }
+    state->isDrained = true;
 }
 
 } // namespace bulrushstack
--- a/src/libnet/server_connection.h
+++ b/src/libnet/server_connection.h
@@ -39,7 +39,6 @@
     std::uint64_t number; ///< number of this connection at its server
     std::shared_ptr<ClientBuffers> buffers;
     ClientBuffer memory; ///< memory of the buffer, the request, and a response that is not sent yet
-    bool isBusy = false; ///< whether a request is being handled
     bool isResetOnClose = false; ///< whether it must end with a TCP reset, because its response is not complete
     std::uint64_t requestNumber = 0; ///< lets watchForDisconnect() detect that its request has ended
     ConnectionPhase phase = ConnectionPhase::Idle;
