Take no client for stalled whose input waits or whose output can be written

Callers saw: after a pause of the instance of a second or more, a connection that was closed in the middle of its request because another client needed the memory. Cause: a client counts as stalled by this process's clock alone, so that all clients are stalled after a pause. Class: as in, lateness of this process is taken for the client's.

Change: a connection whose socket can be read or written is not stalled.

--- a/src/include/bulrushstack/net/client_buffers.h
+++ b/src/include/bulrushstack/net/client_buffers.h
@@ -54,7 +54,12 @@
 class ClientBuffer {
 public:
     /// @param close  closes the connection of a stalled client, with the number of bytes that it held
-    ClientBuffer(std::shared_ptr<ClientBuffers> buffers, std::function<void(std::size_t)> close);
+    /// @param canGoOn  returns whether the transfer can go on without the client, which is then not stalled: this
+    /// process
+    ///                 is late
+    ClientBuffer(
+        std::shared_ptr<ClientBuffers> buffers, std::function<void(std::size_t)> close,
+        std::function<bool()> canGoOn = [] { return false; });
     ~ClientBuffer();
 
     ClientBuffer(const ClientBuffer&) = delete;
@@ -87,6 +92,7 @@
 
     std::shared_ptr<ClientBuffers> m_buffers;
     std::function<void(std::size_t)> m_close;
+    std::function<bool()> m_canGoOn;
     BufferShare m_share;
     std::size_t m_size = 0;
     std::size_t m_progress = 0; ///< bytes transferred since m_progressTime
--- a/src/libnet/client_buffers.cpp
+++ b/src/libnet/client_buffers.cpp
@@ -55,9 +55,11 @@
     return true;
 }
 
-ClientBuffer::ClientBuffer(std::shared_ptr<ClientBuffers> buffers, std::function<void(std::size_t)> close)
+ClientBuffer::ClientBuffer(
+    std::shared_ptr<ClientBuffers> buffers, std::function<void(std::size_t)> close, std::function<bool()> canGoOn)
     : m_buffers(std::move(buffers))
     , m_close(std::move(close))
+    , m_canGoOn(std::move(canGoOn))
     , m_share(m_buffers ? m_buffers->m_options.budget : nullptr)
 {
     if (m_buffers)
@@ -121,7 +123,8 @@
 
 bool ClientBuffer::isStalled() const
 {
-    return m_isTransferring && m_buffers->m_clock.now() - m_progressTime >= m_buffers->m_options.progressWindow;
+    const bool isLate = m_buffers->m_clock.now() - m_progressTime >= m_buffers->m_options.progressWindow;
+    return m_isTransferring && isLate && !m_canGoOn();
 }
 
 void ClientBuffer::close()
--- a/src/libnet/http_server_test.cpp
+++ b/src/libnet/http_server_test.cpp
@@ -294,6 +294,20 @@
     BOOST_TEST(bool(ec));
 }
 
+// Guards against a client that is closed as stalled although what it sent waits to be read.
+BOOST_AUTO_TEST_CASE(HolderWhoseInputWaitsIsNotClosed)
+{
+    auto holder = openIncomplete();
+    boost::asio::write(holder, boost::asio::buffer("x", 1));
+    manualClock.advance(1s);
+    ClientBuffer other(buffers, [](std::size_t) {});
+    BOOST_TEST(!other.resize(largeBody));
+    BOOST_TEST(buffers->closed() == 0u);
+    server.context.restart();
+    server.context.run_for(20ms);
+    BOOST_TEST(server.handler.requests() == 1);
+}
+
 // Guards against slow clients that are disconnected although there is room for them.
 BOOST_AUTO_TEST_CASE(StalledHolderStaysWhileThereIsRoom)
 {
--- a/src/libnet/server_connection.cpp
+++ b/src/libnet/server_connection.cpp
@@ -7,7 +7,8 @@
     : stream(std::move(socket))
     , number(connectionNumber)
     , buffers(std::move(clientBuffers))
-    , memory(buffers, [this](std::size_t held) { closeAsStalled(held); })
+    , memory(
+          buffers, [this](std::size_t held) { closeAsStalled(held); }, [this] { return deadline.canGoOn(); })
 {
     beast::error_code ec;
     const auto endpoint = stream.socket().remote_endpoint(ec);
