Tell each connection above the limit that it is refused

Callers saw: beyond the connection limit and 64 open refusals, a connection that closed without a response. Cause: only the first 64 got the 503. Change: the others get it too, and are closed at once without waiting until their clients have read it; the input that has arrived is discarded first, since unread input resets the connection. A request that arrives after the close may still destroy the response.

--- a/src/include/bulrushstack/net/unanswered_request.h
+++ b/src/include/bulrushstack/net/unanswered_request.h
@@ -24,7 +24,6 @@
     ClientClosed, ///< the client closed its sending direction
     ClientReset, ///< the client reset the connection
     ClientStalled, ///< closed since another client needed the memory
-    ConnectionLimit, ///< above the connection limit and above the number of connections that are told so
     Draining, ///< closed since the server drains
     HandlerClosed, ///< the handler ended the response early
     HandlerFailed, ///< the handler threw an exception after it had begun the response
--- a/src/libnet/http_beast.cpp
+++ b/src/libnet/http_beast.cpp
@@ -48,6 +48,16 @@
     stream.close();
 }
 
+void closeAfterInput(beast::tcp_stream& stream)
+{
+    beast::error_code ec;
+    stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+    std::array<char, 16384> buf;
+    while (hasInput(stream.socket()) && !ec)
+        stream.socket().read_some(asio::buffer(buf), ec);
+    stream.close();
+}
+
 PeerState peerState(asio::ip::tcp::socket& socket)
 {
     if (!socket.is_open())
--- a/src/libnet/http_beast.h
+++ b/src/libnet/http_beast.h
@@ -62,6 +62,9 @@
 /// input sends a TCP reset, which could destroy the response before the client has read it.
 asio::awaitable<void> lingeringClose(beast::tcp_stream& stream);
 
+/// Discards the input that has arrived and closes the connection, without waiting for the client.
+void closeAfterInput(beast::tcp_stream& stream);
+
 /// State of the peer of a connection.
 enum class PeerState {
     Open,
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -20,8 +20,8 @@
 
 namespace {
 
-/// Maximum number of connections above the limit that are told so at one time; further ones are closed at once, since
-/// each takes a file descriptor until its client has read the response.
+/// Maximum number of connections above the limit that stay open until their clients have read the response; further
+/// ones are closed at once after it, since each takes a file descriptor.
 constexpr std::size_t refusalLimit = 64;
 
 /// Time in which a request that is being read when the server begins to drain must be complete.
@@ -48,7 +48,8 @@
     asio::awaitable<bool> readAndHandle(ServerConnection& connection);
     void beginReading(ServerConnection& connection);
     void endIdleConnections();
-    asio::awaitable<void> sendProtocolError(ServerConnection& connection, unsigned status, std::string detail);
+    asio::awaitable<void> sendProtocolError(
+        ServerConnection& connection, unsigned status, std::string detail, bool mayLinger = true);
     void onRequestFinished();
 
     HttpServerOptions options;
@@ -172,13 +173,10 @@
 {
     auto self = shared_from_this();
     ServerConnection connection(std::move(socket), ++lastNumber, nullptr);
-    if (openRefusals >= refusalLimit) {
-        handler.onUnanswered(connection.unanswered(UnansweredReason::ConnectionLimit));
-        co_return;
-    }
-    ++openRefusals;
-    co_await sendProtocolError(connection, 503, "too many connections");
-    --openRefusals;
+    const bool mayLinger = openRefusals < refusalLimit;
+    openRefusals += mayLinger ? 1 : 0;
+    co_await sendProtocolError(connection, 503, "too many connections", mayLinger);
+    openRefusals -= mayLinger ? 1 : 0;
 }
 
 asio::awaitable<void> HttpServer::State::serve(std::shared_ptr<ServerConnection> connection)
@@ -305,8 +303,10 @@
     co_return exchange.isReusable();
 }
 
+/// Sends an error response and closes the connection.
+/// @param mayLinger  whether to wait until the client has read the response; without it, unread input may destroy it
 asio::awaitable<void> HttpServer::State::sendProtocolError(
-    ServerConnection& connection, unsigned status, std::string detail)
+    ServerConnection& connection, unsigned status, std::string detail, bool mayLinger)
 {
     ServerExchange exchange(connection, options, isKeepAliveDisabled, ReceivedRequest());
     auto response = handler.protocolError(status, detail);
@@ -315,8 +315,10 @@
     auto ec = co_await exchange.respond(std::move(response));
     if (ec)
         handler.onUnanswered(connection.unanswered(exchange.incompleteReason()));
-    else
+    else if (mayLinger)
         co_await lingeringClose(connection.stream);
+    else
+        closeAfterInput(connection.stream);
 }
 
 /// Ends the connections on which no request has arrived. One that is being read gets a little time to arrive whole.
--- a/src/libnet/http_server_test.cpp
+++ b/src/libnet/http_server_test.cpp
@@ -191,8 +191,9 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-// Guards against refused connections that take all file descriptors of the process until their clients close them.
-BOOST_AUTO_TEST_CASE(RefusalsAreBounded)
+// Guards against refused connections that take all file descriptors of the process until their clients close them, and
+// against one that is closed without being told so.
+BOOST_AUTO_TEST_CASE(RefusalsAreBoundedAndSent)
 {
     namespace asio = boost::asio;
     static constexpr int refusalLimit = 64;
@@ -213,7 +214,11 @@
     };
     for (int i = 1; i <= refusalLimit; ++i)
         BOOST_TEST(firstBytes(sockets[i]) == "HTTP/1.1 503");
-    BOOST_TEST(firstBytes(sockets.back()).empty());
+    BOOST_TEST(firstBytes(sockets.back()) == "HTTP/1.1 503");
+    std::string rest;
+    boost::system::error_code ec;
+    asio::read(sockets.back(), asio::dynamic_buffer(rest), ec); // ends although the client keeps its connection open
+    BOOST_TEST(bool(ec == asio::error::eof));
 }
 
 BOOST_FIXTURE_TEST_SUITE(Memory, BoundedMemoryFixture)
--- a/src/libnet/unanswered_request.cpp
+++ b/src/libnet/unanswered_request.cpp
@@ -30,8 +30,6 @@
         return "client-reset";
     case UnansweredReason::ClientStalled:
         return "client-stalled";
-    case UnansweredReason::ConnectionLimit:
-        return "connection-limit";
     case UnansweredReason::Draining:
         return "draining";
     case UnansweredReason::HandlerClosed:
