End a connection whose handler or error response throws an exception

Callers saw: nothing until their own timeout. Cause: an exception outside of handle() ended the coroutine of the connection, which stayed open and counted as active, so that a drain waited for it; and a response with a field that cannot be sent counted as started, so that no error response followed.

Change: the exception ends the connection with a line and a count, and a response has started when its header section is complete.

--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -230,7 +230,14 @@
     }
 
     ++activeRequests;
-    const bool isReusable = co_await readAndHandle(connection);
+    bool isReusable = false;
+    try {
+        isReusable = co_await readAndHandle(connection);
+    } catch (const std::exception& error) {
+        LOG(ERROR) << "event=connection-failed client=" << connection.clientAddress() << " error=\"" << error.what()
+                   << "\"";
+        handler.onUnanswered(connection.unanswered(UnansweredReason::HandlerFailed));
+    }
     onRequestFinished();
     co_return isReusable;
 }
--- a/src/libnet/http_server_test.cpp
+++ b/src/libnet/http_server_test.cpp
@@ -19,6 +19,16 @@
     }
 };
 
+/// Fails to make the response to a malformed request.
+class FailingErrorHandler final : public HttpHandler {
+public:
+    boost::asio::awaitable<void> handle(HttpExchange&) override { co_return; }
+    HttpResponse protocolError(unsigned, std::string_view) override { throw std::runtime_error("no response"); }
+    void onUnanswered(const UnansweredRequest& request) override { unanswered.push_back(request); }
+
+    std::vector<UnansweredRequest> unanswered;
+};
+
 constexpr std::size_t bufferLimit = 256 * 1024; // bytes
 constexpr std::size_t largeBody = 100 * 1024; // fits alone, but not beside two others
 
@@ -83,6 +93,7 @@
 {
     BOOST_TEST(call("GET", "/throw")->status == 500u);
     BOOST_TEST(call("GET", "/nothing")->status == 500u);
+    BOOST_TEST(call("GET", "/long-field")->status == 500u);
     BOOST_TEST(call("GET", "/echo")->status == 200u);
 }
 
@@ -221,6 +232,20 @@
     BOOST_TEST(bool(ec == asio::error::eof));
 }
 
+// Guards against a connection that stays open without a response for ever, and a drain that waits for it.
+BOOST_AUTO_TEST_CASE(ConnectionEndsIfItsErrorResponseFails)
+{
+    ServerFixture fixture;
+    FailingErrorHandler failing;
+    HttpServer server(fixture.context, ServerFixture::withLoopback({}), failing);
+    BOOST_TEST(!server.start());
+    fixture.address.port = server.port();
+    BOOST_TEST(fixture.sendRaw("\x01 nonsense\r\n\r\n").empty());
+    BOOST_TEST(failing.unanswered.size() == 1u);
+    runAwaitable(fixture.context, server.drain());
+    BOOST_TEST(server.isDrained());
+}
+
 BOOST_FIXTURE_TEST_SUITE(Memory, BoundedMemoryFixture)
 
 // Guards against a connection whose buffer grows with the trailers until the memory of the process is used up.
--- a/src/libnet/server_exchange.cpp
+++ b/src/libnet/server_exchange.cpp
@@ -133,13 +133,14 @@
 
 template <typename Message> void ServerExchange::prepare(Message& message, unsigned status, const HttpHeaders& headers)
 {
-    m_isStarted = true;
     m_isKeptAlive = m_isKeptAlive && !m_isKeepAliveDisabled;
     message.version(m_version);
     message.result(status);
     for (const auto& [name, value] : headers)
         message.insert(name, value);
     message.keep_alive(m_isKeptAlive);
+    // Not before: a field that cannot be sent throws an exception, and the server then responds with an error.
+    m_isStarted = true;
 }
 
 /// Sets whether closing the connection resets it. An HTTP/1.0 client takes an orderly close for the end of a stream, so
--- a/src/libnet/test_server.h
+++ b/src/libnet/test_server.h
@@ -15,7 +15,8 @@
 
 /// Responds with the request body, and watches its client as the handlers of the daemon do. "/stream" sends three
 /// chunks, "/cut" returns and "/abort" closes the exchange after the first of them,
-/// "/slow" responds after 200 ms, "/throw" throws an exception, and "/nothing" returns without a response.
+/// "/slow" responds after 200 ms, "/long-field" with a header field that cannot be sent, "/throw" throws an exception,
+/// and "/nothing" returns without a response.
 class EchoHandler final : public HttpHandler {
 public:
     boost::asio::awaitable<void> handle(HttpExchange& exchange) override
@@ -44,6 +45,8 @@
             co_await timer.async_wait(boost::asio::use_awaitable);
         }
         auto response = jsonResponse(200, exchange.request().body);
+        if (path == "/long-field")
+            response.headers.set("X-Long", std::string(100'000, 'x'));
         co_await exchange.respond(std::move(response));
     }
 
