Read late responses only for requests of callers

Cause: since the client reads any response that had arrived by its deadline, so that a read of the store or a permit could count as current after a pause of the loop. Change: HttpCallOptions::isLateResponseRead, set for requests of callers at upstreams, engines, services and other instances.

--- a/src/include/bulrushstack/net/http_client.h
+++ b/src/include/bulrushstack/net/http_client.h
@@ -39,6 +39,10 @@
     /// Time at which the call fails with Errc::Timeout, however far it has progressed.
     SteadyTime deadline = SteadyTime::max();
 
+    /// Whether a response that had arrived by the deadline, while the event loop was late, is read after it. Not for
+    /// calls whose result counts as current: it would be older than the deadline permits.
+    bool isLateResponseRead = false;
+
     /// Reading of Clock::bootNow() from which on the request is no longer sent: the call then fails with Errc::Timeout
     /// and Verdict::NotRun. For requests whose permission ends, also if the process or its machine is suspended while
     /// the connection is being established.
--- a/src/libengine/http_engine_client.cpp
+++ b/src/libengine/http_engine_client.cpp
@@ -22,6 +22,7 @@
 {
     HttpCallOptions options;
     options.deadline = limits.deadline;
+    options.isLateResponseRead = true;
     options.progressTimeout = limits.progressTimeout;
     options.maxIdle = limits.maxIdle;
     return options;
--- a/src/libengine/http_service_client.cpp
+++ b/src/libengine/http_service_client.cpp
@@ -43,6 +43,7 @@
         request.headers.set("Idempotency-Key", std::move(call.idempotencyKey));
     HttpCallOptions options;
     options.deadline = limits.deadline;
+    options.isLateResponseRead = true;
     options.progressTimeout = limits.progressTimeout;
     options.maxIdle = limits.maxIdle;
     co_return co_await callChecked(
--- a/src/libfront/peer_relay.cpp
+++ b/src/libfront/peer_relay.cpp
@@ -80,6 +80,7 @@
     request.headers.set(relayedConfigurationHeader, std::to_string(m_state.configuration()->version()));
     HttpCallOptions callOptions;
     callOptions.deadline = options.deadline;
+    callOptions.isLateResponseRead = true;
     callOptions.maxIdle = maxIdleTime;
     callOptions.connectTimeout = connectTimeout;
     callOptions.tcpKeepAliveTimeout = tcpKeepAliveTimeout;
--- a/src/libfront/request_attempt.cpp
+++ b/src/libfront/request_attempt.cpp
@@ -149,6 +149,7 @@
         forwardingFields.resumeAfterEventId = m_eventSplitter.lastEventId();
     HttpCallOptions options;
     options.deadline = attemptDeadline();
+    options.isLateResponseRead = true;
     options.maxIdle = m_route->isRepeatable() ? maxConnectionIdleTime : maxIdleTimeForNonRepeatable;
     options.connectTimeout = connectTimeout;
     options.tcpKeepAliveTimeout = tcpKeepAliveTimeout;
--- a/src/libnet/late_loop_test.cpp
+++ b/src/libnet/late_loop_test.cpp
@@ -81,6 +81,25 @@
     }
 };
 
+/// Calls a server that responds before the deadline of the call, while the loop stands still until after it.
+Result<HttpResponse> callDuringStandstill(HttpCallOptions options)
+{
+    LateLoopFixture fixture;
+    tcp::acceptor upstream(fixture.context, { asio::ip::make_address("127.0.0.1"), 0 });
+    const Address address { .host = "127.0.0.1", .port = upstream.local_endpoint().port() };
+    options.deadline = fixture.clock.now() + timeLimit;
+    std::optional<Result<HttpResponse>> response;
+    asio::co_spawn(fixture.context, fixture.client.call(address, HttpRequest(), options),
+        [&](std::exception_ptr, Result<HttpResponse> result) { response.emplace(std::move(result)); });
+    fixture.serve();
+    auto socket = upstream.accept();
+    fixture.serve();
+    LateLoopFixture::send(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi");
+    LateLoopFixture::standStill();
+    fixture.serve();
+    return response.value();
+}
+
 struct ShortIdleTimeout : LateLoopFixture {
     ShortIdleTimeout()
         : LateLoopFixture({ .idleTimeout = timeLimit })
@@ -220,24 +239,14 @@
 // Guards against a response that is dropped although it arrived before the deadline, so that its request fails.
 BOOST_AUTO_TEST_CASE(IsDeliveredIfItArrivedBeforeTheDeadline)
 {
-    LateLoopFixture fixture;
-    tcp::acceptor upstream(fixture.context, { asio::ip::make_address("127.0.0.1"), 0 });
-    const Address address { .host = "127.0.0.1", .port = upstream.local_endpoint().port() };
-    HttpCallOptions options { .deadline = fixture.clock.now() + timeLimit };
-    std::optional<Result<HttpResponse>> response;
-    asio::co_spawn(fixture.context, fixture.client.call(address, HttpRequest(), options),
-        [&](std::exception_ptr, Result<HttpResponse> result) { response.emplace(std::move(result)); });
-    fixture.serve();
-    auto socket = upstream.accept();
-    fixture.serve();
-    LateLoopFixture::send(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi");
-    LateLoopFixture::standStill();
-    fixture.serve();
-    BOOST_REQUIRE(response.has_value());
-    BOOST_REQUIRE(response->has_value());
-    BOOST_TEST((*response)->body == "hi");
+    const auto response = callDuringStandstill({ .isLateResponseRead = true });
+    BOOST_REQUIRE(response);
+    BOOST_TEST(response->body == "hi");
 }
 
+// Guards against knowledge that is taken for current although the loop stood still since it arrived.
+BOOST_AUTO_TEST_CASE(FailsAfterTheDeadlineIfItMustBeCurrent) { BOOST_TEST(callDuringStandstill({}).has_error()); }
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
