--- a/src/include/bulrushstack/net/http_server.h
+++ b/src/include/bulrushstack/net/http_server.h
@@ -62,9 +62,9 @@
     /// connection limit or without memory (503), and after handle() failed (500).
     virtual HttpResponse protocolError(unsigned status, std::string_view detail);
 
-    /// Called for each connection that ends without a complete response to a request of which at least one byte has
-    /// arrived. The default implementation does nothing.
-    virtual void onUnanswered(const UnansweredRequest&) { }
+    /// Called for each connection that ends without a complete response to a request of which at least one byte was
+    /// read. The default implementation logs it.
+    virtual void onUnanswered(const UnansweredRequest& request);
 };
 
 struct HttpServerOptions {
--- a/src/include/bulrushstack/net/unanswered_request.h
+++ b/src/include/bulrushstack/net/unanswered_request.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <iosfwd>
 #include <string>
 #include <string_view>
 
@@ -19,7 +20,6 @@
 
 /// Why a connection ended without a complete response.
 enum class UnansweredReason {
-    IdleTimeout, ///< the idle timeout expired, although a request had arrived
     WriteTimeout, ///< the client did not receive the response in time
     ClientClosed, ///< the client closed its sending direction
     ClientReset, ///< the client reset the connection
@@ -45,4 +45,7 @@
     std::chrono::nanoseconds sinceLastByte {}; ///< time since bytes of the request were last read; 0 if none were
 };
 
+/// Writes the fields of a log line, but for the headers.
+std::ostream& operator<<(std::ostream& out, const UnansweredRequest& request);
+
 } // namespace bulrushstack
--- a/src/libfront/unanswered_log.cpp
+++ b/src/libfront/unanswered_log.cpp
@@ -18,12 +18,7 @@
     const auto configuration = m_state.configuration();
     const auto id = m_format.requestId(request.headers);
     m_metrics.recordUnanswered(toString(request.reason));
-    LOG(INFO) << "event=unanswered request=" << (id.empty() ? "-" : id) << " port=" << m_port
-              << " reason=" << toString(request.reason) << " phase=" << toString(request.phase)
-              << " client=" << request.client << " connection=" << request.connection
-              << " connection_requests=" << request.request << " received_bytes=" << request.receivedBytes
-              << " unread_bytes=" << request.unreadBytes
-              << " last_byte_ms=" << millisecondsOf(request.sinceLastByte).count()
+    LOG(INFO) << "event=unanswered request=" << (id.empty() ? "-" : id) << " port=" << m_port << " " << request
               << " idle_timeout_ms=" << (configuration ? configuration->limits().idleTimeout.count() : 0)
               << " config=" << (configuration ? configuration->version() : 0);
 }
--- a/src/libnet/http_beast.cpp
+++ b/src/libnet/http_beast.cpp
@@ -53,7 +53,8 @@
     beast::error_code ec;
     stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
     std::array<char, 16384> buf;
-    while (hasInput(stream.socket()) && !ec)
+    static constexpr int readLimit = 16; // a client that goes on sending must not hold the event loop
+    for (int i = 0; i < readLimit && !ec && hasInput(stream.socket()); ++i)
         stream.socket().read_some(asio::buffer(buf), ec);
     stream.close();
 }
--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -225,7 +225,7 @@
         auto& deadline = m_connection->deadline;
         if (!m_pool->setOperationTimeout(*m_connection, limits)) {
             const bool hasArrived = m_options.isLateResponseRead
-                && (m_connection->buffer.size() > 0 || hasInput(m_connection->stream.socket()));
+                && (m_connection->buffer.size() > 0 || isReadable(m_connection->stream.socket()));
             const auto now = m_pool->now();
             if (hasArrived && !m_lateReadEnd)
                 m_lateReadEnd = now + lateReadTime;
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -50,6 +50,7 @@
     void endIdleConnections();
     asio::awaitable<void> sendProtocolError(
         ServerConnection& connection, unsigned status, std::string detail, bool mayLinger = true);
+    void reportUnanswered(const UnansweredRequest& request);
     void onRequestFinished();
 
     HttpServerOptions options;
@@ -62,6 +63,7 @@
     std::size_t activeRequests = 0;
     bool isDraining = false;
     bool isDrained = false;
+    bool isStopped = false; ///< whether the server, and perhaps the handler, no longer exists
     bool isKeepAliveDisabled = false; ///< whether responses carry "Connection: close"
 };
 
@@ -102,8 +104,6 @@
 {
     if (connection.memory.isClosed())
         return UnansweredReason::ClientStalled;
-    if (ec == beast::error::timeout)
-        return UnansweredReason::IdleTimeout;
     if (ec == asio::error::operation_aborted)
         return UnansweredReason::Draining;
     if (ec == asio::error::connection_reset)
@@ -122,6 +122,8 @@
     return response;
 }
 
+void HttpHandler::onUnanswered(const UnansweredRequest& request) { LOG(INFO) << "event=unanswered " << request; }
+
 asio::awaitable<void> HttpServer::State::acceptLoop()
 {
     static constexpr std::chrono::milliseconds acceptBackoff { 20 };
@@ -175,14 +177,20 @@
     ServerConnection connection(std::move(socket), ++lastNumber, nullptr);
     const bool mayLinger = openRefusals < refusalLimit;
     openRefusals += mayLinger ? 1 : 0;
-    co_await sendProtocolError(connection, 503, "too many connections", mayLinger);
+    try {
+        co_await sendProtocolError(connection, 503, "too many connections", mayLinger);
+    } catch (const std::exception& error) {
+        LOG(ERROR) << "event=connection-failed client=" << connection.clientAddress() << " error=\"" << error.what()
+                   << "\"";
+    }
     openRefusals -= mayLinger ? 1 : 0;
 }
 
 asio::awaitable<void> HttpServer::State::serve(std::shared_ptr<ServerConnection> connection)
 {
     auto self = shared_from_this();
-    for (bool isKeptAlive = true; isKeptAlive && !isDraining;) {
+    const auto hasArrived = [&] { return connection->buffer.size() > 0 || hasInput(connection->stream.socket()); };
+    for (bool isKeptAlive = true; isKeptAlive && (!isDraining || hasArrived());) {
         isKeptAlive = co_await serveRequest(*connection);
         if (connection->buffer.size() == 0 && connection->buffer.capacity() > headerReadSize)
             connection->buffer.shrink_to_fit();
@@ -212,8 +220,10 @@
             co_return ec;
         }
         // Clients know of a longer idle timeout as soon as the connection does.
-        const bool isTimeoutRaised = options.idleTimeout > timeout;
-        if (ec != beast::error::timeout || !isTimeoutRaised)
+        const bool isTimeoutRaised = ec == beast::error::timeout && options.idleTimeout > timeout;
+        // The first bytes may have arrived after the read was cancelled, while other handlers ran.
+        const bool hasArrived = hasInput(connection.stream.socket());
+        if (!isTimeoutRaised && !hasArrived)
             co_return ec;
     }
 }
@@ -221,24 +231,22 @@
 asio::awaitable<bool> HttpServer::State::serveRequest(ServerConnection& connection)
 {
     connection.beginRequest();
-    if (connection.buffer.size() == 0) {
-        if (auto ec = co_await awaitRequest(connection)) {
-            if (unreadBytes(connection.stream.socket()) > 0)
-                handler.onUnanswered(connection.unanswered(reasonOf(ec, connection)));
-            co_return false;
-        }
-    }
-
-    ++activeRequests;
+    // A drain waits for a request that is known to have arrived.
+    bool isActive = isDraining;
+    activeRequests += isActive ? 1 : 0;
     bool isReusable = false;
     try {
-        isReusable = co_await readAndHandle(connection);
+        const bool isEnded = connection.buffer.size() == 0 && co_await awaitRequest(connection);
+        activeRequests += isActive || isEnded ? 0 : 1;
+        isActive = isActive || !isEnded;
+        isReusable = !isEnded && co_await readAndHandle(connection);
     } catch (const std::exception& error) {
         LOG(ERROR) << "event=connection-failed client=" << connection.clientAddress() << " error=\"" << error.what()
                    << "\"";
-        handler.onUnanswered(connection.unanswered(UnansweredReason::HandlerFailed));
+        reportUnanswered(connection.unanswered(UnansweredReason::HandlerFailed));
     }
-    onRequestFinished();
+    if (isActive)
+        onRequestFinished();
     co_return isReusable;
 }
 
@@ -274,7 +282,7 @@
     if (ec == asio::error::no_memory && connection.buffers)
         connection.buffers->logRefusal("refused", connection.clientAddress(), connection.memory.size());
     if (ec && isConnectionLoss(ec)) {
-        handler.onUnanswered(connection.unanswered(reasonOf(ec, connection), copyFields(reader.parser().get())));
+        reportUnanswered(connection.unanswered(reasonOf(ec, connection), copyFields(reader.parser().get())));
         co_return false;
     }
     if (ec) {
@@ -305,7 +313,7 @@
     }
     if (!exchange.isComplete()) {
         const auto reason = hasFailed ? UnansweredReason::HandlerFailed : exchange.incompleteReason();
-        handler.onUnanswered(connection.unanswered(reason, exchange.request().headers));
+        reportUnanswered(connection.unanswered(reason, exchange.request().headers));
     }
     co_return exchange.isReusable();
 }
@@ -315,13 +323,16 @@
 asio::awaitable<void> HttpServer::State::sendProtocolError(
     ServerConnection& connection, unsigned status, std::string detail, bool mayLinger)
 {
+    if (isStopped)
+        co_return;
+    connection.phase = ConnectionPhase::Response;
     ServerExchange exchange(connection, options, isKeepAliveDisabled, ReceivedRequest());
     auto response = handler.protocolError(status, detail);
     if (status == 503 && !response.headers.find("Retry-After"))
         response.headers.set("Retry-After", "1");
     auto ec = co_await exchange.respond(std::move(response));
     if (ec)
-        handler.onUnanswered(connection.unanswered(exchange.incompleteReason()));
+        reportUnanswered(connection.unanswered(exchange.incompleteReason()));
     else if (mayLinger)
         co_await lingeringClose(connection.stream);
     else
@@ -340,6 +351,17 @@
     }
 }
 
+void HttpServer::State::reportUnanswered(const UnansweredRequest& request)
+{
+    if (isStopped)
+        return;
+    try {
+        handler.onUnanswered(request);
+    } catch (const std::exception& error) {
+        LOG(ERROR) << "event=report-failed error=\"" << error.what() << "\"";
+    }
+}
+
 void HttpServer::State::onRequestFinished()
 {
     if (--activeRequests == 0)
@@ -353,6 +375,7 @@
 
 HttpServer::~HttpServer()
 {
+    m_state->isStopped = true;
     beast::error_code ec;
     m_state->acceptor.close(ec);
     for (const auto& it : m_state->connections)
--- a/src/libnet/late_loop_test.cpp
+++ b/src/libnet/late_loop_test.cpp
@@ -197,6 +197,22 @@
     }
 }
 
+// Guards against a request that is dropped because the connection's response before it ends during the drain.
+BOOST_AUTO_TEST_CASE(RequestAfterAKeptAliveStreamIsAnswered)
+{
+    auto socket = openIdle();
+    send(socket, "GET /slow-stream HTTP/1.1\r\nHost: a\r\n\r\n");
+    serve();
+    BOOST_TEST(handler.requests() == 2);
+    bool isDrained = false;
+    asio::co_spawn(context, server.drain(), [&](std::exception_ptr) { isDrained = true; });
+    serve();
+    send(socket, smallRequest);
+    while (!isDrained)
+        context.run_one();
+    BOOST_TEST(receive(socket).ends_with("hi"));
+}
+
 // Guards against a drain that waits for a client that does not complete its request.
 BOOST_AUTO_TEST_CASE(RequestThatIsNotCompletedGets503)
 {
--- a/src/libnet/request_reader.cpp
+++ b/src/libnet/request_reader.cpp
@@ -75,8 +75,9 @@
         co_return ec;
     if (!m_syntaxError.empty())
         co_return http::error::bad_line_ending;
+    m_connection.deadline.begin(SocketDeadline::Direction::Read);
     auto [ec, n] = co_await http::async_read_header(m_connection.stream, m_connection.buffer, m_parser, asTuple);
-    co_return ec;
+    co_return m_connection.deadline.end(ec);
 }
 
 asio::awaitable<beast::error_code> RequestReader::readHeaderSection()
--- a/src/libnet/socket_deadline.cpp
+++ b/src/libnet/socket_deadline.cpp
@@ -33,6 +33,10 @@
 
     void onExpired()
     {
+        if (Timer::clock_type::now() < expiry) {
+            startTimer(expiry);
+            return;
+        }
         if (canGoOn()) {
             extend();
         } else {
--- a/src/libnet/test_server.h
+++ b/src/libnet/test_server.h
@@ -15,8 +15,8 @@
 
 /// Responds with the request body, and watches its client as the handlers of the daemon do. "/stream" sends three
 /// chunks, "/cut" returns and "/abort" closes the exchange after the first of them,
-/// "/slow" responds after 200 ms, "/long-field" with a header field that cannot be sent, "/throw" throws an exception,
-/// and "/nothing" returns without a response.
+/// "/slow" responds after 200 ms, "/slow-stream" ends its stream after 200 ms, "/long-field" with a header field that
+/// cannot be sent, "/throw" throws an exception, and "/nothing" returns without a response.
 class EchoHandler final : public HttpHandler {
 public:
     boost::asio::awaitable<void> handle(HttpExchange& exchange) override
@@ -40,10 +40,17 @@
             co_await exchange.endStream();
             co_return;
         }
-        if (path == "/slow") {
+        const bool isSlowStream = path == "/slow-stream";
+        if (isSlowStream)
+            co_await exchange.beginStream(200, HttpHeaders());
+        if (path == "/slow" || isSlowStream) {
             boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, std::chrono::milliseconds(200));
             co_await timer.async_wait(boost::asio::use_awaitable);
         }
+        if (isSlowStream) {
+            co_await exchange.endStream();
+            co_return;
+        }
         auto response = jsonResponse(200, exchange.request().body);
         if (path == "/long-field")
             response.headers.set("X-Long", std::string(100'000, 'x'));
--- a/src/libnet/unanswered_request.cpp
+++ b/src/libnet/unanswered_request.cpp
@@ -1,5 +1,7 @@
 #include "bulrushstack/net/unanswered_request.h"
 
+#include <ostream>
+
 namespace bulrushstack {
 
 std::string_view toString(ConnectionPhase phase)
@@ -20,8 +22,6 @@
 std::string_view toString(UnansweredReason reason)
 {
     switch (reason) {
-    case UnansweredReason::IdleTimeout:
-        return "idle-timeout";
     case UnansweredReason::WriteTimeout:
         return "write-timeout";
     case UnansweredReason::ClientClosed:
@@ -40,4 +40,13 @@
     return "unknown";
 }
 
+std::ostream& operator<<(std::ostream& out, const UnansweredRequest& request)
+{
+    const auto lastByte = std::chrono::duration_cast<std::chrono::milliseconds>(request.sinceLastByte);
+    return out << "reason=" << toString(request.reason) << " phase=" << toString(request.phase)
+               << " client=" << request.client << " connection=" << request.connection
+               << " connection_requests=" << request.request << " received_bytes=" << request.receivedBytes
+               << " unread_bytes=" << request.unreadBytes << " last_byte_ms=" << lastByte.count();
+}
+
 } // namespace bulrushstack
