--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -228,18 +228,26 @@
     }
 }
 
+/// Serves the next request of a connection. Returns whether the connection can be used for another one.
 asio::awaitable<bool> HttpServer::State::serveRequest(ServerConnection& connection)
 {
     connection.beginRequest();
-    // A drain waits for a request that is known to have arrived.
-    bool isActive = isDraining;
-    activeRequests += isActive ? 1 : 0;
+    bool isActive = false;
+    const auto setActive = [&] {
+        activeRequests += isActive ? 0 : 1;
+        isActive = true;
+    };
+    if (isDraining)
+        setActive(); // The request has arrived, and the drain must wait until it is read.
     bool isReusable = false;
     try {
-        const bool isEnded = connection.buffer.size() == 0 && co_await awaitRequest(connection);
-        activeRequests += isActive || isEnded ? 0 : 1;
-        isActive = isActive || !isEnded;
-        isReusable = !isEnded && co_await readAndHandle(connection);
+        beast::error_code ec;
+        if (connection.buffer.size() == 0)
+            ec = co_await awaitRequest(connection);
+        if (!ec) {
+            setActive();
+            isReusable = co_await readAndHandle(connection);
+        }
     } catch (const std::exception& error) {
         LOG(ERROR) << "event=connection-failed client=" << connection.clientAddress() << " error=\"" << error.what()
                    << "\"";
