--- a/src/include/bulrushstack/execution/problem.h
+++ b/src/include/bulrushstack/execution/problem.h
@@ -25,6 +25,7 @@
     KeyConflict,
     OutcomeUnknown,
     KeyExpired,
+    RequestTimeout,
     BodyTooLarge,
     HeadersTooLarge,
     Overloaded,
--- a/src/libexecution/problem.cpp
+++ b/src/libexecution/problem.cpp
@@ -43,6 +43,8 @@
         return { "outcome-unknown", 409, "An earlier attempt with this key has no known outcome" };
     case ProblemCode::KeyExpired:
         return { "key-expired", 409, "The idempotency key is older than its retention" };
+    case ProblemCode::RequestTimeout:
+        return { "request-timeout", 408, "The request was not complete in time" };
     case ProblemCode::BodyTooLarge:
         return { "body-too-large", 413, "The request body is too large" };
     case ProblemCode::HeadersTooLarge:
@@ -77,8 +79,8 @@
 Problem protocolProblem(unsigned status, std::string_view detail)
 {
     auto code = ProblemCode::MalformedRequest;
-    for (auto it : { ProblemCode::BodyTooLarge, ProblemCode::HeadersTooLarge, ProblemCode::Overloaded,
-             ProblemCode::InternalError }) {
+    for (auto it : { ProblemCode::RequestTimeout, ProblemCode::BodyTooLarge, ProblemCode::HeadersTooLarge,
+             ProblemCode::Overloaded, ProblemCode::InternalError }) {
         if (statusOf(it) == status)
             code = it;
     }
