Log the failure of a connection in one place, and remove an unused function

Read-through of the change: logFailure() takes the place of two copies of a log line, SocketDeadline::expiresNever() was never called, and a doc comment that the formatter had broken up is one sentence. No behaviour changes.

--- a/src/include/bulrushstack/net/client_buffers.h
+++ b/src/include/bulrushstack/net/client_buffers.h
@@ -54,9 +54,7 @@
 class ClientBuffer {
 public:
     /// @param close  closes the connection of a stalled client, with the number of bytes that it held
-    /// @param canGoOn  returns whether the transfer can go on without the client, which is then not stalled: this
-    /// process
-    ///                 is late
+    /// @param canGoOn  returns whether the transfer can go on without the client, so that this process delays it
     ClientBuffer(
         std::shared_ptr<ClientBuffers> buffers, std::function<void(std::size_t)> close,
         std::function<bool()> canGoOn = [] { return false; });
--- a/src/libnet/http_server.cpp
+++ b/src/libnet/http_server.cpp
@@ -93,6 +93,12 @@
     return out;
 }
 
+void logFailure(const ServerConnection& connection, const std::exception& error)
+{
+    LOG(ERROR) << "event=connection-failed client=" << connection.clientAddress() << " error=\"" << error.what()
+               << "\"";
+}
+
 bool isConnectionLoss(const beast::error_code& ec)
 {
     return ec == http::error::end_of_stream || ec == http::error::partial_message || ec == asio::error::eof
@@ -180,8 +186,7 @@
     try {
         co_await sendProtocolError(connection, 503, "too many connections", mayLinger);
     } catch (const std::exception& error) {
-        LOG(ERROR) << "event=connection-failed client=" << connection.clientAddress() << " error=\"" << error.what()
-                   << "\"";
+        logFailure(connection, error);
     }
     openRefusals -= mayLinger ? 1 : 0;
 }
@@ -249,8 +254,7 @@
             isReusable = co_await readAndHandle(connection);
         }
     } catch (const std::exception& error) {
-        LOG(ERROR) << "event=connection-failed client=" << connection.clientAddress() << " error=\"" << error.what()
-                   << "\"";
+        logFailure(connection, error);
         reportUnanswered(connection.unanswered(UnansweredReason::HandlerFailed));
     }
     if (isActive)
--- a/src/libnet/late_loop_test.cpp
+++ b/src/libnet/late_loop_test.cpp
@@ -13,8 +13,8 @@
 
 constexpr std::string_view smallRequest = "POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi";
 constexpr auto timeLimit = 400ms; // the timeout that expires while the loop stands still
-constexpr auto quietTime
-    = 10ms; // the server is done if it has nothing to do for this time; more than it needs to drain
+// The server is done if it has nothing to do for this time, which is longer than the pauses of a drain.
+constexpr auto quietTime = 10ms;
 constexpr std::size_t streamSize = 32 * 1024 * 1024; // more than the socket buffers of both ends hold
 
 /// Responds with a stream of streamSize bytes.
--- a/src/libnet/socket_deadline.h
+++ b/src/libnet/socket_deadline.h
@@ -36,10 +36,9 @@
     SocketDeadline(const SocketDeadline&) = delete;
     SocketDeadline& operator=(const SocketDeadline&) = delete;
 
-    /// Sets the deadline of this and further operations.
+    /// Sets the deadline of this and further operations. There is none until then.
     void expiresAfter(std::chrono::nanoseconds timeout);
     void expiresAt(Timer::time_point time);
-    void expiresNever() { expiresAt(Timer::time_point::max()); }
 
     /// Brings the deadline forward to the given time, unless it is earlier.
     void expiresBy(Timer::time_point time);
