Log what a quarantine rests on

Cause: the line `quarantine` gave the number of crashes only. It could not tell whether they were one loss of several upstreams or several, nor whether the suspect had been in use until then, which are the hypotheses for a read that is refused for good after an outage.

Change: the line has `separate`, `span_ms`, `last_age_ms` and `served_before`; CrashSuspects keeps them as QuarantineEvidence.

--- a/src/include/bulrushstack/serving/crash_suspects.h
+++ b/src/include/bulrushstack/serving/crash_suspects.h
@@ -54,6 +54,17 @@
     friend bool operator==(const UpstreamCrash&, const UpstreamCrash&) = default;
 };
 
+/// What a quarantine rests on.
+struct QuarantineEvidence {
+    unsigned crashes = 0; ///< crashes that the suspect explains
+    unsigned separateCrashes = 0; ///< the same without those that may have a common cause with another one
+    bool wasServedBefore = false; ///< whether the suspect was served shortly before one of the crashes
+    SteadyTime firstCrash {};
+    SteadyTime lastCrash {};
+
+    friend bool operator==(const QuarantineEvidence&, const QuarantineEvidence&) = default;
+};
+
 /// Returns all that the request contains and that may crash an upstream: the prompt parts that it may share with other
 /// requests, which are all but the last one, and the request itself.
 std::vector<CrashSuspect> suspectsOf(const ServingRequest& request, std::string digest);
@@ -92,8 +103,8 @@
     /// their crashes.
     std::uint64_t fingerprint() const { return m_fingerprint; }
 
-    /// Returns what is quarantined, with the number of crashes that it explains.
-    const std::map<SuspectId, unsigned>& quarantined() const { return m_quarantined; }
+    /// Returns what is quarantined.
+    const std::map<SuspectId, QuarantineEvidence>& quarantined() const { return m_quarantined; }
 
 private:
     using CrashKey = std::pair<std::string, std::uint64_t>;
@@ -118,6 +129,7 @@
         bool isSufficient(SuspectKind kind) const;
         bool isBetterThan(const Explanation& other) const;
         unsigned separateCrashes() const;
+        QuarantineEvidence evidence() const;
     };
 
     Crash& findOrAddCrash(const CrashKey& key, SteadyTime firstSeen);
@@ -138,7 +150,7 @@
     std::map<SuspectId, SteadyTime> m_servedParts;
     std::map<SuspectId, SteadyTime> m_olderServedParts;
     SteadyTime m_servedPartsSince {};
-    std::map<SuspectId, unsigned> m_quarantined;
+    std::map<SuspectId, QuarantineEvidence> m_quarantined;
     SteadyTime m_quarantineEnd {}; ///< when the last of the crashes expires
     std::uint64_t m_fingerprint = 0;
 };
--- a/src/libfront/front_state.cpp
+++ b/src/libfront/front_state.cpp
@@ -228,15 +228,18 @@
     logQuarantineChanges(previous);
 }
 
-void FrontState::logQuarantineChanges(const std::map<SuspectId, unsigned>& previous) const
+void FrontState::logQuarantineChanges(const std::map<SuspectId, QuarantineEvidence>& previous) const
 {
     const auto& current = m_crashSuspects.quarantined();
-    for (const auto& [suspect, crashes] : current) {
+    for (const auto& [suspect, evidence] : current) {
         if (previous.count(suspect) == 0)
             LOG(WARNING) << "event=quarantine kind=" << toString(suspect.kind) << " id=" << suspect.id
-                         << " crashes=" << crashes;
+                         << " crashes=" << evidence.crashes << " separate=" << evidence.separateCrashes
+                         << " span_ms=" << millisecondsOf(evidence.lastCrash - evidence.firstCrash).count()
+                         << " last_age_ms=" << millisecondsOf(m_clock.now() - evidence.lastCrash).count()
+                         << " served_before=" << evidence.wasServedBefore;
     }
-    for (const auto& [suspect, crashes] : previous) {
+    for (const auto& [suspect, evidence] : previous) {
         if (current.count(suspect) == 0)
             LOG(WARNING) << "event=quarantine-ended kind=" << toString(suspect.kind) << " id=" << suspect.id;
     }
--- a/src/libfront/front_state.h
+++ b/src/libfront/front_state.h
@@ -152,7 +152,7 @@
 
 private:
     double retryBudgetBurst() const;
-    void logQuarantineChanges(const std::map<SuspectId, unsigned>& previous) const;
+    void logQuarantineChanges(const std::map<SuspectId, QuarantineEvidence>& previous) const;
     bool canServe(const UpstreamEntry& upstream, const ServingRequest& request) const;
 
     boost::asio::io_context& m_context;
--- a/src/libserving/crash_suspects.cpp
+++ b/src/libserving/crash_suspects.cpp
@@ -74,6 +74,17 @@
     return separateCrashes() >= (wasServedBefore ? servedPartThreshold : partThreshold);
 }
 
+QuarantineEvidence CrashSuspects::Explanation::evidence() const
+{
+    const auto isEarlier = [](const Crash* a, const Crash* b) { return a->firstSeen < b->firstSeen; };
+    const auto [first, last] = std::minmax_element(crashes.begin(), crashes.end(), isEarlier);
+    return { .crashes = static_cast<unsigned>(crashes.size()),
+        .separateCrashes = separateCrashes(),
+        .wasServedBefore = wasServedBefore,
+        .firstCrash = (*first)->firstSeen,
+        .lastCrash = (*last)->firstSeen };
+}
+
 bool CrashSuspects::Explanation::isBetterThan(const Explanation& other) const
 {
     if (wasServedBefore != other.wasServedBefore)
@@ -278,7 +289,7 @@
         const auto best = std::max_element(explanations.begin(), explanations.end(),
             [](const auto& a, const auto& b) { return b.second.isBetterThan(a.second); });
         const auto& explained = best->second.crashes;
-        m_quarantined[best->first] = static_cast<unsigned>(explained.size());
+        m_quarantined[best->first] = best->second.evidence();
         std::erase_if(unexplained,
             [&](const Crash* it) { return std::find(explained.begin(), explained.end(), it) != explained.end(); });
     }
