Don't refuse a shared read because all upstreams that ran it were lost at once

What callers saw: all workers of a service crash together while the same read is in progress on two of them. From then on each instance answers that read with 503, for ten minutes, although the workers are back and serve other requests.

Cause: a request was quarantined after two crashes, whenever they happened and however often it had been served before. A read that many callers share is in progress on many upstreams, so that any loss of several of them puts it into two crashes. A served request would have cleared it, but a quarantined one is served nowhere.

Crashes of several upstreams within a short time count once; two crashes of one upstream always count separately, since its process started again in between. A request that any instance served within a minute before needs five separate crashes. Served requests are remembered beside the served parts (RecentlyServed), which they do not displace.

Why it works: what a crashing request differs in is that it is never served, and that upstreams crash after each other, as it arrives at them. Both are what is counted now.

IsQuarantinedAfterTwoCrashes and the other cases are unchanged.

--- a/src/include/bulrushstack/serving/crash_suspects.h
+++ b/src/include/bulrushstack/serving/crash_suspects.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bulrushstack/kernel/clock.h"
+#include "bulrushstack/serving/recently_served.h"
 #include "bulrushstack/serving/serving_request.h"
 
 #include <chrono>
@@ -76,6 +77,10 @@
 /// what it contains. What remains in several crashes is quarantined, beginning with the suspect that explains the most
 /// of them. A crash that a quarantined suspect explains does not count against any other one, so that requests which
 /// merely share a prompt part with a crashing one are not refused. Performs no I/O.
+///
+/// What many requests share is in progress on many upstreams, so that it is in each crash, whatever its cause. Two
+/// rules keep such crashes from counting as evidence: crashes that may have a common cause count once, and what was
+/// served shortly before needs more of them.
 class CrashSuspects {
 public:
     explicit CrashSuspects(const Clock& clock);
@@ -120,11 +125,13 @@
         std::map<SuspectId, SuspectState> suspects;
     };
 
+    using Crashes = std::map<CrashKey, Crash>;
+
     /// The crashes that a suspect would explain.
     struct Explanation {
         unsigned depth = 0;
         bool wasServedBefore = false;
-        std::vector<const Crash*> crashes;
+        std::vector<const Crashes::value_type*> crashes;
 
         bool isSufficient(SuspectKind kind) const;
         bool isBetterThan(const Explanation& other) const;
@@ -136,20 +143,16 @@
     void addSuspect(Crash& crash, const CrashSuspect& suspect);
     void removeExpired();
     void removeLeastUsefulCrash();
-    void rememberServed(const SuspectId& part);
-    std::optional<SteadyTime> lastServed(const SuspectId& part) const;
+    RecentlyServed& recentlyServed(SuspectKind kind);
     bool isExplained(const Crash& crash) const;
     void update();
     void updateQuarantine();
     void updateFingerprint();
 
     const Clock& m_clock;
-    std::map<CrashKey, Crash> m_crashes;
-    /// Prompt parts that this instance served recently, with the time. When the first map is full or old, it replaces
-    /// the second one, so that remembering a part takes the same time however many there are.
-    std::map<SuspectId, SteadyTime> m_servedParts;
-    std::map<SuspectId, SteadyTime> m_olderServedParts;
-    SteadyTime m_servedPartsSince {};
+    Crashes m_crashes;
+    RecentlyServed m_servedParts;
+    RecentlyServed m_servedRequests; ///< kept apart, since most requests are unique and would displace the parts
     std::map<SuspectId, QuarantineEvidence> m_quarantined;
     SteadyTime m_quarantineEnd {}; ///< when the last of the crashes expires
     std::uint64_t m_fingerprint = 0;
--- a/src/libserving/crash_suspects.cpp
+++ b/src/libserving/crash_suspects.cpp
@@ -1,6 +1,7 @@
 #include "bulrushstack/serving/crash_suspects.h"
 
 #include <algorithm>
+#include <set>
 #include <xxhash.h>
 
 namespace bulrushstack {
@@ -10,17 +11,19 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-/// Number of crashes after which a request is quarantined.
+/// Number of separate crashes after which a request is quarantined.
 constexpr unsigned requestThreshold = 2;
-/// Number of separate crashes after which a prompt part is quarantined.
+/// The same for a prompt part, which more requests share.
 constexpr unsigned partThreshold = 3;
-/// The same for a part of requests that were served shortly before, which is more likely to be innocent.
-constexpr unsigned servedPartThreshold = 5;
-/// Crashes within this time count once against a prompt part, since they may have a common cause such as the loss of a
-/// rack. A part that is in constant use is in progress on many upstreams, and several of them may fail within a second.
-constexpr milliseconds separateCrashInterval { 50 };
-constexpr milliseconds servedPartSeparateCrashInterval { 500 };
-/// Time before a crash in which a part that was served counts as served before.
+/// The same for what was served shortly before, which is more likely to be innocent.
+constexpr unsigned servedThreshold = 5;
+/// Crashes of several upstreams within this time count once, since they may have a common cause such as the loss of a
+/// rack.
+constexpr milliseconds commonCauseInterval { 50 };
+/// The same for what was served shortly before: if it is in constant use, it is in progress on many upstreams, and
+/// several of them may fail within a second.
+constexpr milliseconds servedCommonCauseInterval { 500 };
+/// Time before a crash in which what was served counts as served before.
 constexpr std::chrono::seconds servedBeforePeriod { 60 };
 /// Time after which a crash that a quarantined suspect explains is forgotten.
 constexpr std::chrono::minutes quarantineLifetime { 10 };
@@ -30,8 +33,8 @@
 /// would exchange them again and again.
 constexpr std::size_t crashLimit = 128;
 constexpr std::size_t suspectLimit = 256; ///< per crash
-/// Served parts that are remembered before the oldest half is dropped.
-constexpr std::size_t servedPartLimit = 2048;
+/// Served parts and requests that are remembered, each.
+constexpr std::size_t servedLimit = 2048;
 
 } // namespace
 
@@ -47,21 +50,24 @@
     return out;
 }
 
-/// Returns the number of crashes without those that follow another one too soon to count.
+/// Returns the number of crashes without those that may have a common cause with an earlier one. Two crashes of the
+/// same upstream have none, since its process started again in between.
 unsigned CrashSuspects::Explanation::separateCrashes() const
 {
-    std::vector<SteadyTime> times;
-    times.reserve(crashes.size());
-    for (const auto* it : crashes)
-        times.push_back(it->firstSeen);
-    std::sort(times.begin(), times.end());
-    const auto interval = wasServedBefore ? servedPartSeparateCrashInterval : separateCrashInterval;
+    auto inOrder = crashes;
+    std::sort(inOrder.begin(), inOrder.end(),
+        [](const auto* a, const auto* b) { return a->second.firstSeen < b->second.firstSeen; });
+    const auto interval = wasServedBefore ? servedCommonCauseInterval : commonCauseInterval;
     unsigned n = 0;
-    SteadyTime last {};
-    for (const auto it : times) {
-        if (n > 0 && it - last < interval)
+    SteadyTime begin {};
+    std::set<std::string_view> upstreams; // those that crashed since
+    for (const auto* it : inOrder) {
+        const auto& [upstream, startedAt] = it->first;
+        const bool isNew = upstreams.insert(upstream).second;
+        if (n > 0 && isNew && it->second.firstSeen - begin < interval)
             continue;
-        last = it;
+        begin = it->second.firstSeen;
+        upstreams = { upstream };
         ++n;
     }
     return n;
@@ -69,20 +75,19 @@
 
 bool CrashSuspects::Explanation::isSufficient(SuspectKind kind) const
 {
-    if (kind == SuspectKind::Request)
-        return crashes.size() >= requestThreshold;
-    return separateCrashes() >= (wasServedBefore ? servedPartThreshold : partThreshold);
+    const auto threshold = kind == SuspectKind::Request ? requestThreshold : partThreshold;
+    return separateCrashes() >= (wasServedBefore ? servedThreshold : threshold);
 }
 
 QuarantineEvidence CrashSuspects::Explanation::evidence() const
 {
-    const auto isEarlier = [](const Crash* a, const Crash* b) { return a->firstSeen < b->firstSeen; };
+    const auto isEarlier = [](const auto* a, const auto* b) { return a->second.firstSeen < b->second.firstSeen; };
     const auto [first, last] = std::minmax_element(crashes.begin(), crashes.end(), isEarlier);
     return { .crashes = static_cast<unsigned>(crashes.size()),
         .separateCrashes = separateCrashes(),
         .wasServedBefore = wasServedBefore,
-        .firstCrash = (*first)->firstSeen,
-        .lastCrash = (*last)->firstSeen };
+        .firstCrash = (*first)->second.firstSeen,
+        .lastCrash = (*last)->second.firstSeen };
 }
 
 bool CrashSuspects::Explanation::isBetterThan(const Explanation& other) const
@@ -96,6 +101,8 @@
 
 CrashSuspects::CrashSuspects(const Clock& clock)
     : m_clock(clock)
+    , m_servedParts(clock, { .period = servedBeforePeriod, .limit = servedLimit })
+    , m_servedRequests(clock, { .period = servedBeforePeriod, .limit = servedLimit })
 {
 }
 
@@ -113,8 +120,7 @@
 {
     bool isChanged = false;
     for (const auto& content : contents) {
-        if (content.suspect.kind == SuspectKind::PromptPart)
-            rememberServed(content.suspect);
+        recentlyServed(content.suspect.kind).record(content.suspect.id);
         for (auto& [key, crash] : m_crashes) {
             auto it = crash.suspects.find(content.suspect);
             if (it == crash.suspects.end() || it->second.isCleared)
@@ -203,7 +209,7 @@
     state.depth = std::max(state.depth, suspect.depth);
     state.wasServedBefore = state.wasServedBefore || suspect.wasServedBefore;
     state.isCleared = state.isCleared || suspect.isCleared;
-    const auto served = lastServed(suspect.suspect);
+    const auto served = recentlyServed(suspect.suspect.kind).find(suspect.suspect.id);
     if (!served)
         return;
     if (*served >= crash.firstSeen)
@@ -237,23 +243,9 @@
     }));
 }
 
-void CrashSuspects::rememberServed(const SuspectId& part)
+RecentlyServed& CrashSuspects::recentlyServed(SuspectKind kind)
 {
-    const auto now = m_clock.now();
-    if (m_servedParts.size() >= servedPartLimit || now - m_servedPartsSince >= servedBeforePeriod) {
-        m_olderServedParts = std::exchange(m_servedParts, {});
-        m_servedPartsSince = now;
-    }
-    m_servedParts[part] = now;
-}
-
-std::optional<SteadyTime> CrashSuspects::lastServed(const SuspectId& part) const
-{
-    for (const auto* parts : { &m_servedParts, &m_olderServedParts }) {
-        if (auto it = parts->find(part); it != parts->end())
-            return it->second;
-    }
-    return std::nullopt;
+    return kind == SuspectKind::PromptPart ? m_servedParts : m_servedRequests;
 }
 
 void CrashSuspects::update()
@@ -265,16 +257,16 @@
 void CrashSuspects::updateQuarantine()
 {
     m_quarantined.clear();
-    std::vector<const Crash*> unexplained;
+    std::vector<const Crashes::value_type*> unexplained;
     unexplained.reserve(m_crashes.size());
-    for (const auto& [key, crash] : m_crashes) {
-        unexplained.push_back(&crash);
-        m_quarantineEnd = std::max(m_quarantineEnd, crash.firstSeen + quarantineLifetime);
+    for (const auto& it : m_crashes) {
+        unexplained.push_back(&it);
+        m_quarantineEnd = std::max(m_quarantineEnd, it.second.firstSeen + quarantineLifetime);
     }
     for (;;) {
         std::map<SuspectId, Explanation> explanations;
         for (const auto* crash : unexplained) {
-            for (const auto& [id, state] : crash->suspects) {
+            for (const auto& [id, state] : crash->second.suspects) {
                 if (state.isCleared)
                     continue;
                 auto& explanation = explanations[id];
@@ -291,7 +283,7 @@
         const auto& explained = best->second.crashes;
         m_quarantined[best->first] = best->second.evidence();
         std::erase_if(unexplained,
-            [&](const Crash* it) { return std::find(explained.begin(), explained.end(), it) != explained.end(); });
+            [&](const auto* it) { return std::find(explained.begin(), explained.end(), it) != explained.end(); });
     }
 }
 
--- a/src/libserving/crash_suspects_test.cpp
+++ b/src/libserving/crash_suspects_test.cpp
@@ -237,6 +237,61 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(ManyCallersSendTheSameRequest)
+
+// Guards against refusing a read for good because all upstreams that ran it were lost at the same moment.
+BOOST_AUTO_TEST_CASE(IsNotBlamedForTheLossOfAllUpstreamsAtOnce)
+{
+    const auto read = instance.contents({});
+    for (int i = 0; i < 3; ++i)
+        instance.suspects.recordCrash("u" + std::to_string(i), 1, read);
+    BOOST_TEST(!instance.suspects.findQuarantined(read));
+}
+
+// The same if the crashes are noticed one after the other, and the read was served until then.
+BOOST_AUTO_TEST_CASE(IsNotBlamedForAnOutageWhileItIsInConstantUse)
+{
+    const auto read = instance.contents({});
+    instance.suspects.recordServed(read);
+    for (int i = 0; i < 3; ++i) {
+        clock.advance(200ms);
+        instance.suspects.recordCrash("u" + std::to_string(i), 1, read);
+    }
+    BOOST_TEST(!instance.suspects.findQuarantined(read));
+}
+
+// Guards against an instance that refuses a read because it has not served it itself.
+BOOST_AUTO_TEST_CASE(IsInUseIfAnyInstanceServedIt)
+{
+    Instance second { clock, "second" };
+    const auto read = instance.contents({});
+    second.suspects.recordServed(read);
+    clock.advance(1s);
+    for (int i = 0; i < 3; ++i) {
+        instance.suspects.recordCrash("u" + std::to_string(i), 1, read);
+        clock.advance(200ms);
+    }
+    second.suspects.merge(instance.suspects.crashes());
+    instance.suspects.merge(second.suspects.crashes());
+    BOOST_TEST(!instance.suspects.findQuarantined(read));
+    BOOST_TEST(!second.suspects.findQuarantined(read));
+}
+
+// A read that was served until now needs more crashes, but is found as well.
+BOOST_AUTO_TEST_CASE(IsFoundIfItCrashesUpstreamsAgainAndAgain)
+{
+    const auto read = instance.contents({});
+    instance.suspects.recordServed(read);
+    for (int i = 0; i < 5; ++i) {
+        BOOST_TEST(!instance.suspects.findQuarantined(read));
+        clock.advance(2s);
+        instance.suspects.recordCrash("u" + std::to_string(i % 2), i, read);
+    }
+    BOOST_TEST(instance.suspects.findQuarantined(read).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(InstancesExchangeWhatTheyKnow)
 
 // Guards against a part that needs as many crashes as there are instances times the threshold.
