Test by single requests whether a quarantine is still justified

What callers saw: a request, or every request with a prompt part, that was quarantined on wrong evidence is refused by all instances for ten minutes. Nothing shows that it is sound, since nothing that is quarantined is served.

Cause: only a served request clears a suspect, and the quarantine keeps each from being served.

Change: 15 s after the last crash (5 s for what was served shortly before) the holder of the placement lease grants one request as a trial, over `POST /v1/placement/trial`, to the instance that has it. If it is served, the quarantine ends on all instances with the next demand messages. Otherwise the next trial is due after four times as long; there are two at most, since each may cost an upstream and all that it runs. The number of trials is part of what instances exchange and of the row `placement/quarantine`, so that neither a new holder nor the loss of all instances begins anew. A trial goes to one upstream only, and none is taken while no upstream could run the request. PermitClient and TrialClient share callHolder().

Builds before: a suspect without trials is encoded as before and has the same fingerprint; a fourth element is ignored there, and missing here counts as none (AreReadableByThePreviousVersionAndReadIt).

--- a/src/include/bulrushstack/front/placement_messages.h
+++ b/src/include/bulrushstack/front/placement_messages.h
@@ -6,6 +6,7 @@
 #include "bulrushstack/serving/model_demand.h"
 #include "bulrushstack/serving/origin_replicator.h"
 #include "bulrushstack/serving/permit_issuer.h"
+#include "bulrushstack/serving/trial_reservations.h"
 #include "bulrushstack/teams/quota_issuer.h"
 
 #include <chrono>
@@ -121,6 +122,8 @@
 std::string encode(const PermitReply& reply);
 std::string encode(const QuotaRequest& request);
 std::string encode(const QuotaReply& reply);
+std::string encode(const TrialRequest& request);
+std::string encode(const TrialReply& reply);
 std::string encode(const OriginRequest& request);
 std::string encode(const OriginReply& reply);
 std::string encode(const std::vector<StreamOrigin>& origins);
@@ -140,6 +143,8 @@
 Result<PermitReply> decodePermitReply(std::string_view text);
 Result<QuotaRequest> decodeQuotaRequest(std::string_view text);
 Result<QuotaReply> decodeQuotaReply(std::string_view text);
+Result<TrialRequest> decodeTrialRequest(std::string_view text);
+Result<TrialReply> decodeTrialReply(std::string_view text);
 Result<OriginRequest> decodeOriginRequest(std::string_view text);
 Result<OriginReply> decodeOriginReply(std::string_view text);
 Result<std::vector<StreamOrigin>> decodeStreamOrigins(std::string_view text);
--- a/src/include/bulrushstack/serving/crash_suspects.h
+++ b/src/include/bulrushstack/serving/crash_suspects.h
@@ -33,14 +33,15 @@
 
 /// Something that was in progress on an upstream when it crashed.
 ///
-/// The flags are only ever set. Together with the union of the suspects this makes it possible to merge what several
-/// instances know of a crash in any order and any number of times.
+/// The flags are only ever set, and the number of trials only rises. Together with the union of the suspects this makes
+/// it possible to merge what several instances know of a crash in any order and any number of times.
 struct CrashSuspect {
     SuspectId suspect;
     /// Position in the prompt; the request itself comes after all parts. A later position is shared by fewer requests.
     unsigned depth = 0;
     bool wasServedBefore = false; ///< whether a request with it was served shortly before the crash
     bool isCleared = false; ///< whether a request with it was served after the crash
+    unsigned trials = 0; ///< requests with it that were let through although it is quarantined
 
     friend bool operator==(const CrashSuspect&, const CrashSuspect&) = default;
 };
@@ -62,6 +63,8 @@
     bool wasServedBefore = false; ///< whether the suspect was served shortly before one of the crashes
     SteadyTime firstCrash {};
     SteadyTime lastCrash {};
+    unsigned trials = 0;
+    SteadyTime nextTrial = SteadyTime::max(); ///< time from which another trial is due
 
     friend bool operator==(const QuarantineEvidence&, const QuarantineEvidence&) = default;
 };
@@ -81,6 +84,9 @@
 /// What many requests share is in progress on many upstreams, so that it is in each crash, whatever its cause. Two
 /// rules keep such crashes from counting as evidence: crashes that may have a common cause count once, and what was
 /// served shortly before needs more of them.
+///
+/// Evidence that is wrong all the same would last, since nothing that is quarantined is served and cleared. Therefore a
+/// few single requests are let through as trials, at growing intervals: one that is served ends the quarantine.
 class CrashSuspects {
 public:
     explicit CrashSuspects(const Clock& clock);
@@ -97,6 +103,15 @@
     /// Returns the first quarantined suspect among the contents of a request; empty if the request may run.
     std::optional<SuspectId> findQuarantined(const std::vector<CrashSuspect>& contents) const;
 
+    /// Returns all quarantined suspects among the contents of a request.
+    std::vector<SuspectId> quarantinedAmong(const std::vector<CrashSuspect>& contents) const;
+
+    /// Returns whether all these suspects are quarantined and one request with them may be let through as a trial.
+    bool isTrialDue(const std::vector<SuspectId>& suspects) const;
+
+    /// Records that a request with these suspects was sent to an upstream as a trial.
+    void recordTrial(const std::vector<SuspectId>& suspects);
+
     /// Returns all that this instance knows, to be merged by the others.
     std::vector<UpstreamCrash> crashes() const;
 
@@ -118,6 +133,10 @@
         unsigned depth = 0;
         bool wasServedBefore = false;
         bool isCleared = false;
+        unsigned trials = 0;
+        SteadyTime lastTrial {}; ///< time at which this instance heard of the last trial
+
+        void recordTrials(unsigned n, SteadyTime now);
     };
 
     struct Crash {
@@ -131,12 +150,15 @@
     struct Explanation {
         unsigned depth = 0;
         bool wasServedBefore = false;
+        unsigned trials = 0;
+        SteadyTime lastTrial {};
         std::vector<const Crashes::value_type*> crashes;
 
         bool isSufficient(SuspectKind kind) const;
         bool isBetterThan(const Explanation& other) const;
         unsigned separateCrashes() const;
         QuarantineEvidence evidence() const;
+        SteadyTime nextTrial(SteadyTime lastCrash) const;
     };
 
     Crash& findOrAddCrash(const CrashKey& key, SteadyTime firstSeen);
--- a/src/libfront/front_service.cpp
+++ b/src/libfront/front_service.cpp
@@ -335,6 +335,7 @@
             .adapters = agent,
             .permits = agent.permits(),
             .quotas = agent.quotas(),
+            .trials = agent.trials(),
             .origins = origins,
             .upstreams = storeSynchronizer,
             .relay = peerRelay,
--- a/src/libfront/front_state.cpp
+++ b/src/libfront/front_state.cpp
@@ -211,24 +211,34 @@
     const auto previous = m_crashSuspects.quarantined();
     m_crashSuspects.recordCrash(upstream, startedAt, suspects);
     m_hasUrgentDemand = true;
-    logQuarantineChanges(previous);
+    recordQuarantineChanges(previous);
 }
 
 void FrontState::recordServed(const std::vector<CrashSuspect>& contents)
 {
     const auto previous = m_crashSuspects.quarantined();
     m_crashSuspects.recordServed(contents);
-    logQuarantineChanges(previous);
+    recordQuarantineChanges(previous);
 }
 
 void FrontState::mergeCrashes(const std::vector<UpstreamCrash>& crashes)
 {
     const auto previous = m_crashSuspects.quarantined();
     m_crashSuspects.merge(crashes);
-    logQuarantineChanges(previous);
+    recordQuarantineChanges(previous);
 }
 
-void FrontState::logQuarantineChanges(const std::map<SuspectId, QuarantineEvidence>& previous) const
+void FrontState::recordTrial(const std::string& request, const std::vector<SuspectId>& suspects)
+{
+    for (const auto& it : suspects)
+        LOG(WARNING) << "event=quarantine-trial request=" << request << " kind=" << toString(it.kind)
+                     << " id=" << it.id;
+    m_crashSuspects.recordTrial(suspects);
+    m_hasUrgentDemand = true;
+}
+
+/// Logs what changed. The lease holder hears soon of what is no longer quarantined.
+void FrontState::recordQuarantineChanges(const std::map<SuspectId, QuarantineEvidence>& previous)
 {
     const auto& current = m_crashSuspects.quarantined();
     for (const auto& [suspect, evidence] : current) {
@@ -237,11 +247,14 @@
                          << " crashes=" << evidence.crashes << " separate=" << evidence.separateCrashes
                          << " span_ms=" << millisecondsOf(evidence.lastCrash - evidence.firstCrash).count()
                          << " last_age_ms=" << millisecondsOf(m_clock.now() - evidence.lastCrash).count()
-                         << " served_before=" << evidence.wasServedBefore;
+                         << " served_before=" << evidence.wasServedBefore << " trials=" << evidence.trials;
     }
     for (const auto& [suspect, evidence] : previous) {
-        if (current.count(suspect) == 0)
-            LOG(WARNING) << "event=quarantine-ended kind=" << toString(suspect.kind) << " id=" << suspect.id;
+        if (current.count(suspect) > 0)
+            continue;
+        LOG(WARNING) << "event=quarantine-ended kind=" << toString(suspect.kind) << " id=" << suspect.id
+                     << " trials=" << evidence.trials;
+        m_hasUrgentDemand = true;
     }
 }
 
--- a/src/libfront/front_state.h
+++ b/src/libfront/front_state.h
@@ -91,6 +91,9 @@
     /// Clears the contents of a served request of the suspicion that they crash upstreams.
     void recordServed(const std::vector<CrashSuspect>& contents);
 
+    /// Records that a request was sent to an upstream although it contains these quarantined suspects.
+    void recordTrial(const std::string& request, const std::vector<SuspectId>& suspects);
+
     /// Merges the crashes that another instance knows.
     void mergeCrashes(const std::vector<UpstreamCrash>& crashes);
 
@@ -152,7 +155,7 @@
 
 private:
     double retryBudgetBurst() const;
-    void logQuarantineChanges(const std::map<SuspectId, QuarantineEvidence>& previous) const;
+    void recordQuarantineChanges(const std::map<SuspectId, QuarantineEvidence>& previous);
     bool canServe(const UpstreamEntry& upstream, const ServingRequest& request) const;
 
     boost::asio::io_context& m_context;
--- a/src/libfront/front_test_support.h
+++ b/src/libfront/front_test_support.h
@@ -213,6 +213,19 @@
     void giveBack(const std::string&, double units) override { givenBack += units; }
 };
 
+/// Grants trials of what is quarantined if a test says so.
+class CountedTrials final : public TrialSource {
+public:
+    bool isGranted = false;
+    unsigned asked = 0;
+
+    boost::asio::awaitable<bool> obtain(TrialRequest, SteadyTime) override
+    {
+        ++asked;
+        co_return isGranted;
+    }
+};
+
 class Ingress final : public HttpHandler {
 public:
     explicit Ingress(RequestDependencies dependencies)
@@ -282,6 +295,7 @@
     NoAdapters adapters;
     CountedPermits permits { state };
     CountedQuotas quotas;
+    CountedTrials trials;
     FixedOrigin origins;
     FixedRows rows { state };
     FixedPeers peers;
@@ -309,6 +323,7 @@
             .adapters = adapters,
             .permits = permits,
             .quotas = quotas,
+            .trials = trials,
             .origins = origins,
             .upstreams = rows,
             .relay = relay,
--- a/src/libfront/permit_client.cpp
+++ b/src/libfront/permit_client.cpp
@@ -1,5 +1,6 @@
 #include "permit_client.h"
 
+#include "holder_call.h"
 #include <glog/logging.h>
 
 namespace bulrushstack {
@@ -63,16 +64,10 @@
 {
     if (m_leaseHolder.isHolder())
         co_return issueAsHolder(request);
-    const auto holder = m_leaseHolder.reachableHolder();
-    if (!holder)
-        co_return unavailableFailure("the lease holder does not respond");
-    HttpRequest httpRequest { .method = "POST", .target = std::string(permitPath), .body = encode(request) };
-    auto response = co_await m_client.call(*holder, std::move(httpRequest), { .deadline = deadline });
+    const auto response = co_await callHolder(m_client, m_leaseHolder, permitPath, encode(request), deadline);
     if (!response)
         co_return response.error();
-    if (response->status != 200)
-        co_return unavailableFailure("the lease holder responded with status " + std::to_string(response->status));
-    co_return decodePermitReply(response->body);
+    co_return decodePermitReply(*response);
 }
 
 PermitReply PermitClient::issueOwnShare(PermitRequest request)
--- a/src/libfront/placement_agent.cpp
+++ b/src/libfront/placement_agent.cpp
@@ -43,6 +43,7 @@
     , m_leaseManager(state, binding, metrics, relay.self())
     , m_permits(state, client, m_leaseManager)
     , m_quotas(state, client, m_leaseManager, origins)
+    , m_trials(state, client, m_leaseManager)
     , m_quarantineStore(state, binding, m_leaseManager)
     , m_versionHistory(state, binding, m_leaseManager)
     , m_demandEstimator(state.clock())
@@ -83,6 +84,8 @@
         response = respondToPermitRequest(request);
     else if (isPost && request.path() == quotaPath)
         response = respondToQuotaRequest(request);
+    else if (isPost && request.path() == trialPath)
+        response = respondToTrialRequest(request);
     else
         response = jsonErrorResponse(404, "unknown path");
     co_await exchange.respond(std::move(response));
@@ -134,6 +137,16 @@
     return jsonResponse(200, encode(m_quotas.borrowAsHolder(*quotaRequest)));
 }
 
+HttpResponse PlacementAgent::respondToTrialRequest(const HttpRequest& request)
+{
+    const auto trialRequest = decodeTrialRequest(request.body);
+    if (!trialRequest)
+        return jsonErrorResponse(400, trialRequest.error().detail);
+    if (!m_leaseManager.isHolder())
+        return jsonErrorResponse(503, "this instance does not hold the placement lease");
+    return jsonResponse(200, encode(m_trials.grantAsHolder(*trialRequest)));
+}
+
 asio::awaitable<Result<std::string>> PlacementAgent::placeAdapter(AdapterDemand demand, SteadyTime deadline)
 {
     if (m_leaseManager.isHolder())
--- a/src/libfront/placement_agent.h
+++ b/src/libfront/placement_agent.h
@@ -14,6 +14,7 @@
 #include "quota_client.h"
 #include "request_dependencies.h"
 #include "stream_origin_service.h"
+#include "trial_client.h"
 #include "version_history.h"
 
 #include <map>
@@ -50,6 +51,9 @@
     /// Returns the source of units of teams' quotas. The holder of the placement lease keeps the accounts.
     QuotaSource& quotas() { return m_quotas; }
 
+    /// Returns the source of trials of what is quarantined. The holder of the placement lease grants them.
+    TrialSource& trials() { return m_trials; }
+
 private:
     struct ServicePlacement {
         ServicePlacement(const Clock& clock, const EngineSpec& engine)
@@ -78,6 +82,7 @@
     boost::asio::awaitable<HttpResponse> respondToAdapterDemand(const HttpRequest& request);
     HttpResponse respondToPermitRequest(const HttpRequest& request);
     HttpResponse respondToQuotaRequest(const HttpRequest& request);
+    HttpResponse respondToTrialRequest(const HttpRequest& request);
 
     boost::asio::awaitable<void> reportDemand();
     boost::asio::awaitable<void> keepHolderRows();
@@ -121,6 +126,7 @@
     LeaseManager m_leaseManager;
     PermitClient m_permits;
     QuotaClient m_quotas;
+    TrialClient m_trials;
     QuarantineStore m_quarantineStore;
     VersionHistory m_versionHistory;
     DemandCollector m_collector;
--- a/src/libfront/placement_messages.cpp
+++ b/src/libfront/placement_messages.cpp
@@ -72,6 +72,7 @@
 }
 
 /// A suspect is an array [id, depth, flags], since a disruption of many upstreams makes many requests suspect at once.
+/// The number of trials follows if there are any; instances of the previous version ignore it.
 enum SuspectFlag : unsigned {
     IsPromptPart = 1,
     WasServedBefore = 2,
@@ -88,6 +89,8 @@
     if (suspect.isCleared)
         flags |= IsCleared;
     out = json::array({ suspect.suspect.id, suspect.depth, flags });
+    if (suspect.trials > 0)
+        out.push_back(suspect.trials);
 }
 
 void from_json(const json& document, CrashSuspect& out)
@@ -98,6 +101,7 @@
     out.suspect.kind = (flags & IsPromptPart) ? SuspectKind::PromptPart : SuspectKind::Request;
     out.wasServedBefore = (flags & WasServedBefore) != 0;
     out.isCleared = (flags & IsCleared) != 0;
+    out.trials = document.size() > 3 ? document.at(3).get<unsigned>() : 0;
 }
 
 void to_json(json& out, const UpstreamCrash& crash)
@@ -273,6 +277,26 @@
     out.retryAfter = std::chrono::milliseconds(document.at("retryAfterMs").get<std::uint32_t>());
 }
 
+/// A suspect of a trial is an array [kind, id].
+void to_json(json& out, const SuspectId& suspect)
+{
+    out = json::array({ suspect.kind == SuspectKind::PromptPart, suspect.id });
+}
+
+void from_json(const json& document, SuspectId& out)
+{
+    out.kind = document.at(0).get<bool>() ? SuspectKind::PromptPart : SuspectKind::Request;
+    document.at(1).get_to(out.id);
+}
+
+void to_json(json& out, const TrialRequest& request) { out = { { "suspects", request.suspects } }; }
+
+void from_json(const json& document, TrialRequest& out) { document.at("suspects").get_to(out.suspects); }
+
+void to_json(json& out, const TrialReply& reply) { out = { { "isGranted", reply.isGranted } }; }
+
+void from_json(const json& document, TrialReply& out) { document.at("isGranted").get_to(out.isGranted); }
+
 void to_json(json& out, const QuotaRequest& request)
 {
     out = { { "instance", request.instance }, { "team", request.team }, { "units", request.units },
@@ -337,6 +361,8 @@
 std::string encode(const PermitReply& reply) { return encodeAs(reply); }
 std::string encode(const QuotaRequest& request) { return encodeAs(request); }
 std::string encode(const QuotaReply& reply) { return encodeAs(reply); }
+std::string encode(const TrialRequest& request) { return encodeAs(request); }
+std::string encode(const TrialReply& reply) { return encodeAs(reply); }
 std::string encode(const OriginRequest& request) { return encodeAs(request); }
 std::string encode(const OriginReply& reply) { return encodeAs(reply); }
 std::string encode(const std::vector<StreamOrigin>& origins) { return encodeAs(origins); }
@@ -349,6 +375,8 @@
 Result<PermitReply> decodePermitReply(std::string_view text) { return decodeAs<PermitReply>(text); }
 Result<QuotaRequest> decodeQuotaRequest(std::string_view text) { return decodeAs<QuotaRequest>(text); }
 Result<QuotaReply> decodeQuotaReply(std::string_view text) { return decodeAs<QuotaReply>(text); }
+Result<TrialRequest> decodeTrialRequest(std::string_view text) { return decodeAs<TrialRequest>(text); }
+Result<TrialReply> decodeTrialReply(std::string_view text) { return decodeAs<TrialReply>(text); }
 Result<OriginRequest> decodeOriginRequest(std::string_view text) { return decodeAs<OriginRequest>(text); }
 Result<OriginReply> decodeOriginReply(std::string_view text) { return decodeAs<OriginReply>(text); }
 
--- a/src/libfront/placement_messages_test.cpp
+++ b/src/libfront/placement_messages_test.cpp
@@ -15,7 +15,7 @@
         .startedAt = 7,
         .age = 1500ms,
         .suspects = { { .suspect = part, .depth = 2, .wasServedBefore = true },
-            { .suspect = request, .depth = 3, .isCleared = true } } } };
+            { .suspect = request, .depth = 3, .isCleared = true, .trials = 2 } } } };
 }
 
 } // namespace
@@ -46,6 +46,19 @@
         R"({"instance":"a","models":[],"adapters":[],"crashes":[{"digest":"d","crashes":2}],"unreachable":[]})");
     BOOST_REQUIRE(old);
     BOOST_TEST(old->crashes.empty());
+    const auto withoutTrials = decodeCrashes(
+        nlohmann::json::parse(R"({"crashes":[{"upstream":"u1","startedAt":7,"ageMs":1,"suspects":[["d1",3,0]]}]})"));
+    BOOST_REQUIRE(withoutTrials);
+    BOOST_TEST(withoutTrials->front().suspects.front().trials == 0U);
+    BOOST_TEST(encodeCrashes(*withoutTrials).at("crashes").at(0).at("suspects").at(0).size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(CarryTrials)
+{
+    const TrialRequest request { .suspects = { { .kind = SuspectKind::PromptPart, .id = "p1" }, { .id = "d1" } } };
+    BOOST_TEST((decodeTrialRequest(encode(request)).value() == request));
+    BOOST_TEST(decodeTrialReply(encode(TrialReply { .isGranted = true }))->isGranted);
+    BOOST_TEST(decodeTrialRequest(R"({"suspects":[["x"]]})").has_error());
 }
 
 // Guards against quotas that two instances count differently, and against messages that an older build cannot read.
--- a/src/libfront/request_attempt.cpp
+++ b/src/libfront/request_attempt.cpp
@@ -124,6 +124,8 @@
     m_lastUpstream = attempt.upstreamId;
     m_state.upstreamLoads().recordStart(attempt.upstreamId, attempt.sentRequest);
     auto failure = co_await open(attempt);
+    if (attempt.wasSent)
+        recordTrialSent();
     if (!failure)
         failure = co_await validateResponseHead(attempt);
     if (!failure && !m_isDone) {
--- a/src/libfront/request_dependencies.h
+++ b/src/libfront/request_dependencies.h
@@ -140,6 +140,15 @@
     virtual void giveBack(const std::string& team, double units) = 0;
 };
 
+/// Obtains trials of what is quarantined; implemented by TrialClient.
+class TrialSource {
+public:
+    virtual ~TrialSource() = default;
+
+    /// Returns whether the request may be let through once, to test whether its contents still crash upstreams.
+    virtual boost::asio::awaitable<bool> obtain(TrialRequest request, SteadyTime deadline) = 0;
+};
+
 /// Objects that the forwarders of all requests share.
 struct RequestDependencies {
     FrontState& state;
@@ -148,6 +157,7 @@
     AdapterPlacement& adapters;
     PermitSource& permits;
     QuotaSource& quotas;
+    TrialSource& trials;
     StreamOriginSource& origins;
     UpstreamReader& upstreams;
     RequestRelay& relay;
--- a/src/libfront/request_forwarder.cpp
+++ b/src/libfront/request_forwarder.cpp
@@ -112,6 +112,8 @@
         = m_request.callerTimeout ? std::min(*m_request.callerTimeout, m_route->timeout) : m_route->timeout;
     m_deadline = m_receivedAt + timeout;
     m_crashSuspects = suspectsOf(m_request, requestDigest(m_request, clientRequest().target, clientRequest().body));
+    if (m_state.crashSuspects().isTrialDue(m_state.crashSuspects().quarantinedAmong(m_crashSuspects)))
+        return std::nullopt;
     return quarantineProblem();
 }
 
@@ -132,6 +134,8 @@
 /// Returns the error for a request that would probably crash the upstream that runs it; empty if it may run.
 std::optional<Problem> RequestForwarder::quarantineProblem() const
 {
+    if (!m_trial.empty())
+        return std::nullopt;
     const auto suspect = m_state.crashSuspects().findQuarantined(m_crashSuspects);
     if (!suspect)
         return std::nullopt;
@@ -140,6 +144,27 @@
             + " " + suspect->id };
 }
 
+/// Obtains a trial if the request is quarantined and a trial is due. None is taken from other requests while no
+/// upstream could run this one.
+asio::awaitable<void> RequestForwarder::obtainTrial()
+{
+    auto suspects = m_state.crashSuspects().quarantinedAmong(m_crashSuspects);
+    const bool isDue = !suspects.empty() && m_state.crashSuspects().isTrialDue(suspects);
+    if (!isDue || !m_trial.empty() || rankCandidates().empty())
+        co_return;
+    TrialRequest request { .suspects = std::move(suspects) };
+    const bool isGranted = co_await m_dependencies.trials.obtain(request, m_deadline);
+    if (isGranted)
+        m_trial = std::move(request.suspects);
+}
+
+/// Records that the request was sent as a trial, which is over then.
+void RequestForwarder::recordTrialSent()
+{
+    if (!m_trial.empty())
+        m_state.recordTrial(m_request.id, std::exchange(m_trial, {}));
+}
+
 asio::awaitable<void> RequestForwarder::runAdmitted()
 {
     if (mayRelay() && co_await relayToPeer())
@@ -193,6 +218,11 @@
     if (m_streamVersion && m_service->engine && rankCandidates().empty())
         m_state.recordUnplacedStream(m_service->name, m_request, *m_streamVersion);
     for (;;) {
+        co_await obtainTrial();
+        if (auto problem = quarantineProblem()) {
+            co_await endQuarantined(std::move(*problem));
+            co_return;
+        }
         const auto chosen = co_await chooseUpstream();
         if (m_isClientGone) {
             endAfterClientDisconnect("the client disconnected before an upstream was chosen");
--- a/src/libfront/request_forwarder.h
+++ b/src/libfront/request_forwarder.h
@@ -113,6 +113,8 @@
     std::optional<Problem> admissionProblem();
     std::optional<Problem> identificationProblem();
     std::optional<Problem> quarantineProblem() const;
+    boost::asio::awaitable<void> obtainTrial();
+    void recordTrialSent();
     unsigned urgency() const;
     void endAfterClientDisconnect(const std::string& detail);
     void logCompletion(std::string_view outcome, unsigned status, const std::string& detail);
@@ -134,6 +136,8 @@
     double m_chargedUnits = 0; ///< Units of the team's quota that the request was charged.
     /// What the request contains that may crash upstreams.
     std::vector<CrashSuspect> m_crashSuspects;
+    /// Quarantined contents with which the request may be sent to one upstream as a trial.
+    std::vector<SuspectId> m_trial;
     std::shared_ptr<HttpCancellation> m_cancellation = std::make_shared<HttpCancellation>();
     bool m_isClientGone = false;
     /// Whether this instance ends the request since it is stopping.
--- a/src/libserving/crash_suspects.cpp
+++ b/src/libserving/crash_suspects.cpp
@@ -29,6 +29,13 @@
 constexpr std::chrono::minutes quarantineLifetime { 10 };
 /// The same for other crashes, most of which have another cause.
 constexpr std::chrono::minutes crashLifetime { 3 };
+/// Time from the last crash or trial to the first trial, by when upstreams that failed for another reason are back.
+constexpr std::chrono::seconds trialDelay { 15 };
+/// The same for what was served shortly before, which is more likely to be innocent.
+constexpr std::chrono::seconds servedTrialDelay { 5 };
+constexpr unsigned trialDelayFactor = 4; ///< growth of the delay from one trial to the next
+/// Trials of one suspect. Each may cost an upstream and all that it runs.
+constexpr unsigned trialLimit = 2;
 /// Larger than the number of upstreams that a disruption takes at once, since instances that keep different crashes
 /// would exchange them again and again.
 constexpr std::size_t crashLimit = 128;
@@ -79,6 +86,14 @@
     return separateCrashes() >= (wasServedBefore ? servedThreshold : threshold);
 }
 
+void CrashSuspects::SuspectState::recordTrials(unsigned n, SteadyTime now)
+{
+    if (n <= trials)
+        return;
+    trials = n;
+    lastTrial = now;
+}
+
 QuarantineEvidence CrashSuspects::Explanation::evidence() const
 {
     const auto isEarlier = [](const auto* a, const auto* b) { return a->second.firstSeen < b->second.firstSeen; };
@@ -87,7 +102,19 @@
         .separateCrashes = separateCrashes(),
         .wasServedBefore = wasServedBefore,
         .firstCrash = (*first)->second.firstSeen,
-        .lastCrash = (*last)->second.firstSeen };
+        .lastCrash = (*last)->second.firstSeen,
+        .trials = trials,
+        .nextTrial = nextTrial((*last)->second.firstSeen) };
+}
+
+SteadyTime CrashSuspects::Explanation::nextTrial(SteadyTime lastCrash) const
+{
+    if (trials >= trialLimit)
+        return SteadyTime::max();
+    auto delay = wasServedBefore ? servedTrialDelay : trialDelay;
+    for (unsigned i = 0; i < trials; ++i)
+        delay *= trialDelayFactor;
+    return std::max(lastCrash, lastTrial) + delay;
 }
 
 bool CrashSuspects::Explanation::isBetterThan(const Explanation& other) const
@@ -150,13 +177,43 @@
 
 std::optional<SuspectId> CrashSuspects::findQuarantined(const std::vector<CrashSuspect>& contents) const
 {
-    if (m_quarantined.empty() || m_clock.now() >= m_quarantineEnd)
-        return std::nullopt;
+    const auto suspects = quarantinedAmong(contents);
+    return suspects.empty() ? std::nullopt : std::optional(suspects.front());
+}
+
+std::vector<SuspectId> CrashSuspects::quarantinedAmong(const std::vector<CrashSuspect>& contents) const
+{
+    std::vector<SuspectId> out;
+    if (m_clock.now() >= m_quarantineEnd)
+        return out;
     for (const auto& it : contents) {
         if (m_quarantined.count(it.suspect) > 0)
-            return it.suspect;
+            out.push_back(it.suspect);
+    }
+    return out;
+}
+
+bool CrashSuspects::isTrialDue(const std::vector<SuspectId>& suspects) const
+{
+    return std::all_of(suspects.begin(), suspects.end(), [this](const SuspectId& suspect) {
+        const auto it = m_quarantined.find(suspect);
+        return it != m_quarantined.end() && it->second.nextTrial <= m_clock.now();
+    });
+}
+
+void CrashSuspects::recordTrial(const std::vector<SuspectId>& suspects)
+{
+    for (const auto& suspect : suspects) {
+        const auto quarantined = m_quarantined.find(suspect);
+        if (quarantined == m_quarantined.end())
+            continue;
+        for (auto& [key, crash] : m_crashes) {
+            const auto it = crash.suspects.find(suspect);
+            if (it != crash.suspects.end())
+                it->second.recordTrials(quarantined->second.trials + 1, m_clock.now());
+        }
     }
-    return std::nullopt;
+    update();
 }
 
 std::vector<UpstreamCrash> CrashSuspects::crashes() const
@@ -171,7 +228,8 @@
             item.suspects.push_back({ .suspect = id,
                 .depth = state.depth,
                 .wasServedBefore = state.wasServedBefore,
-                .isCleared = state.isCleared });
+                .isCleared = state.isCleared,
+                .trials = state.trials });
         out.push_back(std::move(item));
     }
     return out;
@@ -209,6 +267,7 @@
     state.depth = std::max(state.depth, suspect.depth);
     state.wasServedBefore = state.wasServedBefore || suspect.wasServedBefore;
     state.isCleared = state.isCleared || suspect.isCleared;
+    state.recordTrials(suspect.trials, m_clock.now());
     const auto served = recentlyServed(suspect.suspect.kind).find(suspect.suspect.id);
     if (!served)
         return;
@@ -272,6 +331,8 @@
                 auto& explanation = explanations[id];
                 explanation.depth = std::max(explanation.depth, state.depth);
                 explanation.wasServedBefore = explanation.wasServedBefore || state.wasServedBefore;
+                explanation.trials = std::max(explanation.trials, state.trials);
+                explanation.lastTrial = std::max(explanation.lastTrial, state.lastTrial);
                 explanation.crashes.push_back(crash);
             }
         }
@@ -301,6 +362,9 @@
             const std::uint32_t fields[] = { static_cast<std::uint32_t>(id.kind), suspect.depth,
                 static_cast<std::uint32_t>(suspect.wasServedBefore), static_cast<std::uint32_t>(suspect.isCleared) };
             add(fields, sizeof(fields));
+            // Instances of the previous version know no trials; without any, the fingerprints are the same.
+            if (suspect.trials > 0)
+                add(&suspect.trials, sizeof(suspect.trials));
         }
     }
     m_fingerprint = m_crashes.empty() ? 0 : XXH3_64bits_digest(&state);
--- a/src/libserving/crash_suspects_test.cpp
+++ b/src/libserving/crash_suspects_test.cpp
@@ -292,6 +292,112 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(TheEvidenceWasWrong)
+
+/// Two crashes that had nothing to do with the request that was in progress.
+struct WrongEvidence : Fixture {
+    std::vector<CrashSuspect> contents = instance.contents({});
+    std::vector<SuspectId> suspects { contents.front().suspect };
+
+    void crashTwice()
+    {
+        for (int i = 0; i < 2; ++i) {
+            clock.advance(2s);
+            instance.suspects.recordCrash("u" + std::to_string(i), 1, contents);
+        }
+    }
+
+    bool isTrialDue() { return instance.suspects.isTrialDue(suspects); }
+};
+
+BOOST_FIXTURE_TEST_SUITE(OneRequestAtATimeIsLetThrough, WrongEvidence)
+
+// Guards against a request that is refused for as long as the quarantine lasts, since nothing can show that it is
+// sound.
+BOOST_AUTO_TEST_CASE(ATrialIsDueAfterAWhile)
+{
+    crashTwice();
+    BOOST_TEST(!isTrialDue());
+    clock.advance(15s);
+    BOOST_TEST(isTrialDue());
+    BOOST_TEST(instance.suspects.findQuarantined(contents).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(AServedTrialEndsTheQuarantine)
+{
+    crashTwice();
+    clock.advance(15s);
+    instance.suspects.recordTrial(suspects);
+    instance.suspects.recordServed(contents);
+    BOOST_TEST(!instance.suspects.findQuarantined(contents));
+}
+
+// Guards against trials of a request that does crash upstreams: each of them costs one.
+BOOST_AUTO_TEST_CASE(ATrialPutsOffTheNextOne)
+{
+    crashTwice();
+    clock.advance(15s);
+    instance.suspects.recordTrial(suspects);
+    instance.suspects.recordCrash("u3", 1, contents);
+    clock.advance(59s);
+    BOOST_TEST(!isTrialDue());
+    clock.advance(1s);
+    BOOST_TEST(isTrialDue());
+    instance.suspects.recordTrial(suspects);
+    clock.advance(5min);
+    BOOST_TEST(!isTrialDue());
+    BOOST_TEST(instance.suspects.findQuarantined(contents).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ATrialIsDueSoonerForWhatWasServedShortlyBefore)
+{
+    instance.suspects.recordServed(contents);
+    for (int i = 0; i < 5; ++i) {
+        clock.advance(2s);
+        instance.suspects.recordCrash("u" + std::to_string(i), 1, contents);
+    }
+    BOOST_TEST(instance.suspects.findQuarantined(contents).has_value());
+    clock.advance(4s);
+    BOOST_TEST(!isTrialDue());
+    clock.advance(1s);
+    BOOST_TEST(isTrialDue());
+}
+
+// Guards against a trial of each instance, and against trials that begin anew when all instances were lost.
+BOOST_AUTO_TEST_CASE(AnotherInstanceCountsTheTrial)
+{
+    Instance second { clock, "second" };
+    Instance restarted { clock, "restarted" };
+    crashTwice();
+    clock.advance(15s);
+    second.suspects.merge(instance.suspects.crashes());
+    BOOST_TEST(second.suspects.isTrialDue(suspects));
+    instance.suspects.recordTrial(suspects);
+    BOOST_TEST(instance.suspects.fingerprint() != second.suspects.fingerprint());
+    second.suspects.merge(instance.suspects.crashes());
+    restarted.suspects.merge(instance.suspects.quarantineEvidence());
+    for (const auto* it : { &second, &restarted }) {
+        BOOST_TEST(!it->suspects.isTrialDue(suspects));
+        BOOST_TEST(it->suspects.quarantined().at(suspects.front()).trials == 1U);
+    }
+}
+
+// A request that contains two quarantined suspects says nothing about either of them unless both are to be tested.
+BOOST_AUTO_TEST_CASE(AllThatIsQuarantinedMustBeDue)
+{
+    crashTwice();
+    clock.advance(15s);
+    crashes = 10; // other upstreams than those of the request
+    crashUpstreams(3, { "crashing" });
+    const SuspectId part { .kind = SuspectKind::PromptPart, .id = "crashing" };
+    BOOST_TEST(isTrialDue());
+    BOOST_TEST(!instance.suspects.isTrialDue({ suspects.front(), part }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(InstancesExchangeWhatTheyKnow)
 
 // Guards against a part that needs as many crashes as there are instances times the threshold.
--- a/testsuite/crashing-prompt-part/run.py
+++ b/testsuite/crashing-prompt-part/run.py
@@ -2,7 +2,8 @@
 
 Guards against: requests that differ in everything but one prompt part and crash one engine after the other; requests that
 are refused because they share their other prompt parts with the crashing ones, in particular if the engines crash after the
-first event, or say that they are brittle; a quarantine that is forgotten when all instances are killed.
+first event, or say that they are brittle; a quarantine that is forgotten when all instances are killed; trials of a quarantined
+request that cost more than an engine now and then.
 """
 
 import time
@@ -20,6 +21,7 @@
 LATE_RUN_LIMIT = 3  # crashing requests that may still reach engines after that
 KNOWN_AGAIN_S = 1.0  # seconds after which restarted instances know what is quarantined
 SETTLED_ROUNDS = 12  # last rounds, in which all other requests must be served
+SAME_REQUEST_ROUNDS = 80  # long enough for one trial
 
 
 def prompt(number, *shared):
@@ -84,9 +86,28 @@
         serving_site.report_violations(script, site)
 
 
+def play_same_request(script, folder):
+    script.section("one request crashes every engine that runs it, and is sent again and again to each instance")
+    with serving_site.open_site(folder, placed=PLACED, models=MODELS) as site:
+        instances = serving_site.start_instances(site, 3)
+        for number in range(3):
+            site.workers[f"engine-{number}"].crashing_prompt_parts = {"own-crashing"}
+        crashing = brief_request(parts=prompt("crashing"))
+        for number in range(SAME_REQUEST_ROUNDS):
+            others = [(it, brief_request(parts=prompt(f"{number}-{it.name}"))) for it in instances]
+            outcomes = site.call_concurrently([(instances[number % len(instances)], crashing), *others])[1:]
+            time.sleep(ROUND_S)
+        runs = sorted(run.started_at for run in site.runs if site.sent_requests[run.request] == crashing)
+        late = [it for it in runs[3:] if it > runs[2] + STABLE_S]
+        script.say(f"at most {LATE_RUN_LIMIT} of its runs began later than {STABLE_S:g} s after the third crash: {len(late) <= LATE_RUN_LIMIT}")
+        script.say(f"other requests are served in the last round: {all(it.is_served for it in outcomes)}")
+        serving_site.report_violations(script, site)
+
+
 def run(folder):
     script = Transcript()
     play(script, folder / "at-once", "one prompt part crashes every engine that runs it; no two requests with it are alike", restarts_all=True)
     play(script, folder / "after-events", "the engines crash after the first event", events_before_crash=1)
     play(script, folder / "brittle", "the engines say that they are brittle", brittleness=BRITTLENESS)
+    play_same_request(script, folder / "same-request")
     return script.text()
