Count every whole response below 500 as evidence that its request crashes nothing

What callers saw: a read of something that does not exist (404), or one that gets a conflict or "not modified", stays suspect after a crash however often upstreams answer it, so that two more losses of upstreams quarantine it; a trial of it ends nothing.

Cause: only a 2xx cleared a suspect or counted as served before. What clears a request is that an upstream has run it to the end, which is not a matter of its status.

Change: a whole response with the upstream's seal and a status below 500 counts. Errors of the upstream itself (5xx) don't, since a failing upstream may send them before it runs anything; nor do refusals, which say that nothing ran.

Measured: AreServedAgainOnceAnUpstreamAnsweredWithoutASuccess fails before for 404, 409 and 304, and passes with the change; AreStillRefusedAfterAnErrorOfTheUpstream passes before and after.

--- a/src/libfront/front_state.h
+++ b/src/libfront/front_state.h
@@ -88,7 +88,7 @@
     /// Records what was in progress on a process of an upstream when it crashed. The lease holder hears of it soon.
     void recordCrash(const std::string& upstream, std::uint64_t startedAt, const std::vector<CrashSuspect>& suspects);
 
-    /// Clears the contents of a served request of the suspicion that they crash upstreams.
+    /// Clears the contents of a request that an upstream has run to the end of the suspicion that they crash upstreams.
     void recordServed(const std::vector<CrashSuspect>& contents);
 
     /// Records that a request was sent to an upstream although it contains these quarantined suspects.
--- a/src/libfront/request_attempt.cpp
+++ b/src/libfront/request_attempt.cpp
@@ -41,6 +41,8 @@
 /// Time for which an upstream may produce events of a stream before its prompt crashes it.
 constexpr Milliseconds crashOnset { 1000 };
 constexpr unsigned mismatchedResponseLimit = 3;
+/// An upstream with an error of its own may have failed before it ran the request.
+constexpr unsigned firstServerErrorStatus = 500;
 /// Maximum size of one event of a stream, in bytes.
 constexpr std::size_t maxEventSize = 1024 * 1024;
 
@@ -307,6 +309,9 @@
     if (m_isStreaming)
         co_return invalidResponse(
             Errc::Malformed, "the stream could not be resumed, status " + std::to_string(response.status));
+    // Whatever the response says of the request, the upstream has run it to the end.
+    if (response.status < firstServerErrorStatus && attempt.head.hasResponseSeal)
+        m_state.recordServed(m_crashSuspects);
     if (response.status / 100 == 5 && m_route->isRepeatable()) {
         const unsigned status = response.status;
         m_upstreamErrorResponse = std::move(response);
@@ -320,8 +325,6 @@
 asio::awaitable<std::optional<Failure>> RequestForwarder::sendResponse(HttpResponse response)
 {
     const unsigned status = response.status;
-    if (status / 100 == 2)
-        m_state.recordServed(m_crashSuspects);
     m_isDone = true;
     m_verdict = Verdict::Ran;
     const auto ec = co_await m_exchange.respond(std::move(response));
--- a/src/libfront/trial_client_test.cpp
+++ b/src/libfront/trial_client_test.cpp
@@ -78,6 +78,29 @@
     BOOST_TEST(state.hasUrgentDemand());
 }
 
+// Guards against a read of something that does not exist, which no success can ever clear.
+BOOST_AUTO_TEST_CASE(AreServedAgainOnceAnUpstreamAnsweredWithoutASuccess)
+{
+    for (const auto* status : { "404 None", "409 Conflict", "304 Not Modified" }) {
+        QuarantineFixture front;
+        front.addUpstream({ rawResponse(status, "X-Id: 7\r\nX-Seal: s\r\n", "") });
+        front.quarantine(20s);
+        front.trials.isGranted = true;
+        BOOST_TEST(front.send()->status == std::stoul(status), status);
+        BOOST_TEST(!front.isQuarantined(), status);
+    }
+}
+
+// Guards against trust in an upstream that fails before it runs the request.
+BOOST_AUTO_TEST_CASE(AreStillRefusedAfterAnErrorOfTheUpstream)
+{
+    addUpstream({ serverErrorResponse });
+    quarantine(20s);
+    trials.isGranted = true;
+    BOOST_TEST(send()->status == 500u);
+    BOOST_TEST(isQuarantined());
+}
+
 BOOST_AUTO_TEST_CASE(AreRefusedWithoutATrial)
 {
     addUpstream({ okResponse });
