Don't take the planned end of an upstream for a crash

What callers saw: while upstreams are replaced one after the other, or taken away at short notice, what is in progress on each as it ends becomes suspect. A request or a prompt part that is new, and is in progress on two or three of them, is refused then.

Cause: an upstream that closes a connection and no longer listens counted as crashed, whether or not it had said that it would end.

Change: a process that is shutting down by its row or by a response, or whose entry was removed, leaves no suspects. A process whose successor is registered already has crashed as before.

Measured: IsNotSuspectedIfItsUpstreamIsShuttingDown and IsNotSuspectedIfItsUpstreamWasRemoved fail before and pass with the change; IsSuspectedIfTheUpstreamHasStartedAgain passes before and after, as do the tests of CrashFixture. No run showed callers who were refused for it: found by reading what the evidence rests on.

--- a/src/libfront/request_attempt.cpp
+++ b/src/libfront/request_attempt.cpp
@@ -459,10 +459,19 @@
         probeForCrash(attempt);
 }
 
+/// Returns whether the process that ran the attempt was to end anyway: it is shutting down, or its entry was removed.
+bool RequestForwarder::wasEndExpected(const Attempt& attempt) const
+{
+    const auto* entry = m_state.directory().find(attempt.upstreamId);
+    return !entry || (entry->startedAt == attempt.startedAt && m_state.directory().isLeaving(*entry));
+}
+
 /// Suspects the contents of the request of a crash if the upstream no longer accepts connections. A connection that
-/// broke for another reason says nothing about the request.
+/// broke for another reason says nothing about the request, nor does the end of a process that was shutting down.
 void RequestForwarder::probeForCrash(const Attempt& attempt)
 {
+    if (wasEndExpected(attempt))
+        return;
     auto suspects = m_crashSuspects;
     if (!attempt.mayPromptHaveCrashedUpstream())
         std::erase_if(suspects, [](const auto& it) { return it.suspect.kind == SuspectKind::PromptPart; });
--- a/src/libfront/request_forwarder.h
+++ b/src/libfront/request_forwarder.h
@@ -88,6 +88,7 @@
     boost::asio::awaitable<void> beginClientStream(Attempt& attempt);
     boost::asio::awaitable<void> completeStream(Attempt& attempt);
     boost::asio::awaitable<std::optional<Failure>> sendResponse(HttpResponse response);
+    bool wasEndExpected(const Attempt& attempt) const;
     void probeForCrash(const Attempt& attempt);
     boost::asio::awaitable<void> sendError(Problem problem, std::optional<Milliseconds> retryAfter);
     boost::asio::awaitable<void> respondWithFailure(Failure failure);
--- a/src/libfront/upstream_crash_test.cpp
+++ b/src/libfront/upstream_crash_test.cpp
@@ -73,6 +73,45 @@
     BOOST_TEST(suspectedParts().empty());
 }
 
+BOOST_AUTO_TEST_SUITE(OfAnUpstreamThatIsToEnd)
+
+/// Ends the upstream in the middle of a stream, after it was taken out of the directory in some way.
+void endDuringStream(CrashFixture& front, const std::function<void(UpstreamDirectory&)>& announceEnd)
+{
+    const std::string begun = streamResponseHead + chunk(firstEvent);
+    front.addCrashingUpstream(begun + chunk(laterEvents), { .pieceSize = begun.size(), .pause = 300ms });
+    boost::asio::steady_timer timer(front.context, 100ms);
+    timer.async_wait([&](boost::system::error_code) { announceEnd(front.state.directory()); });
+    front.call("/events/x");
+}
+
+// Guards against requests that are refused because their upstreams were replaced one after the other.
+BOOST_AUTO_TEST_CASE(IsNotSuspectedIfItsUpstreamIsShuttingDown)
+{
+    endDuringStream(*this, [](UpstreamDirectory& directory) { directory.recordLeaving("u1", 1); });
+    BOOST_TEST(state.crashSuspects().crashes().empty());
+}
+
+BOOST_AUTO_TEST_CASE(IsNotSuspectedIfItsUpstreamWasRemoved)
+{
+    endDuringStream(*this, [](UpstreamDirectory& directory) { directory.remove({ "u1" }); });
+    BOOST_TEST(state.crashSuspects().crashes().empty());
+}
+
+// Guards against a crash that does not count because the upstream started again at once.
+BOOST_AUTO_TEST_CASE(IsSuspectedIfTheUpstreamHasStartedAgain)
+{
+    endDuringStream(*this, [](UpstreamDirectory& directory) {
+        auto entry = *directory.find("u1");
+        entry.startedAt = 2;
+        entry.isDraining = true;
+        directory.apply(entry);
+    });
+    BOOST_TEST(suspectedParts() == sharedParts);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(OfAServiceWithBrittleUpstreams)
 
 const std::string brittleStreamHead = "HTTP/1.1 200 OK\r\nX-Brittle: 4\r\n" + streamResponseHead.substr(17);
