Break off a response without length if its connection is reset during the upload

What callers saw: an upstream answers a long upload early, with 200, its seal, no length and a part of its body, and resets the connection while the upload is still being written. The caller gets the part as a complete answer, or a stream that ends as complete.

Cause: a socket reports a reset once. The pending write is performed first and gets it; the pending read then sees an end of the connection in order, which is the end of such a body. The error of the write was dropped.

Change: BackgroundSend keeps the outcome of the write. A response that ends with its connection counts as complete once the request was written as a whole; if the write failed, it is broken off, and if it does neither by the deadline, the call times out. Connections whose write failed are not reused. Responses with a length or with chunks wait for nothing.

Why it works: an end of the connection in order leaves the write to go on; only a broken connection makes it fail.

--- a/src/libfront/faulty_response_test.cpp
+++ b/src/libfront/faulty_response_test.cpp
@@ -1,8 +1,10 @@
 #include "front_test_support.h"
+#include "resetting_server.h"
 
 #include <boost/test/unit_test.hpp>
 
 using namespace bulrushstack;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -178,4 +180,70 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(UpstreamRespondsEarlyToALongUploadAndResetsTheConnection)
+
+constexpr std::size_t longBodySize = 4'000'000; // bytes; more than the socket buffers of both sides take
+const std::string unframedHead = "HTTP/1.1 200 OK\r\nX-Id: 7\r\nX-Seal: s\r\n\r\n";
+
+struct UploadFixture : FrontFixture {
+    std::vector<std::unique_ptr<ResettingServer>> resetting;
+
+    void addResettingUpstream(std::string response)
+    {
+        const ResettingServer::Options options { .response = std::move(response), .pause = 20ms };
+        resetting.push_back(std::make_unique<ResettingServer>(context, options));
+        state.directory().apply({ .id = "resetting",
+            .service = "s",
+            .address = resetting.back()->address(),
+            .zone = "z",
+            .slots = 4,
+            .startedAt = 1 });
+    }
+
+    /// Moves the upstream to another availability zone than that of the front, so that it is chosen last.
+    void moveAway(const std::string& upstream)
+    {
+        auto entry = *state.directory().find(upstream);
+        entry.zone = "y";
+        state.directory().apply(entry);
+    }
+
+    Result<HttpResponse> upload(const std::string& target)
+    {
+        HttpRequest request {
+            .method = "POST", .target = target, .headers = { { "X-Id", "7" } }, .body = std::string(longBodySize, 'b')
+        };
+        const Address address { .host = "127.0.0.1", .port = server.port() };
+        return runAwaitable(context, client.call(address, std::move(request), { .deadline = clock.now() + 10s }));
+    }
+};
+
+BOOST_FIXTURE_TEST_SUITE(ThenThePartThatArrived, UploadFixture)
+
+// Guards against a part of a body that the caller gets as a complete answer.
+BOOST_AUTO_TEST_CASE(IsNotAnAnswer)
+{
+    addResettingUpstream(unframedHead + "part");
+    BOOST_TEST(upload("/once/x")->status == 502u);
+}
+
+BOOST_AUTO_TEST_CASE(IsNotAWholeStream)
+{
+    addResettingUpstream(closeDelimitedStreamHead + firstEvent);
+    BOOST_TEST(upload("/events/x").has_error());
+}
+
+// Guards against a lost request that another upstream could serve.
+BOOST_AUTO_TEST_CASE(IsReplacedByTheAnswerOfAnotherUpstream)
+{
+    addResettingUpstream(unframedHead + "part");
+    addUpstream({ okResponse });
+    moveAway("u1");
+    BOOST_TEST(upload("/read/x")->body == "whole");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/libnet/connection_pool.cpp
+++ b/src/libnet/connection_pool.cpp
@@ -25,6 +25,7 @@
 ClientConnection::ClientConnection(asio::io_context& context, std::shared_ptr<std::size_t> connectionCount)
     : stream(context)
     , buffer(bufferLimit)
+    , backgroundSend(context)
     , m_connectionCount(std::move(connectionCount))
 {
     ++*m_connectionCount;
@@ -173,16 +174,22 @@
     return !options.sendBy || m_clock.bootNow() < *options.sendBy;
 }
 
-bool ConnectionPool::setOperationTimeout(ClientConnection& connection, const HttpCallOptions& options) const
+std::chrono::nanoseconds ConnectionPool::operationTimeout(const HttpCallOptions& options) const
 {
-    auto limit = std::chrono::nanoseconds::max();
+    auto out = std::chrono::nanoseconds::max();
     if (options.deadline != SteadyTime::max())
-        limit = options.deadline - m_clock.now();
-    if (limit <= std::chrono::nanoseconds(0))
-        return false;
+        out = options.deadline - m_clock.now();
     if (options.progressTimeout > std::chrono::nanoseconds(0))
-        limit = std::min(limit, options.progressTimeout);
-    connection.deadline.expiresAfter(limit);
+        out = std::min(out, options.progressTimeout);
+    return out;
+}
+
+bool ConnectionPool::setOperationTimeout(ClientConnection& connection, const HttpCallOptions& options) const
+{
+    const auto timeout = operationTimeout(options);
+    if (timeout <= std::chrono::nanoseconds(0))
+        return false;
+    connection.deadline.expiresAfter(timeout);
     return true;
 }
 
--- a/src/libnet/connection_pool.h
+++ b/src/libnet/connection_pool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "background_send.h"
 #include "bulrushstack/kernel/clock.h"
 #include "bulrushstack/net/http_client.h"
 #include "http_beast.h"
@@ -31,7 +32,7 @@
     SentRequestIds sentIds;
     SteadyTime idleSince {};
     std::chrono::nanoseconds idleLimit = std::chrono::nanoseconds::max(); ///< from the server's Keep-Alive header
-    bool isSending = false; ///< whether a request is still being written in the background
+    BackgroundSend backgroundSend;
 
 private:
     std::shared_ptr<std::size_t> m_connectionCount;
@@ -71,6 +72,9 @@
     /// Returns whether a request may still be sent; see HttpCallOptions::sendBy.
     bool maySend(const HttpCallOptions& options) const;
 
+    /// Returns the time that an operation of the call may take from now on; zero or less if its deadline has passed.
+    std::chrono::nanoseconds operationTimeout(const HttpCallOptions& options) const;
+
     /// Sets the deadline of the next operation on the connection from the deadline of the call and the progress
     /// timeout. Returns false if the deadline of the call has passed.
     bool setOperationTimeout(ClientConnection& connection, const HttpCallOptions& options) const;
--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -167,6 +167,10 @@
         }
         if (!body.empty())
             co_return Part(std::exchange(body, std::string()));
+        if (m_connection && m_parser->need_eof()) {
+            if (auto failure = co_await confirmEnd())
+                co_return *failure;
+        }
         if (!m_isConnectionKept)
             releaseConnection();
         co_return Part();
@@ -237,6 +241,20 @@
         return true;
     }
 
+    /// Returns a failure unless the connection, whose end is the end of the body, has ended in order.
+    asio::awaitable<std::optional<Failure>> confirmEnd()
+    {
+        auto& send = m_connection->backgroundSend;
+        const bool isSent = co_await send.waitUntilSent(m_pool->operationTimeout(m_options));
+        if (isSent)
+            co_return std::nullopt;
+        if (!send.hasFailed())
+            co_return deadlineFailure(Verdict::MayHaveRun);
+        co_return Failure { .code = Errc::ConnectionClosed,
+            .verdict = Verdict::MayHaveRun,
+            .detail = "the connection broke while the request was being sent, before the end of the response body" };
+    }
+
     Failure oversizedBodyFailure() const
     {
         return { .code = Errc::TooLarge,
@@ -248,9 +266,9 @@
     {
         if (m_options.cancellation)
             m_options.cancellation->setCloseCallback(nullptr);
-        // While the request is still being written, the server would read its remaining bytes as the next request.
+        // The server would read the rest of a request that was not written as a whole as the next request.
         const bool isReusable = !m_isClosed && m_connection && m_parser->keep_alive() && !m_parser->need_eof()
-            && m_connection->buffer.size() == 0 && !m_connection->isSending;
+            && m_connection->buffer.size() == 0 && m_connection->backgroundSend.isSent();
         if (isReusable)
             m_pool->release(m_address, std::move(m_connection));
         else if (m_connection)
@@ -278,7 +296,7 @@
 asio::awaitable<void> sendInBackground(ClientConnectionPtr connection, std::shared_ptr<const RequestMessage> message)
 {
     auto [ec, n] = co_await http::async_write(connection->stream, *message, asTuple);
-    connection->isSending = false;
+    connection->backgroundSend.end(!ec);
     // The coroutine that reads the response reports the broken connection. Shutting down sending tells the server that
     // the truncated request will not be completed.
     if (ec && ec != asio::error::operation_aborted && connection->stream.socket().is_open())
@@ -296,7 +314,7 @@
         auto [ec, n] = co_await http::async_write(connection->stream, *shared, asTuple);
         co_return connection->deadline.end(ec);
     }
-    connection->isSending = true;
+    connection->backgroundSend.begin();
     asio::co_spawn(connection->stream.get_executor(), sendInBackground(connection, std::move(shared)), asio::detached);
     co_return beast::error_code();
 }
--- a/src/libnet/http_client_test.cpp
+++ b/src/libnet/http_client_test.cpp
@@ -1,4 +1,5 @@
 #include "raw_server.h"
+#include "resetting_server.h"
 #include "test_server.h"
 
 #include <boost/test/unit_test.hpp>
@@ -126,6 +127,70 @@
 
 } // namespace
 
+namespace {
+
+constexpr std::size_t longBodySize = 4'000'000; // bytes; more than the socket buffers of both sides take
+const std::string partOfBody(400, 'x');
+const std::string unframedResponse = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + partOfBody;
+const std::string unframedStream = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + partOfBody;
+
+struct EarlyResponseFixture : RawFixture {
+    Result<HttpResponse> upload(ResettingServer::Options serverOptions, HttpCallOptions options = {})
+    {
+        const ResettingServer server(context, std::move(serverOptions));
+        HttpRequest request { .method = "POST", .target = "/", .body = std::string(longBodySize, 'b') };
+        options.deadline = std::min(options.deadline, clock.now() + 10s);
+        options.isCloseDelimitedBodyAccepted = true;
+        return runAwaitable(context, client.call(server.address(), std::move(request), options));
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ResponsesToAnUploadThatIsStillBeingWritten, EarlyResponseFixture)
+
+// Guards against a part of a body that counts as the whole one: the write that was pending learns of the reset, and the
+// read sees an end of the connection in order.
+BOOST_AUTO_TEST_CASE(AreIncompleteIfTheConnectionIsReset)
+{
+    for (const auto& response : { unframedResponse, unframedStream }) {
+        for (const auto pause : { 0ms, 1ms, 20ms, 300ms }) {
+            const auto result = upload({ .response = response, .pause = pause });
+            BOOST_REQUIRE(result.has_error());
+            BOOST_CHECK(result.error().code == Errc::ConnectionClosed);
+            BOOST_CHECK(result.error().verdict == Verdict::MayHaveRun);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(AreCompleteIfTheServerReadsTheUploadAndEndsInOrder)
+{
+    const auto result = upload({ .response = unframedResponse, .readsWholeRequest = true });
+    BOOST_REQUIRE(result);
+    BOOST_TEST(result->body == partOfBody);
+}
+
+// Guards against a response that is held back although its length says that it is whole.
+BOOST_AUTO_TEST_CASE(AreCompleteByTheirLength)
+{
+    const auto result = upload({ .response = responseText("whole"), .pause = 300ms });
+    BOOST_REQUIRE(result);
+    BOOST_TEST(result->body == "whole");
+    BOOST_TEST(client.connectionCounts().idle == 0U);
+}
+
+// Guards against a call that waits for its upload longer than its caller does.
+BOOST_AUTO_TEST_CASE(AreAwaitedUntilTheDeadline)
+{
+    const auto begun = clock.now();
+    const auto result = upload({ .response = unframedResponse, .halfClosePause = 3s }, { .deadline = begun + 500ms });
+    BOOST_REQUIRE(result.has_error());
+    BOOST_CHECK(result.error().code == Errc::Timeout);
+    BOOST_TEST((clock.now() - begun < 2s));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(Connections, RawFixture)
 
 BOOST_AUTO_TEST_CASE(KeepAliveConnectionIsReused)
