Reject responses whose status HTTP does not define

What callers saw: an upstream in trouble answers with status 000, 099, 600 or 999 and otherwise a whole response, and the caller gets it as an answer with that status.

Cause: the parser accepts any three digits, and nothing after it looked at the class of the status; only 2xx, 5xx and the refusals are told apart.

Change: HttpClient fails with Errc::Malformed and "may have run" for a status outside of 100 to 599, as for other bytes that are no response. Requests that may be repeated go to another upstream, others get 502. This holds for all that an instance reads: upstreams, the store, other instances.

--- a/src/libfront/faulty_response_test.cpp
+++ b/src/libfront/faulty_response_test.cpp
@@ -180,6 +180,42 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(UpstreamRespondsWithAStatusThatIsNone)
+
+const char* const undefinedStatuses[] = { "000 None", "099 None", "600 None", "999 None" };
+
+// Guards against an answer whose status no caller can understand.
+BOOST_AUTO_TEST_CASE(IsNoAnswer)
+{
+    for (const auto* status : undefinedStatuses) {
+        FrontFixture front;
+        front.addUpstream({ rawResponse(status, "X-Id: 7\r\nX-Seal: s\r\n", "whole") });
+        BOOST_TEST(front.call("/once/x")->status == 502u, status);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(IsNoStream)
+{
+    for (const auto* status : undefinedStatuses) {
+        FrontFixture front;
+        const std::string head = "HTTP/1.1 " + std::string(status) + streamResponseHead.substr(15);
+        front.addUpstream({ head + chunk(firstEvent) + "0\r\n\r\n" });
+        BOOST_TEST(front.call("/events/x")->status == 502u, status);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(IsReplacedByTheAnswerOfAnotherUpstream)
+{
+    for (const auto* status : undefinedStatuses) {
+        FrontFixture front;
+        front.addUpstream({ rawResponse(status, "X-Id: 7\r\nX-Seal: s\r\n", "none") });
+        front.addUpstream({ okResponse });
+        BOOST_TEST(front.call("/read/x")->body == "whole", status);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(UpstreamRespondsEarlyToALongUploadAndResetsTheConnection)
 
 constexpr std::size_t longBodySize = 4'000'000; // bytes; more than the socket buffers of both sides take
--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -69,6 +69,10 @@
     return message;
 }
 
+/// Returns whether the status is in one of the five classes of HTTP (RFC 9110, section 15). The parser accepts any
+/// three digits.
+bool isDefinedStatus(unsigned status) { return status >= 100 && status <= 599; }
+
 /// Time after the deadline for which a response that has begun to arrive is read.
 constexpr std::chrono::milliseconds lateReadTime { 100 };
 
@@ -132,6 +136,11 @@
                 = co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, asTuple);
             if (auto ec = m_connection->deadline.end(readError))
                 co_return failureOf(ec, Verdict::MayHaveRun, "reading the response header");
+            if (!isDefinedStatus(status()))
+                co_return Failure { .code = Errc::Malformed,
+                    .verdict = Verdict::MayHaveRun,
+                    .detail
+                    = "the response has the status " + std::to_string(status()) + ", which HTTP does not define" };
         } while (status() / 100 == 1);
         m_headers = copyFields(m_parser->get().base());
         m_connection->idleLimit = advertisedIdleLimit(m_headers);
--- a/src/libnet/http_client_test.cpp
+++ b/src/libnet/http_client_test.cpp
@@ -191,6 +191,33 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(StatusesThatHttpDoesNotDefine, RawFixture)
+
+// Guards against three digits that mean nothing and that count as a response.
+BOOST_AUTO_TEST_CASE(AreNoResponse)
+{
+    for (const auto* status : { "000", "001", "099", "600", "999" }) {
+        for (const auto* framing : { "Content-Length: 5\r\n\r\nwhole", "\r\nwhole" }) {
+            const RawServer server(context, { "HTTP/1.1 " + std::string(status) + " X\r\n" + framing }, true);
+            const auto response = call(server, { .isCloseDelimitedBodyAccepted = true });
+            BOOST_REQUIRE_MESSAGE(response.has_error(), status);
+            BOOST_CHECK(response.error().code == Errc::Malformed);
+            BOOST_CHECK(response.error().verdict == Verdict::MayHaveRun);
+        }
+    }
+    BOOST_TEST(client.connectionCounts().open == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(AreTheOnlyOnesThatAreRejected)
+{
+    for (const auto* status : { "200", "299", "418", "599" }) {
+        const RawServer server(context, { "HTTP/1.1 " + std::string(status) + " X\r\nContent-Length: 0\r\n\r\n" });
+        BOOST_TEST(call(server)->status == std::stoul(status));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(Connections, RawFixture)
 
 BOOST_AUTO_TEST_CASE(KeepAliveConnectionIsReused)
