Move what a request has to do with crashes into a file of its own

request_attempt.cpp and request_forwarder.cpp both had parts of it: the quarantine, trials, and the probe after a failed attempt. They stand in request_quarantine.cpp now, as request_relay.cpp and request_stream_version.cpp do for their subjects.

--- a/src/libfront/request_forwarder.cpp
+++ b/src/libfront/request_forwarder.cpp
@@ -1,6 +1,5 @@
 #include "request_forwarder.h"
 
-#include "bulrushstack/kernel/tasks.h"
 #include "bulrushstack/serving/brittle_upstreams.h"
 #include <algorithm>
 #include <cmath>
@@ -112,9 +111,7 @@
         = m_request.callerTimeout ? std::min(*m_request.callerTimeout, m_route->timeout) : m_route->timeout;
     m_deadline = m_receivedAt + timeout;
     m_crashSuspects = suspectsOf(m_request, requestDigest(m_request, clientRequest().target, clientRequest().body));
-    if (m_state.crashSuspects().isTrialDue(m_state.crashSuspects().quarantinedAmong(m_crashSuspects)))
-        return std::nullopt;
-    return quarantineProblem();
+    return isTrialDue() ? std::nullopt : quarantineProblem();
 }
 
 /// Finds the team of the caller. Returns the error for a request that needs a key and has no valid one.
@@ -131,40 +128,6 @@
     return Problem { .code = ProblemCode::InvalidToken, .detail = "the key belongs to no team" };
 }
 
-/// Returns the error for a request that would probably crash the upstream that runs it; empty if it may run.
-std::optional<Problem> RequestForwarder::quarantineProblem() const
-{
-    if (!m_trial.empty())
-        return std::nullopt;
-    const auto suspect = m_state.crashSuspects().findQuarantined(m_crashSuspects);
-    if (!suspect)
-        return std::nullopt;
-    return Problem { .code = ProblemCode::NoUpstream,
-        .detail = "upstreams crashed while they executed requests with the same " + std::string(toString(suspect->kind))
-            + " " + suspect->id };
-}
-
-/// Obtains a trial if the request is quarantined and a trial is due. None is taken from other requests while no
-/// upstream could run this one.
-asio::awaitable<void> RequestForwarder::obtainTrial()
-{
-    auto suspects = m_state.crashSuspects().quarantinedAmong(m_crashSuspects);
-    const bool isDue = !suspects.empty() && m_state.crashSuspects().isTrialDue(suspects);
-    if (!isDue || !m_trial.empty() || rankCandidates().empty())
-        co_return;
-    TrialRequest request { .suspects = std::move(suspects) };
-    const bool isGranted = co_await m_dependencies.trials.obtain(request, m_deadline);
-    if (isGranted)
-        m_trial = std::move(request.suspects);
-}
-
-/// Records that the request was sent as a trial, which is over then.
-void RequestForwarder::recordTrialSent()
-{
-    if (!m_trial.empty())
-        m_state.recordTrial(m_request.id, std::exchange(m_trial, {}));
-}
-
 asio::awaitable<void> RequestForwarder::runAdmitted()
 {
     if (mayRelay() && co_await relayToPeer())
@@ -509,17 +472,6 @@
     co_await sendError(problem, std::nullopt);
 }
 
-/// Ends a request that was quarantined while it waited, or after an attempt. It is not to be sent again, so that the
-/// response has no Retry-After.
-asio::awaitable<void> RequestForwarder::endQuarantined(Problem problem)
-{
-    if (m_verdict == Verdict::NotRun && !m_isStreaming) {
-        co_await sendError(std::move(problem), std::nullopt);
-        co_return;
-    }
-    co_await respondWithFailure(unavailableFailure(std::move(problem.detail)));
-}
-
 /// Sends an error response. One that promises that the request has not run is replaced if it may have run, which is so
 /// for a request that another instance handed on after an attempt.
 asio::awaitable<void> RequestForwarder::sendError(Problem problem, std::optional<Milliseconds> retryAfter)
--- a/src/libfront/request_forwarder.h
+++ b/src/libfront/request_forwarder.h
@@ -114,6 +114,7 @@
     std::optional<Problem> admissionProblem();
     std::optional<Problem> identificationProblem();
     std::optional<Problem> quarantineProblem() const;
+    bool isTrialDue() const;
     boost::asio::awaitable<void> obtainTrial();
     void recordTrialSent();
     unsigned urgency() const;
