--- a/src/include/bulrushstack/serving/crash_suspects.h
+++ b/src/include/bulrushstack/serving/crash_suspects.h
@@ -56,8 +56,8 @@
     friend bool operator==(const UpstreamCrash&, const UpstreamCrash&) = default;
 };
 
-/// What a quarantine rests on.
-struct QuarantineEvidence {
+/// What a quarantine rests on, and how it was tested so far.
+struct QuarantineState {
     unsigned crashes = 0; ///< crashes that the suspect explains
     unsigned separateCrashes = 0; ///< the same without those that may have a common cause with another one
     bool wasServedBefore = false; ///< whether the suspect was served shortly before one of the crashes
@@ -66,7 +66,7 @@
     unsigned trials = 0;
     SteadyTime nextTrial = SteadyTime::max(); ///< time from which another trial is due
 
-    friend bool operator==(const QuarantineEvidence&, const QuarantineEvidence&) = default;
+    friend bool operator==(const QuarantineState&, const QuarantineState&) = default;
 };
 
 /// Returns all that the request contains and that may crash an upstream: the prompt parts that it may share with other
@@ -124,7 +124,7 @@
     std::uint64_t fingerprint() const { return m_fingerprint; }
 
     /// Returns what is quarantined.
-    const std::map<SuspectId, QuarantineEvidence>& quarantined() const { return m_quarantined; }
+    const std::map<SuspectId, QuarantineState>& quarantined() const { return m_quarantined; }
 
 private:
     using CrashKey = std::pair<std::string, std::uint64_t>;
@@ -157,7 +157,7 @@
         bool isSufficient(SuspectKind kind) const;
         bool isBetterThan(const Explanation& other) const;
         unsigned separateCrashes() const;
-        QuarantineEvidence evidence() const;
+        QuarantineState quarantineState() const;
         SteadyTime nextTrial(SteadyTime lastCrash) const;
     };
 
@@ -175,7 +175,7 @@
     Crashes m_crashes;
     RecentlyServed m_servedParts;
     RecentlyServed m_servedRequests; ///< kept apart, since most requests are unique and would displace the parts
-    std::map<SuspectId, QuarantineEvidence> m_quarantined;
+    std::map<SuspectId, QuarantineState> m_quarantined;
     SteadyTime m_quarantineEnd {}; ///< when the last of the crashes expires
     std::uint64_t m_fingerprint = 0;
 };
--- a/src/libfront/front_state.cpp
+++ b/src/libfront/front_state.cpp
@@ -238,22 +238,22 @@
 }
 
 /// Logs what changed. The lease holder hears soon of what is no longer quarantined.
-void FrontState::recordQuarantineChanges(const std::map<SuspectId, QuarantineEvidence>& previous)
+void FrontState::recordQuarantineChanges(const std::map<SuspectId, QuarantineState>& previous)
 {
     const auto& current = m_crashSuspects.quarantined();
-    for (const auto& [suspect, evidence] : current) {
+    for (const auto& [suspect, state] : current) {
         if (previous.count(suspect) == 0)
             LOG(WARNING) << "event=quarantine kind=" << toString(suspect.kind) << " id=" << suspect.id
-                         << " crashes=" << evidence.crashes << " separate=" << evidence.separateCrashes
-                         << " span_ms=" << millisecondsOf(evidence.lastCrash - evidence.firstCrash).count()
-                         << " last_age_ms=" << millisecondsOf(m_clock.now() - evidence.lastCrash).count()
-                         << " served_before=" << evidence.wasServedBefore << " trials=" << evidence.trials;
+                         << " crashes=" << state.crashes << " separate=" << state.separateCrashes
+                         << " span_ms=" << millisecondsOf(state.lastCrash - state.firstCrash).count()
+                         << " last_age_ms=" << millisecondsOf(m_clock.now() - state.lastCrash).count()
+                         << " served_before=" << state.wasServedBefore << " trials=" << state.trials;
     }
-    for (const auto& [suspect, evidence] : previous) {
+    for (const auto& [suspect, state] : previous) {
         if (current.count(suspect) > 0)
             continue;
         LOG(WARNING) << "event=quarantine-ended kind=" << toString(suspect.kind) << " id=" << suspect.id
-                     << " trials=" << evidence.trials;
+                     << " trials=" << state.trials;
         m_hasUrgentDemand = true;
     }
 }
--- a/src/libfront/front_state.h
+++ b/src/libfront/front_state.h
@@ -155,7 +155,7 @@
 
 private:
     double retryBudgetBurst() const;
-    void recordQuarantineChanges(const std::map<SuspectId, QuarantineEvidence>& previous);
+    void recordQuarantineChanges(const std::map<SuspectId, QuarantineState>& previous);
     bool canServe(const UpstreamEntry& upstream, const ServingRequest& request) const;
 
     boost::asio::io_context& m_context;
--- a/src/libfront/quarantine_store.h
+++ b/src/libfront/quarantine_store.h
@@ -24,7 +24,7 @@
 private:
     FrontState& m_state;
     HolderRow m_row;
-    std::map<SuspectId, QuarantineEvidence> m_saved;
+    std::map<SuspectId, QuarantineState> m_saved;
 };
 
 } // namespace bulrushstack
--- a/src/libserving/crash_suspects.cpp
+++ b/src/libserving/crash_suspects.cpp
@@ -94,7 +94,7 @@
     lastTrial = now;
 }
 
-QuarantineEvidence CrashSuspects::Explanation::evidence() const
+QuarantineState CrashSuspects::Explanation::quarantineState() const
 {
     const auto isEarlier = [](const auto* a, const auto* b) { return a->second.firstSeen < b->second.firstSeen; };
     const auto [first, last] = std::minmax_element(crashes.begin(), crashes.end(), isEarlier);
@@ -342,7 +342,7 @@
         const auto best = std::max_element(explanations.begin(), explanations.end(),
             [](const auto& a, const auto& b) { return b.second.isBetterThan(a.second); });
         const auto& explained = best->second.crashes;
-        m_quarantined[best->first] = best->second.evidence();
+        m_quarantined[best->first] = best->second.quarantineState();
         std::erase_if(unexplained,
             [&](const auto* it) { return std::find(explained.begin(), explained.end(), it) != explained.end(); });
     }
