--- a/src/libserving/crash_suspects.cpp
+++ b/src/libserving/crash_suspects.cpp
@@ -184,7 +184,7 @@
 std::vector<SuspectId> CrashSuspects::quarantinedAmong(const std::vector<CrashSuspect>& contents) const
 {
     std::vector<SuspectId> out;
-    if (m_clock.now() >= m_quarantineEnd)
+    if (m_quarantined.empty() || m_clock.now() >= m_quarantineEnd)
         return out;
     for (const auto& it : contents) {
         if (m_quarantined.count(it.suspect) > 0)
