--- a/src/libfront/trial_client_test.cpp
+++ b/src/libfront/trial_client_test.cpp
@@ -141,13 +141,21 @@
 
 BOOST_FIXTURE_TEST_SUITE(Trials, QuarantineFixture)
 
-BOOST_AUTO_TEST_CASE(AreGrantedByTheHolderOneAtATime)
+BOOST_AUTO_TEST_CASE(AreNotGrantedBeforeTheyAreDue)
 {
     const FixedHolder holder;
     TrialClient trialClient(state, client, holder);
-    const auto obtain = [&] { return runAwaitable(context, trialClient.obtain({ suspects }, clock.now() + 1s)); };
     quarantine(1s);
-    BOOST_TEST(!obtain());
+    BOOST_TEST(!runAwaitable(context, trialClient.obtain({ suspects }, clock.now() + 1s)));
+    quarantine(20s);
+    BOOST_TEST(runAwaitable(context, trialClient.obtain({ suspects }, clock.now() + 1s)));
+}
+
+// Guards against trials of what only the asking instance has quarantined.
+BOOST_AUTO_TEST_CASE(AreNotGrantedForWhatTheHolderHasNotQuarantined)
+{
+    const FixedHolder holder;
+    TrialClient trialClient(state, client, holder);
     quarantine(20s);
     BOOST_TEST(!trialClient.grantAsHolder({ { { .id = "another" } } }).isGranted);
 }
--- a/src/libserving/crash_suspects.cpp
+++ b/src/libserving/crash_suspects.cpp
@@ -29,7 +29,7 @@
 constexpr std::chrono::minutes quarantineLifetime { 10 };
 /// The same for other crashes, most of which have another cause.
 constexpr std::chrono::minutes crashLifetime { 3 };
-/// Time from the last crash or trial to the first trial, by when upstreams that failed for another reason are back.
+/// Time from the last crash to the first trial, by when upstreams that failed for another reason are back.
 constexpr std::chrono::seconds trialDelay { 15 };
 /// The same for what was served shortly before, which is more likely to be innocent.
 constexpr std::chrono::seconds servedTrialDelay { 5 };
