Heed a departure that is announced in the refusal of a misdirected request

Cause: of a 421 nothing was applied, since it may be that of another process at the same address. A departure may be: if another process answers, the chosen one is gone as well.

Change: a departure is applied before a misdirected response is left aside.

Measured: SkipsAnUpstreamThatIsShuttingDownAndMisdirected failed before (3 checks) and passes.

--- a/src/libfront/request_attempt.cpp
+++ b/src/libfront/request_attempt.cpp
@@ -174,14 +174,15 @@
     return attempt.head.requestId == m_request.id || attempt.stream->connection().isNew();
 }
 
-/// Applies what the response announces about its upstream. The response to a misdirected request says nothing about the
-/// chosen upstream, whose process may have ended and whose address may belong to another one.
+/// Applies what the response announces about its upstream. The response to a misdirected request may be that of another
+/// process, to which the address of the chosen one belongs now. Only a departure is applied then, since the chosen
+/// process has gone in that case as well.
 void RequestForwarder::applyResponseState(const Attempt& attempt)
 {
-    if (attempt.head.isMisdirected)
-        return;
     if (attempt.head.isLeaving)
         m_state.markLeaving(attempt.upstreamId, attempt.startedAt, "request");
+    if (attempt.head.isMisdirected)
+        return;
     auto& directory = m_state.directory();
     if (attempt.head.retryAfter
         && directory.recordPause(attempt.upstreamId, attempt.startedAt, *attempt.head.retryAfter))
--- a/src/libfront/request_forwarder_test.cpp
+++ b/src/libfront/request_forwarder_test.cpp
@@ -46,6 +46,15 @@
     BOOST_TEST(upstreams[1]->received().size() == 1u);
 }
 
+// Guards against requests to an upstream that announced its shutdown in the refusal of a request that was not for it.
+BOOST_AUTO_TEST_CASE(SkipsAnUpstreamThatIsShuttingDownAndMisdirected)
+{
+    addUpstream({ rawResponse("421 Misdirected", "X-Id: 7\r\nX-Not-Run: 1\r\nX-Leaving: 1\r\n", ""), okResponse });
+    BOOST_TEST(call("/once/x")->status == 503u);
+    BOOST_TEST(call("/once/x")->status == 503u);
+    BOOST_TEST(upstreams[0]->received().size() == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE(UpstreamSendsRetryAfter)
 
 // Guards against retries and new requests during the pause that an upstream asked for.
