End what counts as in progress by a scope, whatever leaves it

What callers saw: after some TRACE requests with a body to each instance, all requests to the service were refused with 503 (overloaded) until the instances were restarted.

Cause: an exception between recordStart() and recordEnd() left the request in the load of its upstream for ever. The same holds for beginOrder() and finishOrder() at the lease holder, for reports that are fetched, adapters that are loaded, upstreams that are monitored and relayed requests.

Change: each pair is a value whose destructor ends it: RequestScope of UpstreamLoads, and ScopeGuard for the others.

--- a/src/include/bulrushstack/serving/upstream_loads.h
+++ b/src/include/bulrushstack/serving/upstream_loads.h
@@ -5,6 +5,7 @@
 #include "bulrushstack/serving/upstream_directory.h"
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -67,10 +68,46 @@
 
 /// Tracks load and failures of the upstreams as seen by this instance. Performs no I/O.
 class UpstreamLoads {
+    struct Record;
+
 public:
     explicit UpstreamLoads(const Clock& clock);
 
-    /// Records that a request was sent. Each call must be followed by one recordEnd() with the same request.
+    /// A request at an upstream. It counts towards the load of the upstream until release() is called or the scope is
+    /// destroyed. A scope may outlive the UpstreamLoads.
+    class RequestScope {
+    public:
+        RequestScope() = default;
+        ~RequestScope() { release(); }
+
+        RequestScope(RequestScope&& other) noexcept;
+        RequestScope& operator=(RequestScope&& other) noexcept;
+        RequestScope(const RequestScope&) = delete;
+        RequestScope& operator=(const RequestScope&) = delete;
+
+        /// Records that the upstream has finished with the request.
+        void release();
+
+    private:
+        friend class UpstreamLoads;
+        RequestScope(std::shared_ptr<Record> record, std::string id, const SentRequest& request);
+
+        std::shared_ptr<Record> m_record; ///< null after release()
+        std::string m_id;
+        SentRequest m_request;
+        bool m_hasFirstResponse = false;
+    };
+
+    /// Records that a request was sent.
+    RequestScope begin(const std::string& id, const SentRequest& request);
+
+    /// Records the first event, or the whole response, of a request.
+    void recordFirstResponse(RequestScope& request, std::optional<ReportedLoad> reported);
+
+    /// Records how the attempt of a request ended, and that the upstream has finished with it.
+    void recordOutcome(RequestScope& request, AttemptOutcome outcome);
+
+    /// The same as begin() without a scope: each call must be followed by one recordEnd() with the same request.
     void recordStart(const std::string& id, const SentRequest& request);
 
     /// Records the first event, or the whole response, of a request given to recordStart().
@@ -122,10 +159,13 @@
     };
 
     const UpstreamLoad* find(const std::string& id) const;
+    const std::shared_ptr<Record>& recordOf(const std::string& id);
+    void recordOutcome(const std::string& id, bool hadFirstResponse, AttemptOutcome outcome);
     static void removeWaiting(UpstreamLoad& load, const SentRequest& request);
+    static void removeInFlight(UpstreamLoad& load, const SentRequest& request, bool hadFirstResponse);
 
     const Clock& m_clock;
-    std::map<std::string, Record> m_records;
+    std::map<std::string, std::shared_ptr<Record>> m_records;
 };
 
 } // namespace bulrushstack
--- a/src/libfront/front_test_support.h
+++ b/src/libfront/front_test_support.h
@@ -36,8 +36,12 @@
         return out;
     }
 
+    bool failsToEncode = false;
+
     HttpRequest encode(const HttpRequest& request, const ForwardingFields& forwardingFields) const override
     {
+        if (failsToEncode)
+            throw std::invalid_argument("the request can't be encoded");
         HttpRequest out { .method = request.method, .target = request.target, .body = request.body };
         out.headers.set("X-Id", request.headers.find("X-Id").value());
         if (forwardingFields.hasTeams)
--- a/src/libfront/peer_relay.cpp
+++ b/src/libfront/peer_relay.cpp
@@ -1,5 +1,6 @@
 #include "peer_relay.h"
 
+#include "bulrushstack/kernel/scope_guard.h"
 #include "bulrushstack/kernel/tasks.h"
 #include "request_forwarder.h"
 #include <algorithm>
@@ -144,15 +145,10 @@
     relayed.possibleRuns = parseAttempts(*relayed.request.headers.find(relayedAttemptsHeader));
     relayed.request.headers.remove(relayedAttemptsHeader);
     relayed.request.headers.remove(relayedConfigurationHeader);
-    ++m_activeRequests;
-    try {
-        RequestForwarder forwarder(m_dependencies, exchange, std::move(relayed));
-        co_await forwarder.run();
-    } catch (...) {
-        --m_activeRequests;
-        throw;
-    }
-    --m_activeRequests;
+    ++*m_activeRequests;
+    const ScopeGuard guard(m_activeRequests, [this] { --*m_activeRequests; });
+    RequestForwarder forwarder(m_dependencies, exchange, std::move(relayed));
+    co_await forwarder.run();
 }
 
 } // namespace bulrushstack
--- a/src/libfront/peer_relay.h
+++ b/src/libfront/peer_relay.h
@@ -55,14 +55,14 @@
 
     /// Refuses all further requests.
     void stop() { m_isStopped = true; }
-    unsigned activeRequests() const { return m_activeRequests; }
+    unsigned activeRequests() const { return *m_activeRequests; }
 
 private:
     std::string refusalReason(const HttpRequest& request) const;
 
     RequestDependencies m_dependencies;
     bool m_isStopped = false;
-    unsigned m_activeRequests = 0;
+    std::shared_ptr<unsigned> m_activeRequests = std::make_shared<unsigned>(0);
 };
 
 } // namespace bulrushstack
--- a/src/libfront/placement_agent.cpp
+++ b/src/libfront/placement_agent.cpp
@@ -1,5 +1,6 @@
 #include "placement_agent.h"
 
+#include "bulrushstack/kernel/scope_guard.h"
 #include "bulrushstack/kernel/tasks.h"
 #include "bulrushstack/serving/background_task_pacing.h"
 #include "bulrushstack/serving/demand_report_schedule.h"
@@ -189,10 +190,11 @@
                 = chooseAdapterSlot(placement->tracker, key, placement->lastRequested, placement->excludedUpstreams);
             if (!choice.upstreamId.empty()) {
                 placement->loadingAdapters.insert(key);
-                const bool isLoaded = co_await loadAdapter(demand.service, key, choice);
-                if (auto* current = findPlacement(demand.service))
-                    current->loadingAdapters.erase(key);
-                if (isLoaded)
+                const ScopeGuard guard(m_lifetime, [&] {
+                    if (auto* current = findPlacement(demand.service))
+                        current->loadingAdapters.erase(key);
+                });
+                if (co_await loadAdapter(demand.service, key, choice))
                     co_return choice.upstreamId;
             }
         }
@@ -312,6 +314,10 @@
 
 asio::awaitable<void> PlacementAgent::fetchUpstreamReport(std::string service, std::string upstream)
 {
+    const ScopeGuard guard(m_lifetime, [&] {
+        if (auto* placement = findPlacement(service))
+            placement->pendingReports.erase(upstream);
+    });
     const auto* entry = m_state.directory().find(upstream);
     if (entry) {
         const auto startedAt = entry->startedAt;
@@ -330,8 +336,6 @@
             co_await sleepFor(m_state.context(), upstreamReportTimeout);
         }
     }
-    if (auto* placement = findPlacement(service))
-        placement->pendingReports.erase(upstream);
 }
 
 void PlacementAgent::resendUnresolvedOrders(const std::string& service, ServicePlacement& placement)
@@ -359,6 +363,10 @@
 /// until the upstream accepts connections again or is no longer in the directory.
 asio::awaitable<void> PlacementAgent::monitorReachability(std::string upstream)
 {
+    const ScopeGuard guard(m_lifetime, [&] {
+        m_unreachableUpstreams.erase(upstream);
+        m_monitoredUpstreams.erase(upstream);
+    });
     while (!m_leaseManager.isReleased()) {
         const auto* entry = m_state.directory().find(upstream);
         if (!entry)
@@ -374,8 +382,6 @@
         m_unreachableUpstreams[upstream] = startedAt;
         co_await sleepFor(m_state.context(), reachabilityInterval);
     }
-    m_unreachableUpstreams.erase(upstream);
-    m_monitoredUpstreams.erase(upstream);
 }
 
 asio::awaitable<OrderResult> PlacementAgent::executeOrder(std::string service, UpstreamOrder order, std::string reason)
@@ -395,12 +401,17 @@
     const auto sentAt = m_state.clock().now();
     const auto startedAt = entry->startedAt;
     const OrderTimes times { .deadline = sentAt + orderTimeout, .sendBy = *m_leaseManager.lease().validUntil() };
-    const auto reply = co_await m_binding.upstreamControl().sendOrder(entry->address, order, times);
-    const auto result = reply.result;
-    if (reply.isLeaving)
-        m_state.markLeaving(order.upstreamId, startedAt, "order");
-    if (auto* current = findPlacement(service))
-        current->tracker.finishOrder(order, result);
+    auto result = OrderResult::Unknown;
+    {
+        const ScopeGuard guard(m_lifetime, [&] {
+            if (auto* current = findPlacement(service))
+                current->tracker.finishOrder(order, result);
+        });
+        const auto reply = co_await m_binding.upstreamControl().sendOrder(entry->address, order, times);
+        result = reply.result;
+        if (reply.isLeaving)
+            m_state.markLeaving(order.upstreamId, startedAt, "order");
+    }
     m_metrics.recordOrder(toString(order.kind), toString(result));
     LOG(INFO) << "event=order kind=" << toString(order.kind) << " upstream=" << order.upstreamId
               << " model=" << order.model << " adapter=" << order.adapter << " expected=" << order.expectedOrders
--- a/src/libfront/placement_agent.h
+++ b/src/libfront/placement_agent.h
@@ -151,6 +151,8 @@
     std::set<std::string> m_monitoredUpstreams;
     /// Start time of the process of each upstream that does not accept connections.
     std::map<std::string, std::uint64_t> m_unreachableUpstreams;
+    /// Expires with this object; tells what its coroutines leave behind that the object no longer exists.
+    std::shared_ptr<bool> m_lifetime = std::make_shared<bool>(true);
 };
 
 } // namespace bulrushstack
--- a/src/libfront/request_attempt.cpp
+++ b/src/libfront/request_attempt.cpp
@@ -62,7 +62,7 @@
             .prefillTime = duration_cast<std::chrono::nanoseconds>(
                 std::chrono::duration<double, std::milli>(m_service->engine ? chosen.prefillMs : 0)) } };
     m_lastUpstream = attempt.upstreamId;
-    m_state.upstreamLoads().recordStart(attempt.upstreamId, attempt.sentRequest);
+    attempt.load = m_state.upstreamLoads().begin(attempt.upstreamId, attempt.sentRequest);
     auto failure = co_await open(attempt);
     if (attempt.wasSent)
         recordTrialSent();
@@ -227,7 +227,7 @@
     const auto now = m_state.clock().now();
     if (!m_firstResponseAfter)
         m_firstResponseAfter = millisecondsOf(now - m_receivedAt);
-    m_state.upstreamLoads().recordFirstResponse(attempt.upstreamId, attempt.sentRequest, attempt.head.load);
+    m_state.upstreamLoads().recordFirstResponse(attempt.load, attempt.head.load);
     if (!m_service->engine)
         return;
     m_state.upstreamLoads().recordPrefix(attempt.upstreamId, prefixKey(m_request));
@@ -376,7 +376,7 @@
     } else if (attempt.stream && attempt.stream->status() / 100 == 5) {
         outcome = AttemptOutcome::Failed;
     }
-    m_state.upstreamLoads().recordEnd(attempt.upstreamId, attempt.sentRequest, attempt.hasFirstResponse, outcome);
+    m_state.upstreamLoads().recordOutcome(attempt.load, outcome);
     m_wasLastAttemptSent = attempt.wasSent;
     m_lastConnection = attempt.stream ? attempt.stream->connection() : HttpConnectionInfo();
     if (!attempt.wasSent)
--- a/src/libfront/request_forwarder.h
+++ b/src/libfront/request_forwarder.h
@@ -41,6 +41,8 @@
         std::string softwareVersion;
         Address address;
         SentRequest sentRequest;
+        /// Until the upstream has finished with the request.
+        UpstreamLoads::RequestScope load;
         std::unique_ptr<HttpStream> stream;
         UpstreamResponseHead head;
         bool hasFirstResponse = false;
--- a/src/libfront/request_forwarder_test.cpp
+++ b/src/libfront/request_forwarder_test.cpp
@@ -35,6 +35,18 @@
     BOOST_TEST(upstreams[0]->connections() == 0u);
 }
 
+// Guards against an upstream that is taken for overloaded by requests that were never sent, since an exception ended
+// them.
+BOOST_AUTO_TEST_CASE(CountsNoRequestThatAnExceptionEnded)
+{
+    addUpstream({ okResponse });
+    format.failsToEncode = true;
+    BOOST_TEST(call("/once/x")->status == 500u);
+    BOOST_TEST(state.upstreamLoads().inFlight("u1") == 0u);
+    format.failsToEncode = false;
+    BOOST_TEST(call("/once/x")->status == 200u);
+}
+
 // Guards against requests to an upstream that announced in a response that it is shutting down.
 BOOST_AUTO_TEST_CASE(SkipsAnUpstreamThatIsShuttingDown)
 {
--- a/src/libserving/upstream_loads.cpp
+++ b/src/libserving/upstream_loads.cpp
@@ -2,6 +2,7 @@
 
 #include "exponential_decay.h"
 #include <algorithm>
+#include <utility>
 
 namespace bulrushstack {
 
@@ -35,12 +36,65 @@
 const UpstreamLoad* UpstreamLoads::find(const std::string& id) const
 {
     auto it = m_records.find(id);
-    return it == m_records.end() ? nullptr : &it->second.load;
+    return it == m_records.end() ? nullptr : &it->second->load;
+}
+
+const std::shared_ptr<UpstreamLoads::Record>& UpstreamLoads::recordOf(const std::string& id)
+{
+    auto& out = m_records[id];
+    if (!out)
+        out = std::make_shared<Record>();
+    return out;
+}
+
+UpstreamLoads::RequestScope::RequestScope(std::shared_ptr<Record> record, std::string id, const SentRequest& request)
+    : m_record(std::move(record))
+    , m_id(std::move(id))
+    , m_request(request)
+{
+}
+
+UpstreamLoads::RequestScope::RequestScope(RequestScope&& other) noexcept { *this = std::move(other); }
+
+UpstreamLoads::RequestScope& UpstreamLoads::RequestScope::operator=(RequestScope&& other) noexcept
+{
+    if (this == &other)
+        return *this;
+    release();
+    m_record = std::exchange(other.m_record, nullptr);
+    m_id = std::move(other.m_id);
+    m_request = other.m_request;
+    m_hasFirstResponse = other.m_hasFirstResponse;
+    return *this;
+}
+
+void UpstreamLoads::RequestScope::release()
+{
+    if (const auto record = std::exchange(m_record, nullptr))
+        removeInFlight(record->load, m_request, m_hasFirstResponse);
+}
+
+UpstreamLoads::RequestScope UpstreamLoads::begin(const std::string& id, const SentRequest& request)
+{
+    recordStart(id, request);
+    return RequestScope(recordOf(id), id, request);
+}
+
+void UpstreamLoads::recordFirstResponse(RequestScope& request, std::optional<ReportedLoad> reported)
+{
+    recordFirstResponse(request.m_id, request.m_request, reported);
+    request.m_hasFirstResponse = true;
+}
+
+void UpstreamLoads::recordOutcome(RequestScope& request, AttemptOutcome outcome)
+{
+    request.release();
+    recordOutcome(request.m_id, request.m_hasFirstResponse, outcome);
 }
 
 void UpstreamLoads::recordStart(const std::string& id, const SentRequest& request)
 {
-    auto& load = m_records[id].load;
+    auto& load = recordOf(id)->load;
     ++load.inFlight;
     load.prefillBacklog += request.prefillTokens;
     load.unanswered.emplace(request.urgency, request.sent + request.prefillTime);
@@ -57,7 +111,7 @@
 void UpstreamLoads::recordFirstResponse(
     const std::string& id, const SentRequest& request, std::optional<ReportedLoad> reported)
 {
-    auto& load = m_records[id].load;
+    auto& load = recordOf(id)->load;
     removeWaiting(load, request);
     auto& answered = load.answered[request.urgency];
     answered = std::max(answered, request.sent + request.prefillTime);
@@ -67,7 +121,7 @@
 
 void UpstreamLoads::recordReport(const std::string& id, ReportedLoad reported)
 {
-    auto& load = m_records[id].load;
+    auto& load = recordOf(id)->load;
     load.reported = reported;
     load.reportedAt = m_clock.now();
     load.inFlightWhenReported = load.inFlight;
@@ -76,11 +130,21 @@
 void UpstreamLoads::recordEnd(
     const std::string& id, const SentRequest& request, bool hadFirstResponse, AttemptOutcome outcome)
 {
-    auto& load = m_records[id].load;
+    removeInFlight(recordOf(id)->load, request, hadFirstResponse);
+    recordOutcome(id, hadFirstResponse, outcome);
+}
+
+void UpstreamLoads::removeInFlight(UpstreamLoad& load, const SentRequest& request, bool hadFirstResponse)
+{
     if (load.inFlight > 0)
         --load.inFlight;
     if (!hadFirstResponse)
         removeWaiting(load, request);
+}
+
+void UpstreamLoads::recordOutcome(const std::string& id, bool hadFirstResponse, AttemptOutcome outcome)
+{
+    auto& load = recordOf(id)->load;
     const auto now = m_clock.now();
     if (outcome == AttemptOutcome::Refused)
         load.avoidUntil = now + refusedAvoidance;
@@ -101,7 +165,7 @@
 
 void UpstreamLoads::recordPrefix(const std::string& id, const std::string& key)
 {
-    auto& prefixes = m_records[id].prefixes;
+    auto& prefixes = recordOf(id)->prefixes;
     prefixes[key] = m_clock.now();
     if (prefixes.size() > prefixesPerUpstream)
         dropOldest(prefixes);
@@ -112,8 +176,8 @@
     auto it = m_records.find(id);
     if (it == m_records.end())
         return false;
-    auto prefix = it->second.prefixes.find(key);
-    return prefix != it->second.prefixes.end() && m_clock.now() - prefix->second < prefixLifetime;
+    auto prefix = it->second->prefixes.find(key);
+    return prefix != it->second->prefixes.end() && m_clock.now() - prefix->second < prefixLifetime;
 }
 
 unsigned UpstreamLoads::inFlight(const std::string& id) const
@@ -168,7 +232,7 @@
 {
     std::vector<std::string> out;
     for (const auto& [id, record] : m_records) {
-        if (record.load.unreachableAt && m_clock.now() - *record.load.unreachableAt < within)
+        if (record->load.unreachableAt && m_clock.now() - *record->load.unreachableAt < within)
             out.push_back(id);
     }
     return out;
@@ -188,7 +252,8 @@
 
 void UpstreamLoads::retain(const UpstreamDirectory& directory)
 {
-    std::erase_if(m_records, [&](const auto& it) { return it.second.load.inFlight == 0 && !directory.find(it.first); });
+    std::erase_if(
+        m_records, [&](const auto& it) { return it.second->load.inFlight == 0 && !directory.find(it.first); });
 }
 
 } // namespace bulrushstack
