Look whether its upstream still runs before a response without length counts as whole

Cause: the system closes the connections of a process that crashes in order, as the upstream does at the end of a response. That one sign decided. The part of the body then even cleared what had crashed the upstream.

Change: shortly after such an end (20 ms for streams, whose events have been passed on by then, 5 ms for plain responses) the instance looks once whether the upstream listens. If not, if another process has its address, or if three or more of its responses ended in the same moment that began apart, the response is broken off: resumable streams go on elsewhere, others are cut, repeatable requests are tried again, others get 502, and the crash has its suspects. Upstreams that shut down may stop listening first.

--- a/src/libfront/front_metrics.cpp
+++ b/src/libfront/front_metrics.cpp
@@ -49,6 +49,11 @@
                            .Help("Responses of upstreams that were skipped because they name another request")
                            .Register(registry)
                            .Add({}))
+    , m_doubtfulEnds(BuildCounter()
+                         .Name("bulrush_front_doubtful_ends_total")
+                         .Help("Responses that ended with their connections when their upstreams seem to have ended")
+                         .Register(registry)
+                         .Add({}))
     , m_unanswered(BuildCounter()
                        .Name("bulrush_front_unanswered_requests_total")
                        .Help("Requests whose connection ended without a complete response, by reason")
@@ -127,6 +132,8 @@
 
 void FrontMetrics::recordStrayResponse() { m_strayResponses.Increment(); }
 
+void FrontMetrics::recordDoubtfulEnd() { m_doubtfulEnds.Increment(); }
+
 void FrontMetrics::recordUnanswered(std::string_view reason)
 {
     m_unanswered.Add({ { "reason", std::string(reason) } }).Increment();
--- a/src/libfront/front_metrics.h
+++ b/src/libfront/front_metrics.h
@@ -32,6 +32,7 @@
     void recordAttempt(std::string_view outcome);
     void recordRetryDecision(std::string_view decision);
     void recordStrayResponse();
+    void recordDoubtfulEnd();
     void recordUnanswered(std::string_view reason);
     void recordOrder(std::string_view kind, std::string_view result);
     void recordStoreFailure(std::string_view table);
@@ -51,6 +52,7 @@
     prometheus::Family<prometheus::Counter>& m_attempts;
     prometheus::Family<prometheus::Counter>& m_retries;
     prometheus::Counter& m_strayResponses;
+    prometheus::Counter& m_doubtfulEnds;
     prometheus::Family<prometheus::Counter>& m_unanswered;
     prometheus::Family<prometheus::Counter>& m_orders;
     prometheus::Family<prometheus::Counter>& m_storeFailures;
--- a/src/libfront/request_attempt.cpp
+++ b/src/libfront/request_attempt.cpp
@@ -70,6 +70,9 @@
         failure = co_await validateResponseHead(attempt);
     if (!failure && !m_isDone) {
         m_responseFraming = attempt.stream->framing();
+        if (m_responseFraming == BodyFraming::CloseDelimited)
+            attempt.inProgress
+                = m_state.responseEnds().begin({ .upstream = attempt.upstreamId, .startedAt = attempt.startedAt });
         const bool isStream = m_dependencies.format.isEventStream(attempt.stream->headers());
         if (isStream && attempt.stream->status() / 100 == 2)
             failure = co_await relayEventStream(attempt);
@@ -240,11 +243,13 @@
     auto body = co_await attempt.stream->readAll();
     if (!body)
         co_return body.error();
+    recordFirstResponse(attempt);
+    if (auto failure = co_await confirmEnd(attempt))
+        co_return failure;
     HttpResponse response;
     response.status = attempt.stream->status();
     response.headers = m_dependencies.format.forwardedResponseHeaders(attempt.stream->headers());
     response.body = std::move(*body);
-    recordFirstResponse(attempt);
     if (m_isStreaming)
         co_return invalidResponse(
             Errc::Malformed, "the stream could not be resumed, status " + std::to_string(response.status));
@@ -278,6 +283,8 @@
         auto part = co_await attempt.stream->read();
         if (!part || !*part) {
             auto failure = part ? truncationFailure(attempt) : part.error();
+            if (!failure)
+                failure = co_await confirmEnd(attempt);
             m_partialEventBytes = m_eventSplitter.pendingBytes();
             m_eventSplitter.dropPartialEvent();
             if (!failure)
--- a/src/libfront/request_forwarder.h
+++ b/src/libfront/request_forwarder.h
@@ -50,6 +50,10 @@
         /// Times of the first and of the last events of a stream.
         SteadyTime firstEventAt {};
         SteadyTime lastEventAt {};
+        /// Set while a response is read that ends with its connection.
+        ResponseEnds::Scope inProgress;
+        /// Whether the end of the response showed that the process has ended as well.
+        bool hasProcessEnded = false;
 
         bool mayPromptHaveCrashedUpstream() const;
     };
@@ -87,6 +91,8 @@
     boost::asio::awaitable<std::optional<Failure>> validateResponseHead(Attempt& attempt);
     boost::asio::awaitable<std::optional<Failure>> relayBufferedResponse(Attempt& attempt);
     boost::asio::awaitable<std::optional<Failure>> relayEventStream(Attempt& attempt);
+    boost::asio::awaitable<std::optional<std::string>> findEvidenceOfCrash(const Attempt& attempt);
+    boost::asio::awaitable<std::optional<Failure>> confirmEnd(Attempt& attempt);
     boost::asio::awaitable<void> beginClientStream(Attempt& attempt);
     boost::asio::awaitable<void> completeStream(Attempt& attempt);
     boost::asio::awaitable<std::optional<Failure>> sendResponse(HttpResponse response);
--- a/src/libfront/request_quarantine.cpp
+++ b/src/libfront/request_quarantine.cpp
@@ -150,9 +150,9 @@
     if (!attempt.mayPromptHaveCrashedUpstream())
         std::erase_if(suspects, [](const auto& it) { return it.suspect.kind == SuspectKind::PromptPart; });
     auto probe = [](RequestDependencies dependencies, Address address, std::string service, std::string upstream,
-                     std::uint64_t startedAt, std::vector<CrashSuspect> suspects,
-                     std::string request) -> asio::awaitable<void> {
-        if (co_await isStillListening(dependencies, address))
+                     std::uint64_t startedAt, std::vector<CrashSuspect> suspects, std::string request,
+                     bool hasProcessEnded) -> asio::awaitable<void> {
+        if (!hasProcessEnded && co_await isStillListening(dependencies, address))
             co_return;
         dependencies.state.reachability().recordConnectFailure(upstream);
         if (co_await mayHaveFailedByRefusals(dependencies, service, upstream, startedAt))
@@ -165,7 +165,7 @@
     };
     spawnLogged(m_state.context(),
         probe(m_dependencies, attempt.address, m_service->name, attempt.upstreamId, attempt.startedAt,
-            std::move(suspects), m_request.id),
+            std::move(suspects), m_request.id, attempt.hasProcessEnded),
         "crash-probe");
 }
 
--- a/src/libfront/upstream_crash_test.cpp
+++ b/src/libfront/upstream_crash_test.cpp
@@ -64,6 +64,14 @@
     BOOST_TEST(suspectedParts() == sharedParts);
 }
 
+// Guards against a crashing part that counts as served since its stream ends with its connection, in order.
+BOOST_AUTO_TEST_CASE(IsSuspectedIfItsStreamEndsInOrder)
+{
+    addCrashingUpstream(closeDelimitedStreamHead + firstEvent);
+    call("/events/x");
+    BOOST_TEST(suspectedParts() == sharedParts);
+}
+
 // Guards against parts that are suspected although their upstream wrote on them for long.
 BOOST_AUTO_TEST_CASE(IsNotSuspectedOnceTheStreamRuns)
 {
