Wait for the lease of a holder since if the lease's row comes from a copy

Cause: a row that names the instance itself was taken up at once. In a copy it says nothing of the holder since, whose lease may be valid still. The same where the copy has no row.

Change: such a row is taken up once it was unchanged for the validity of the lease, as a stranger's, unless the own last renewal is still valid. A process that found no row and hears from its first write that the store was restored adds the validity to its pause.

--- a/src/include/bulrushstack/serving/placement_lease.h
+++ b/src/include/bulrushstack/serving/placement_lease.h
@@ -104,6 +104,8 @@
 
 private:
     bool isHeldByOther() const;
+    bool mayOtherHold(SteadyTime now) const;
+    bool isOwnLeaseUnexpired(SteadyTime now) const;
     LeaseOrigin previousHolder(SteadyTime now) const;
 
     LeaseOptions m_options;
@@ -112,6 +114,8 @@
     bool m_hasObservedRow = false;
     /// Whether a row named another holder since this instance last wrote the row.
     bool m_hasOtherHeld = false;
+    /// Whether a row that this instance knew was gone at a later read, since it last wrote the row.
+    bool m_hasLostRow = false;
     bool m_isStoreRestored = false;
     std::optional<SteadyTime> m_validUntil;
     SteadyTime m_ordersAllowedFrom {};
--- a/src/libserving/placement_lease.cpp
+++ b/src/libserving/placement_lease.cpp
@@ -28,6 +28,7 @@
         return; // The read is older than one already processed.
     m_hasObservedRow = true;
     m_hasOtherHeld = m_hasOtherHeld || isHeldByOther();
+    m_hasLostRow = m_hasLostRow || (m_record && !record);
     m_record = std::move(record);
     m_recordChangedAt = now;
     if (!isOwn() || m_record->isFromCopy)
@@ -40,9 +41,27 @@
         return false;
     if (isHolder(now))
         return now >= after(*m_lastWriteSentAt, m_options.renewInterval);
+    if (mayOtherHold(now))
+        return now >= after(m_recordChangedAt, m_options.validity);
     // A row of an earlier process of this instance can be taken over at once, since that process no longer sends
     // orders.
-    return !m_record || m_record->holder.empty() || isOwn() || now >= after(m_recordChangedAt, m_options.validity);
+    return !m_record || m_record->holder.empty() || isOwn();
+}
+
+/// Returns whether another instance may hold the lease, as far as the row says. A row from a copy, or one that the copy
+/// does not have, says nothing of a holder since, unless the lease of this instance has been valid all the time.
+bool PlacementLease::mayOtherHold(SteadyTime now) const
+{
+    if (!m_record)
+        return m_hasLostRow && !isOwnLeaseUnexpired(now);
+    if (m_record->isFromCopy)
+        return !isOwn() || !isOwnLeaseUnexpired(now);
+    return isHeldByOther();
+}
+
+bool PlacementLease::isOwnLeaseUnexpired(SteadyTime now) const
+{
+    return m_lastWriteSentAt && now < after(*m_lastWriteSentAt, m_options.validity);
 }
 
 void PlacementLease::recordWrite(std::uint64_t version, const Address& address, SteadyTime sentAt)
@@ -50,7 +69,12 @@
     const bool isRenewal = m_validUntil.has_value();
     if (!isRenewal)
         m_origin = previousHolder(sentAt);
+    // A process that found no row hears only from its first write that the store was restored, so that it has not
+    // waited for the end of another lease.
+    const bool hasNotWaited = m_origin == LeaseOrigin::OtherInstance && !m_record && !m_hasLostRow;
+    const auto pause = m_options.handoverPause + (hasNotWaited ? m_options.validity : std::chrono::nanoseconds(0));
     m_hasOtherHeld = false;
+    m_hasLostRow = false;
     m_record = LeaseRecord { .holder = m_options.instanceId, .address = address, .version = version };
     m_recordChangedAt = sentAt;
     m_lastWriteSentAt = sentAt;
@@ -58,7 +82,7 @@
     if (isRenewal)
         return;
     m_fence = version;
-    const auto pauseEnd = m_origin == LeaseOrigin::OtherInstance ? after(sentAt, m_options.handoverPause) : sentAt;
+    const auto pauseEnd = m_origin == LeaseOrigin::OtherInstance ? after(sentAt, pause) : sentAt;
     m_ordersAllowedFrom = std::max(m_ordersAllowedFrom, pauseEnd);
 }
 
@@ -77,10 +101,12 @@
 {
     if (m_hasOtherHeld)
         return LeaseOrigin::OtherInstance;
-    if (!m_record)
-        return m_isStoreRestored && !m_lastWriteSentAt ? LeaseOrigin::OtherInstance : LeaseOrigin::New;
-    const bool isLeaseUnexpired = m_lastWriteSentAt && now < after(*m_lastWriteSentAt, m_options.validity);
-    const bool isOtherRecent = m_record->isFromCopy ? !isLeaseUnexpired : m_record->isInHandover && !m_lastWriteSentAt;
+    if (!m_record) {
+        const bool isRestored = m_isStoreRestored || m_hasLostRow;
+        return isRestored && !isOwnLeaseUnexpired(now) ? LeaseOrigin::OtherInstance : LeaseOrigin::New;
+    }
+    const bool isOtherRecent
+        = m_record->isFromCopy ? !isOwnLeaseUnexpired(now) : m_record->isInHandover && !m_lastWriteSentAt;
     return isOwn() && !isOtherRecent ? LeaseOrigin::EarlierProcess : LeaseOrigin::OtherInstance;
 }
 
--- a/src/libserving/placement_lease_test.cpp
+++ b/src/libserving/placement_lease_test.cpp
@@ -204,6 +204,10 @@
 {
     first.lease.observe(
         LeaseRecord { .holder = "first", .address = address, .version = 9, .isFromCopy = true }, clock.bootNow());
+    BOOST_TEST(!first.shouldWrite());
+    clock.advance(2999ms);
+    BOOST_TEST(!first.shouldWrite());
+    clock.advance(1ms);
     BOOST_TEST(first.shouldWrite());
     first.lease.recordWrite(10, address, clock.bootNow());
     BOOST_TEST(!first.maySendOrders());
@@ -215,6 +219,8 @@
 {
     write(first, second, 5);
     second.lease.observe(std::nullopt, clock.bootNow());
+    BOOST_TEST(!second.shouldWrite());
+    clock.advance(3s);
     BOOST_TEST(second.shouldWrite());
     BOOST_TEST(second.lease.expectedVersion() == 0u);
     second.lease.recordWrite(9, address, clock.bootNow());
@@ -230,6 +236,14 @@
     BOOST_TEST(first.lease.isHolder(clock.bootNow()));
     BOOST_TEST(!first.maySendOrders());
     BOOST_CHECK(first.lease.origin() == LeaseOrigin::OtherInstance);
+    clock.advance(2s);
+    write(first, 10);
+    clock.advance(2s);
+    write(first, 11);
+    clock.advance(2299ms);
+    BOOST_TEST(!first.maySendOrders());
+    clock.advance(1ms);
+    BOOST_TEST(first.maySendOrders());
 }
 
 BOOST_AUTO_TEST_CASE(IsAcquiredAtOnceByItsLastHolderIfTheCopyHasNoRow)
