Drop requests whose end was never recorded from the load of their upstreams

Cause: a fault in the bookkeeping of requests, whatever it is, makes an upstream look overloaded until the instance is restarted.

Change: the load of an upstream knows each request that it counts. Those that were sent longer ago than the longest timeout of a route and a minute are dropped, logged and counted.

--- a/src/include/bulrushstack/serving/upstream_loads.h
+++ b/src/include/bulrushstack/serving/upstream_loads.h
@@ -90,11 +90,11 @@
 
     private:
         friend class UpstreamLoads;
-        RequestScope(std::shared_ptr<Record> record, std::string id, const SentRequest& request);
+        RequestScope(std::shared_ptr<Record> record, std::string id, std::uint64_t number);
 
         std::shared_ptr<Record> m_record; ///< null after release()
         std::string m_id;
-        SentRequest m_request;
+        std::uint64_t m_number = 0; ///< key in Record::open
         bool m_hasFirstResponse = false;
     };
 
@@ -107,6 +107,10 @@
     /// Records how the attempt of a request ended, and that the upstream has finished with it.
     void recordOutcome(RequestScope& request, AttemptOutcome outcome);
 
+    /// Drops requests that were sent longer ago than this and whose end was never recorded, which would count as load
+    /// for ever. Returns how many there were.
+    std::size_t dropStuck(std::chrono::nanoseconds age);
+
     /// The same as begin() without a scope: each call must be followed by one recordEnd() with the same request.
     void recordStart(const std::string& id, const SentRequest& request);
 
@@ -153,8 +157,14 @@
     void retain(const UpstreamDirectory& directory);
 
 private:
+    struct OpenRequest {
+        SentRequest request;
+        bool hasFirstResponse = false;
+    };
+
     struct Record {
         UpstreamLoad load;
+        std::map<std::uint64_t, OpenRequest> open; ///< requests with a scope
         std::map<std::string, SteadyTime> prefixes; ///< Time of the last use, by prefix key.
     };
 
@@ -164,7 +174,10 @@
     static void removeWaiting(UpstreamLoad& load, const SentRequest& request);
     static void removeInFlight(UpstreamLoad& load, const SentRequest& request, bool hadFirstResponse);
 
+    static void close(Record& record, std::uint64_t number);
+
     const Clock& m_clock;
+    std::uint64_t m_requestCount = 0;
     std::map<std::string, std::shared_ptr<Record>> m_records;
 };
 
--- a/src/libfront/front_metrics.cpp
+++ b/src/libfront/front_metrics.cpp
@@ -54,6 +54,12 @@
                          .Help("Responses that ended with their connections when their upstreams seem to have ended")
                          .Register(registry)
                          .Add({}))
+    , m_stuckRequests(
+          BuildCounter()
+              .Name("bulrush_front_stuck_requests_total")
+              .Help("Requests that were dropped from the load of their upstreams since their end was not recorded")
+              .Register(registry)
+              .Add({}))
     , m_unanswered(BuildCounter()
                        .Name("bulrush_front_unanswered_requests_total")
                        .Help("Requests whose connection ended without a complete response, by reason")
@@ -134,6 +140,8 @@
 
 void FrontMetrics::recordDoubtfulEnd() { m_doubtfulEnds.Increment(); }
 
+void FrontMetrics::recordStuckRequests(std::size_t n) { m_stuckRequests.Increment(static_cast<double>(n)); }
+
 void FrontMetrics::recordUnanswered(std::string_view reason)
 {
     m_unanswered.Add({ { "reason", std::string(reason) } }).Increment();
--- a/src/libfront/front_metrics.h
+++ b/src/libfront/front_metrics.h
@@ -33,6 +33,7 @@
     void recordRetryDecision(std::string_view decision);
     void recordStrayResponse();
     void recordDoubtfulEnd();
+    void recordStuckRequests(std::size_t n);
     void recordUnanswered(std::string_view reason);
     void recordOrder(std::string_view kind, std::string_view result);
     void recordStoreFailure(std::string_view table);
@@ -53,6 +54,7 @@
     prometheus::Family<prometheus::Counter>& m_retries;
     prometheus::Counter& m_strayResponses;
     prometheus::Counter& m_doubtfulEnds;
+    prometheus::Counter& m_stuckRequests;
     prometheus::Family<prometheus::Counter>& m_unanswered;
     prometheus::Family<prometheus::Counter>& m_orders;
     prometheus::Family<prometheus::Counter>& m_storeFailures;
--- a/src/libfront/store_synchronizer.cpp
+++ b/src/libfront/store_synchronizer.cpp
@@ -14,6 +14,8 @@
 constexpr std::chrono::milliseconds maintenanceInterval { 200 };
 /// Hints and loads of upstreams that are gone are removed only once in this number of maintenance rounds.
 constexpr unsigned maintenanceRoundsPerCleanup = 25;
+/// Time after the longest timeout of a route after which a request has certainly ended.
+constexpr std::chrono::minutes stuckRequestMargin { 1 };
 
 /// A long poll that gets no response times out this long before the change that it waits for must be applied.
 constexpr std::chrono::milliseconds longPollMargin { 1000 };
@@ -316,6 +318,22 @@
         m_configurationFollower.resynchronize();
 }
 
+/// Drops requests whose end was not recorded although it must have come, so that no fault in their bookkeeping makes an
+/// upstream look overloaded for ever.
+void StoreSynchronizer::dropStuckRequests()
+{
+    if (!m_state.configuration())
+        return;
+    Milliseconds longest {};
+    for (const auto& it : m_state.configuration()->routes())
+        longest = std::max(longest, it.timeout);
+    const auto n = m_state.upstreamLoads().dropStuck(longest + stuckRequestMargin);
+    if (n == 0)
+        return;
+    m_metrics.recordStuckRequests(n);
+    LOG(ERROR) << "event=stuck-requests-dropped requests=" << n;
+}
+
 asio::awaitable<void> StoreSynchronizer::runMaintenance()
 {
     for (unsigned i = 1; !m_isStopped; ++i) {
@@ -332,6 +350,7 @@
         if (i % maintenanceRoundsPerCleanup != 0)
             continue;
         m_state.residencyHints().expire();
+        dropStuckRequests();
         m_state.upstreamLoads().retain(m_state.directory());
         m_state.upstreamPace().retain(m_state.directory());
     }
--- a/src/libfront/store_synchronizer.h
+++ b/src/libfront/store_synchronizer.h
@@ -36,6 +36,7 @@
     class UpstreamObserver;
 
     boost::asio::awaitable<Result<std::vector<Row>>> readNewRows(std::string table, TableReadTimeouts timeouts);
+    void dropStuckRequests();
     boost::asio::awaitable<void> runMaintenance();
     void adaptPolling();
 
--- a/src/libserving/upstream_loads.cpp
+++ b/src/libserving/upstream_loads.cpp
@@ -47,10 +47,10 @@
     return out;
 }
 
-UpstreamLoads::RequestScope::RequestScope(std::shared_ptr<Record> record, std::string id, const SentRequest& request)
+UpstreamLoads::RequestScope::RequestScope(std::shared_ptr<Record> record, std::string id, std::uint64_t number)
     : m_record(std::move(record))
     , m_id(std::move(id))
-    , m_request(request)
+    , m_number(number)
 {
 }
 
@@ -63,7 +63,7 @@
     release();
     m_record = std::exchange(other.m_record, nullptr);
     m_id = std::move(other.m_id);
-    m_request = other.m_request;
+    m_number = other.m_number;
     m_hasFirstResponse = other.m_hasFirstResponse;
     return *this;
 }
@@ -71,19 +71,35 @@
 void UpstreamLoads::RequestScope::release()
 {
     if (const auto record = std::exchange(m_record, nullptr))
-        removeInFlight(record->load, m_request, m_hasFirstResponse);
+        close(*record, m_number);
+}
+
+void UpstreamLoads::close(Record& record, std::uint64_t number)
+{
+    const auto it = record.open.find(number);
+    if (it == record.open.end())
+        return; // It was dropped.
+    removeInFlight(record.load, it->second.request, it->second.hasFirstResponse);
+    record.open.erase(it);
 }
 
 UpstreamLoads::RequestScope UpstreamLoads::begin(const std::string& id, const SentRequest& request)
 {
     recordStart(id, request);
-    return RequestScope(recordOf(id), id, request);
+    const auto& record = recordOf(id);
+    record->open[++m_requestCount] = { .request = request };
+    return RequestScope(record, id, m_requestCount);
 }
 
 void UpstreamLoads::recordFirstResponse(RequestScope& request, std::optional<ReportedLoad> reported)
 {
-    recordFirstResponse(request.m_id, request.m_request, reported);
     request.m_hasFirstResponse = true;
+    const auto& record = recordOf(request.m_id);
+    const auto it = record->open.find(request.m_number);
+    if (it == record->open.end())
+        return;
+    it->second.hasFirstResponse = true;
+    recordFirstResponse(request.m_id, it->second.request, reported);
 }
 
 void UpstreamLoads::recordOutcome(RequestScope& request, AttemptOutcome outcome)
@@ -250,6 +266,20 @@
     return load ? load->prefillBacklog : 0;
 }
 
+std::size_t UpstreamLoads::dropStuck(std::chrono::nanoseconds age)
+{
+    std::vector<std::pair<Record*, std::uint64_t>> stuck;
+    for (const auto& [id, record] : m_records) {
+        for (const auto& [number, open] : record->open) {
+            if (m_clock.now() - open.request.sent > age)
+                stuck.emplace_back(record.get(), number);
+        }
+    }
+    for (const auto& [record, number] : stuck)
+        close(*record, number);
+    return stuck.size();
+}
+
 void UpstreamLoads::retain(const UpstreamDirectory& directory)
 {
     std::erase_if(
