Judge the head and the end of a response in files of their own

And ResponseEnds took responses that begin after a crash, at the process that came at once after it, for responses that survived it.

ResponseEnds looks only for responses in progress that began before the end.

--- a/src/include/bulrushstack/serving/response_ends.h
+++ b/src/include/bulrushstack/serving/response_ends.h
@@ -60,7 +60,7 @@
     Scope begin(const UpstreamProcess& process);
 
     /// Returns whether the last responses of the process, at least this many, ended in the same moment although they
-    /// began at different times, and none is left.
+    /// began at different times, and none is left that began before.
     bool haveEndedTogether(const UpstreamProcess& process, std::size_t minimum) const;
 
 private:
--- a/src/libfront/request_forwarder.h
+++ b/src/libfront/request_forwarder.h
@@ -21,6 +21,12 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+/// Returns the failure of an attempt whose response is unusable, so that its request may have run.
+inline Failure invalidResponse(Errc code, std::string detail)
+{
+    return { .code = code, .verdict = Verdict::MayHaveRun, .detail = std::move(detail) };
+}
+
 /// Handles one request of a client: admission, choice of upstreams, attempts, and relaying of the response.
 class RequestForwarder final : private AbortableRequest {
 public:
--- a/src/libfront/response_end.cpp
+++ b/src/libfront/response_end.cpp
@@ -24,6 +24,22 @@
 
 } // namespace
 
+/// Returns a failure if the stream is truncated although the end of its body looks complete. A body that ends
+/// with its connection needs at least one event as evidence that the upstream did not crash before it.
+std::optional<Failure> RequestForwarder::truncationFailure(const Attempt& attempt) const
+{
+    Failure failure { .code = Errc::ConnectionClosed, .verdict = Verdict::MayHaveRun };
+    if (m_eventSplitter.pendingBytes() > 0) {
+        failure.detail = "the stream ended inside an event";
+        return failure;
+    }
+    if (attempt.stream->framing() == BodyFraming::CloseDelimited && !attempt.hasFirstResponse) {
+        failure.detail = "the stream ended with its connection before any event";
+        return failure;
+    }
+    return std::nullopt;
+}
+
 /// Returns why the process that sent a response seems to have ended with it; empty if nothing says so.
 asio::awaitable<std::optional<std::string>> RequestForwarder::findEvidenceOfCrash(const Attempt& attempt)
 {
--- a/src/libserving/response_ends.cpp
+++ b/src/libserving/response_ends.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <set>
 #include <utility>
 
 namespace bulrushstack {
@@ -21,7 +22,7 @@
 } // namespace
 
 struct ResponseEnds::Record {
-    std::size_t open = 0;
+    std::multiset<SteadyTime> open; ///< times at which the responses in progress began
     std::vector<EndedResponse> ended; ///< those in the same moment as the last one
 };
 
@@ -46,7 +47,10 @@
 {
     const auto it = m_records.find(process);
     const auto record = it == m_records.end() ? nullptr : it->second.lock();
-    if (!record || record->open > 0 || record->ended.empty() || record->ended.size() < minimum)
+    if (!record || record->ended.empty() || record->ended.size() < minimum)
+        return false;
+    const bool isOneLeft = !record->open.empty() && *record->open.begin() < record->ended.back().ended;
+    if (isOneLeft)
         return false;
     const auto [first, last] = std::minmax_element(record->ended.begin(), record->ended.end(),
         [](const EndedResponse& a, const EndedResponse& b) { return a.begun < b.begun; });
@@ -59,7 +63,7 @@
     , m_begun(clock.now())
     , m_isOpen(true)
 {
-    ++m_record->open;
+    m_record->open.insert(m_begun);
 }
 
 ResponseEnds::Scope::~Scope() { leave(); }
@@ -98,7 +102,7 @@
 {
     const bool wasOpen = std::exchange(m_isOpen, false);
     if (wasOpen)
-        --m_record->open;
+        m_record->open.erase(m_record->open.find(m_begun));
     return wasOpen;
 }
 
--- a/src/libserving/response_ends_test.cpp
+++ b/src/libserving/response_ends_test.cpp
@@ -60,6 +60,16 @@
     BOOST_TEST(!ends.haveEndedTogether(process, 3));
 }
 
+// Guards against a crash that is overlooked because the next process has begun to work.
+BOOST_AUTO_TEST_CASE(HaveEndedTogetherIfOthersBeginAfterThat)
+{
+    for (int i = 0; i < 3; ++i)
+        begin(60ms);
+    endAll(1ms);
+    begin(1ms);
+    BOOST_TEST(ends.haveEndedTogether(process, 3));
+}
+
 // Guards against whole responses that are rejected because they were asked for together.
 BOOST_AUTO_TEST_CASE(HaveNotIfTheyBeganTogether)
 {
