Send the requests of repeated-refusals until enough copies were sent

Each section needs five copies to show anything.

What it asks for stays: five copies, more than half of all requests served, no broken promise.

--- a/testsuite/repeated-refusals/run.py
+++ b/testsuite/repeated-refusals/run.py
@@ -17,6 +17,7 @@
 RETRY_INTERVAL_S = 0.01
 SHED_SHARE = 0.3
 MIN_COPIES = 5  # without as many a section shows nothing
+MAX_ROUNDS = 4  # in which a section sends its requests until it has as many
 
 SECTIONS = (
     ("a copy as the next request is read", checkout_request, 503, RefusalRepeats()),
@@ -45,6 +46,17 @@
     return await asyncio.gather(*[send(it) for it in range(REQUESTS)])
 
 
+def play(site, instances, spec, repeat):
+    """Sends the requests until enough copies were sent, which depends on how connections are reused. Returns the outcomes and
+    the number of copies."""
+    outcomes, before = [], site.repeated_refusals
+    for _ in range(MAX_ROUNDS):
+        outcomes += site.run_coroutine(send_all(site, instances, spec, repeat))
+        if site.repeated_refusals - before >= MIN_COPIES:
+            break
+    return outcomes, site.repeated_refusals - before
+
+
 def set_faults(site, share, status=503, repeats=None):
     for it in site.workers.values():
         it.shed_share, it.shed_status, it.repeats = share, status, repeats
@@ -59,12 +71,11 @@
         for title, kind, status, repeats in SECTIONS:
             for repeat in ("at the same instance", "elsewhere"):
                 script.section(f"{title}, refused requests come back {repeat}")
-                copies = site.repeated_refusals
                 set_faults(site, SHED_SHARE, status, repeats)
-                outcomes = site.run_coroutine(send_all(site, instances, kind(), repeat))
+                outcomes, copies = play(site, instances, kind(), repeat)
                 set_faults(site, 0.0)
                 served = sum(it.is_served for it in outcomes)
-                script.say(f"copies were sent: {site.repeated_refusals - copies >= MIN_COPIES}")
-                script.say(f"more than half were served: {served > REQUESTS / 2}")
+                script.say(f"copies were sent: {copies >= MIN_COPIES}")
+                script.say(f"more than half were served: {served > len(outcomes) / 2}")
         serving_site.report_violations(script, site)
     return script.text()
