Allow one round with a crash among the last ones of crashing-prompt-part

Cause: leaves rounds with a crash out of the settled ones, and says that the line before limits them to three.

--- a/testsuite/crashing-prompt-part/run.py
+++ b/testsuite/crashing-prompt-part/run.py
@@ -21,6 +21,7 @@
 LATE_RUN_LIMIT = 3  # crashing requests that may still reach engines after that
 KNOWN_AGAIN_S = 1.0  # seconds after which restarted instances know what is quarantined
 SETTLED_ROUNDS = 12  # last rounds without a crash, in which all other requests must be served
+TRIAL_LIMIT = 1  # rounds with a crash among as many last rounds: trials of the quarantined part are seconds apart
 SAME_REQUEST_ROUNDS = 80  # long enough for one trial
 
 
@@ -61,19 +62,21 @@
 
 def check_quarantine(script, site, instances):
     """Sends crashing requests and others, and checks that only the former end up refused."""
-    served = []
+    served, has_crash = [], []
     for number in range(ROUNDS):
         started, before = time.monotonic(), len(crashing_runs(site))
         count = sum(it.is_served for it in send_round(site, instances, number))
-        if len(crashing_runs(site)) == before:  # else the crash, also that of a trial, may end other requests
+        has_crash.append(len(crashing_runs(site)) > before)
+        if not has_crash[-1]:  # a crash, also that of a trial, may end other requests
             served.append(count)
         time.sleep(max(0.0, started + ROUND_S - time.monotonic()))
     crashes = crashing_runs(site)
     late = [it for it in crashes[5:] if it > crashes[4] + STABLE_S]
     script.say(f"engines crashed: {len(crashes) > 0}")
     script.say(f"at most {LATE_RUN_LIMIT} such requests ran later than {STABLE_S:g} s after the fifth crash: {len(late) <= LATE_RUN_LIMIT}")
-    settled = served[-SETTLED_ROUNDS:]
-    script.say(f"requests that share the other parts are served: {settled == [len(instances)] * SETTLED_ROUNDS}")
+    is_settled = sum(has_crash[-SETTLED_ROUNDS:]) <= TRIAL_LIMIT
+    are_served = served[-SETTLED_ROUNDS:] == [len(instances)] * SETTLED_ROUNDS
+    script.say(f"requests that share the other parts are served: {is_settled and are_served}")
 
 
 def play(script, folder, title, restarts_all=False, **engine_attributes):
