Reserve the ports of tests that several processes must agree on

Cause: freeAddress() bound a port of the ephemeral range, closed the socket and returned the port. Until the mesh bound it, any other process could get it, such as a connection of the session test that runs beside it (CTest runs two at once). A test fault; bulrushd has no such step.

Change: ReservedAddress keeps its socket bound, with SO_REUSEADDR and not listening. The system gives such a port to no other socket, and HttpServer, which sets that option too, can listen on it. The addresses of platform services that must be unreachable are reserved in the same way, so that no other process answers there.

--- a/src/libconfig/configuration_service_test.cpp
+++ b/src/libconfig/configuration_service_test.cpp
@@ -18,10 +18,12 @@
 /// Instance with the service "configuration" and the services it depends on. Its platform is unreachable.
 struct Instance {
     Instance(boost::asio::io_context& context, const Clock& clock, const std::string& id)
-        : peerAddress(freeAddress(context))
+        : unreachable(context)
+        , reservedPeer(context)
+        , peerAddress(reservedPeer.address())
         , registry(context)
     {
-        const auto unreachableAddress = freeAddress(context).toString();
+        const auto unreachableAddress = unreachable.address().toString();
         std::vector<SettingSpec> specs;
         for (const auto& list : { runtimeSettings(), peerSettings(), platformSettings(), configurationSettings() })
             specs.insert(specs.end(), list.begin(), list.end());
@@ -43,6 +45,8 @@
     ConfigurationService& configuration() { return registry.find<ConfigurationService>("configuration"); }
     bool isReady() { return registry.find<RuntimeService>("runtime").isReady(); }
 
+    ReservedAddress unreachable;
+    ReservedAddress reservedPeer;
     Address peerAddress;
     ServiceRegistry registry;
 };
--- a/src/libexecution/execution_service_test.cpp
+++ b/src/libexecution/execution_service_test.cpp
@@ -57,8 +57,7 @@
 struct InstanceFixture {
     InstanceFixture()
     {
-        const auto unreachableAddress = freeAddress(context).toString();
-        peerAddress = freeAddress(context);
+        const auto unreachableAddress = unreachable.address().toString();
         std::vector<SettingSpec> specs;
         for (const auto& list : { runtimeSettings(), peerSettings(), platformSettings(), configurationSettings(),
                  membershipSettings(), executionSettings() })
@@ -144,7 +143,9 @@
 
     boost::asio::io_context context;
     SystemClock clock;
-    Address peerAddress;
+    ReservedAddress unreachable { context };
+    ReservedAddress reservedPeer { context };
+    Address peerAddress = reservedPeer.address();
     PausingEngine engine { context };
     HttpServer engineServer { context, { .address = { .host = "127.0.0.1", .port = 0 } }, engine };
     HttpClient client { context, clock };
--- a/src/libnet/peer_mesh_test.cpp
+++ b/src/libnet/peer_mesh_test.cpp
@@ -14,18 +14,17 @@
 namespace {
 
 struct PeerMeshFixture {
-    PeerMeshOptions optionsFor(std::string id, std::vector<std::string> keys)
+    static PeerMeshOptions optionsFor(std::string id, const ReservedAddress& reserved, std::vector<std::string> keys)
     {
         return {
-            .address = freeAddress(context), .instanceId = std::move(id), .incarnation = 7, .keys = std::move(keys)
+            .address = reserved.address(), .instanceId = std::move(id), .incarnation = 7, .keys = std::move(keys)
         };
     }
 
     void startMeshes(std::vector<std::string> keysOfA, std::vector<std::string> keysOfB)
     {
-        auto optionsA = optionsFor("a", std::move(keysOfA));
-        auto optionsB = optionsFor("b", std::move(keysOfB));
-        addressB = optionsB.address;
+        auto optionsA = optionsFor("a", reservedA, std::move(keysOfA));
+        auto optionsB = optionsFor("b", reservedB, std::move(keysOfB));
         a = std::make_unique<PeerMesh>(context, clock, optionsA);
         b = std::make_unique<PeerMesh>(context, clock, optionsB);
         b->handle("add", [](const nlohmann::json& request) {
@@ -42,9 +41,11 @@
 
     boost::asio::io_context context;
     SystemClock clock;
+    ReservedAddress reservedA { context };
+    ReservedAddress reservedB { context };
+    Address addressB = reservedB.address();
     std::unique_ptr<PeerMesh> a;
     std::unique_ptr<PeerMesh> b;
-    Address addressB;
 };
 
 /// Sends one request after the other until one fails, and then counts itself as ended.
@@ -66,6 +67,18 @@
 
 BOOST_FIXTURE_TEST_SUITE(Messages, PeerMeshFixture)
 
+// Guards against tests that fail now and then because a socket of another process, such as a connection of a test that
+// runs beside this one, took the port between its choice and the start of the mesh.
+BOOST_AUTO_TEST_CASE(ReservedPortIsLeftToTheMesh)
+{
+    boost::asio::ip::tcp::socket other(context, boost::asio::ip::tcp::v4());
+    boost::system::error_code ec;
+    other.bind({ boost::asio::ip::make_address("127.0.0.1"), reservedA.address().port }, ec);
+    BOOST_TEST((ec == boost::asio::error::address_in_use));
+    startMeshes({ "k" }, { "k" });
+    BOOST_TEST(sendRequest({ { "type", "add" }, { "x", 1 } }).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(HandlerReceivesTheSenderId)
 {
     startMeshes({ "k" }, { "k" });
@@ -124,7 +137,7 @@
 {
     startMeshes({ "k" }, { "k" });
     BOOST_REQUIRE(sendRequest({ { "type", "add" }, { "x", 1 } }));
-    auto options = optionsFor("a", { "k" });
+    auto options = optionsFor("a", reservedA, { "k" });
     options.incarnation = 3;
     a = std::make_unique<PeerMesh>(context, clock, options);
     BOOST_REQUIRE(!a->start());
