--- a/testsuite/lib/soak_faults.py
+++ b/testsuite/lib/soak_faults.py
@@ -6,6 +6,7 @@
 import time
 
 import worker as workers
+from fuzzed_worker import FuzzedResponses
 from serving_site import EXTRA_PREFIX
 
 
@@ -85,7 +86,7 @@
 
     def _pick_worker(self, engines_only=False):
         free = [it for it in self.site.workers.values() if it.is_up and not self._has_fault(it.name)
-                and it.state == "ready" and (not engines_only or isinstance(it, workers.Engine))]
+                and it.state == "ready" and not isinstance(it, FuzzedResponses) and (not engines_only or isinstance(it, workers.Engine))]
         return self.random.choice(free) if len(free) > 2 else None
 
     # Faults of instances.
