Do not take a response without content for the rest of a stream

A first attempt that gets such a response reaches callers as 204 with chunks, whose last one stands where the next response is expected.

Cause: type and first digit of the status decided whether a response is a stream. A 204 has no body, so that its end is always proved, and it proves nothing of the stream.

Change: RequestForwarder::isEventStream() decides in one place, for upstreams and relaying instances: a success that may have a body and states the type.

Measured: front_test WithASuccessWithoutContentThatIsMarkedAsAStream and UpstreamRespondsWithoutContent/IsNoStream fail before (the caller's stream has no error; the 204 has Transfer-Encoding), and front_test passes with the change.

--- a/src/libfront/faulty_response_test.cpp
+++ b/src/libfront/faulty_response_test.cpp
@@ -10,6 +10,8 @@
 
 const std::string firstEvent = "id: 1\ndata: a\n\n";
 const std::string secondEvent = "id: 2\ndata: b\n\n";
+const std::string noContentStream
+    = "HTTP/1.1 204 No Content\r\nX-Id: 7\r\nX-Seal: s\r\nContent-Type: text/event-stream\r\n\r\n";
 const std::string refusalWithoutId = rawResponse("503 Busy", "X-Not-Run: 1\r\n", "");
 
 } // namespace
@@ -152,6 +154,10 @@
 
 BOOST_AUTO_TEST_CASE(WithAPlainSuccess) { checkNoErrorInStream(*this, okResponse); }
 
+// Guards against a part of a stream that its caller gets as complete, since the next upstream responds with a success
+// that has no body by its status, and whose end proves nothing.
+BOOST_AUTO_TEST_CASE(WithASuccessWithoutContentThatIsMarkedAsAStream) { checkNoErrorInStream(*this, noContentStream); }
+
 BOOST_AUTO_TEST_CASE(WithATruncatedHead) { checkNoErrorInStream(*this, streamResponseHead.substr(0, 30)); }
 
 BOOST_AUTO_TEST_CASE(WithAnErrorThatIsMarkedAsAStream)
@@ -162,6 +168,20 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(UpstreamRespondsWithoutContent)
+
+// Guards against the chunks of an empty stream after a head that allows no body; the caller would take them for the
+// beginning of the next response.
+BOOST_AUTO_TEST_CASE(IsNoStream)
+{
+    addUpstream({ noContentStream }, true);
+    const auto response = call("/events/x");
+    BOOST_TEST(response->status == 204u);
+    BOOST_TEST(!response->headers.find("Transfer-Encoding").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(UpstreamClosesInsideTheHead)
 
 // Guards against a success with an empty or short body that is framed as whole.
--- a/src/libfront/request_attempt.cpp
+++ b/src/libfront/request_attempt.cpp
@@ -67,8 +67,7 @@
         if (m_responseFraming == BodyFraming::CloseDelimited)
             attempt.inProgress
                 = m_state.responseEnds().begin({ .upstream = attempt.upstreamId, .startedAt = attempt.startedAt });
-        const bool isStream = m_dependencies.format.isEventStream(attempt.stream->headers());
-        if (isStream && attempt.stream->status() / 100 == 2)
+        if (isEventStream(*attempt.stream))
             failure = co_await relayEventStream(attempt);
         else
             failure = co_await relayBufferedResponse(attempt);
--- a/src/libfront/request_forwarder.h
+++ b/src/libfront/request_forwarder.h
@@ -109,6 +109,7 @@
     boost::asio::awaitable<void> endQuarantined(Problem problem);
 
     bool isOwnResponse(const Attempt& attempt) const;
+    bool isEventStream(const HttpStream& stream) const;
     void applyResponseState(const Attempt& attempt);
     void applyRateLimit(const Attempt& attempt);
     void applyRefusal(const Attempt& attempt);
--- a/src/libfront/request_relay.cpp
+++ b/src/libfront/request_relay.cpp
@@ -66,7 +66,7 @@
             .verdict = Verdict::MayHaveRun,
             .detail = "the other instance's response is not that of the request" };
     m_responseFraming = stream.framing();
-    if (isSuccess && m_dependencies.format.isEventStream(stream.headers()))
+    if (isEventStream(stream))
         co_return co_await relayPeerStream(stream);
     auto body = co_await stream.readAll();
     if (!body)
--- a/src/libfront/response_head.cpp
+++ b/src/libfront/response_head.cpp
@@ -11,6 +11,7 @@
 namespace asio = boost::asio;
 
 constexpr unsigned mismatchedResponseLimit = 3;
+constexpr unsigned noContentStatus = 204;
 
 } // namespace
 
@@ -69,6 +70,14 @@
     return attempt.head.requestId == m_request.id || attempt.stream->connection().isNew();
 }
 
+/// Returns whether a response is a stream of events. One whose status allows no body is not, whatever type it states:
+/// its end would be taken for that of a stream that it should go on with, and chunks can't follow it.
+bool RequestForwarder::isEventStream(const HttpStream& stream) const
+{
+    return stream.status() / 100 == 2 && stream.status() != noContentStatus
+        && m_dependencies.format.isEventStream(stream.headers());
+}
+
 /// Applies what the response announces about its upstream. The response to a misdirected request may be that of another
 /// process, to which the address of the chosen one belongs now. Only a departure is applied then, since the chosen
 /// process has gone in that case as well.
