Reject a message whose CBOR announces an impossible array as malformed

Cause: nlohmann::json::from_cbor() throws out_of_range for such an array although it was told not to throw, and stood outside the try block of decodeSignedEnvelope(). Only senders with the shared key get this far. Found by fuzz_envelope.

Change: the message is decoded inside the block.

--- a/src/libnet/peer_envelope.cpp
+++ b/src/libnet/peer_envelope.cpp
@@ -48,8 +48,8 @@
     if (!isAuthentic)
         return envelopeFailure(Errc::Unauthenticated, "the HMAC matches none of the accepted keys");
 
-    const auto map = nlohmann::json::from_cbor(payload, true, false);
     try {
+        const auto map = nlohmann::json::from_cbor(payload);
         if (map.is_object() && map.at("v") == protocolVersion && map.at("body").is_object()) {
             return PeerEnvelope {
                 .from = map.at("from").get<std::string>(),
@@ -61,7 +61,7 @@
             };
         }
     } catch (const nlohmann::json::exception&) {
-        return envelopeFailure(Errc::Malformed, "a field is missing or has the wrong type");
+        return envelopeFailure(Errc::Malformed, "no CBOR, or a field is missing or has the wrong type");
     }
     return envelopeFailure(Errc::Malformed, "not a message of protocol version 1");
 }
--- a/src/libnet/peer_mesh_test.cpp
+++ b/src/libnet/peer_mesh_test.cpp
@@ -1,3 +1,4 @@
+#include "bulrushstack/kernel/ids.h"
 #include "bulrushstack/kernel/run_awaitable.h"
 #include "bulrushstack/net/peer_mesh.h"
 #include "loopback.h"
@@ -200,12 +201,20 @@
 
 BOOST_AUTO_TEST_CASE(RejectsSignedMessagesWithInvalidContent)
 {
-    const std::string payload = "not cbor at all";
     PeerEnvelope wrongBody { .from = "a", .body = nlohmann::json::array() };
     BOOST_TEST(
         (decodeSignedEnvelope(encodeSignedEnvelope(wrongBody, "k"), keys, 1000).error().code == Errc::Malformed));
 }
 
+// Guards against an exception that leaves the decoder: of a message that announces an array which can't be allocated.
+BOOST_AUTO_TEST_CASE(RejectsSignedMessagesThatAreNoCbor)
+{
+    const std::string excessiveArray(9, '\x9b');
+    for (const std::string& payload : { std::string("not cbor at all"), excessiveArray })
+        BOOST_TEST(
+            (decodeSignedEnvelope(hmacSha256("k", payload) + payload, keys, 1000).error().code == Errc::Malformed));
+}
+
 // Guards against replay attacks with a recorded message.
 BOOST_AUTO_TEST_CASE(ReplayedSequenceNumbersAreRefused)
 {
