--- a/src/libexecution/journal_codec.cpp
+++ b/src/libexecution/journal_codec.cpp
@@ -99,18 +99,30 @@
     return std::nullopt;
 }
 
+/// Returns nothing if the time lies beyond the range of the clock.
+std::optional<WallTime> parseTime(std::int64_t millisecondsSinceEpoch)
+{
+    static constexpr auto latest = std::chrono::floor<std::chrono::milliseconds>(WallTime::max()).time_since_epoch();
+    static constexpr auto earliest = std::chrono::ceil<std::chrono::milliseconds>(WallTime::min()).time_since_epoch();
+    const std::chrono::milliseconds time { millisecondsSinceEpoch };
+    if (time < earliest || time > latest)
+        return std::nullopt;
+    return WallTime(time);
+}
+
 std::optional<JournalEntry> parseEntryFields(const json& value)
 {
     JournalEntry out;
     const auto state = parseJournalState(value.at("state").get<std::string>());
-    if (!state)
+    const auto time = parseTime(value.at("time_ms").get<std::int64_t>());
+    if (!state || !time)
         return std::nullopt;
     out.state = *state;
+    out.time = *time;
     out.digest = value.at("digest").get<std::string>();
     out.attempt = value.at("attempt").get<std::string>();
     out.instance = value.at("instance").get<std::string>();
     out.incarnation = value.at("incarnation").get<std::uint64_t>();
-    out.time = WallTime(std::chrono::milliseconds(value.at("time_ms").get<std::int64_t>()));
     if (value.contains("outcome"))
         out.outcome = parseOutcome(value.at("outcome"));
     if ((out.state == JournalState::Finished) != out.outcome.has_value())
--- a/src/libexecution/journal_test.cpp
+++ b/src/libexecution/journal_test.cpp
@@ -59,6 +59,18 @@
     }
 }
 
+// Guards against a time that wraps around, so that the journal sweep would treat a new row as an old one.
+BOOST_AUTO_TEST_CASE(TimesBeyondTheClockAreMalformed)
+{
+    auto value = toJson(JournalEntry { .digest = "d", .attempt = "a", .instance = "i" });
+    BOOST_TEST(parseJournalEntry(value).has_value());
+    for (const std::int64_t time : { std::int64_t { 11'700'000'000'000 }, std::numeric_limits<std::int64_t>::max(),
+             std::numeric_limits<std::int64_t>::min() }) {
+        value["time_ms"] = time;
+        BOOST_TEST(!parseJournalEntry(value).has_value());
+    }
+}
+
 // A response that is too long must not be stored truncated, since it would be replayed as if it were complete.
 BOOST_AUTO_TEST_CASE(KeepOnlyTheDigestOfALongResponse)
 {
