--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 # Half of the cores, since a compilation with Boost.Asio coroutines takes up to 1 GiB.
 JOBS ?= $(shell n=$$(nproc); echo $$(( n > 3 ? n - 2 : 1 )))
 
-.PHONY: all setup build test demo soak bench bench-capacity format format-check lint package-check clean
+.PHONY: all setup build test demo soak upstream-fuzz fuzz bench bench-capacity format format-check lint package-check clean
 
 all: build
 
@@ -36,6 +36,20 @@
 soak: build
 	testsuite/soak --bin $(BUILD)/bin --seed $(SEED) --minutes $(MINUTES)
 
+# Upstream responses of any form, by hand: make upstream-fuzz SEEDS=1-50
+SEEDS ?= 1-50
+
+upstream-fuzz: build
+	testsuite/upstream-fuzz --bin $(BUILD)/bin --seeds $(SEEDS)
+
+# Coverage-guided fuzzers of the decoders. An input that breaks one is left in build-fuzz/ and belongs into the corpus.
+FUZZ_SECONDS ?= 60
+
+fuzz: setup
+	cmake -S . -B build-fuzz -G Ninja -DCMAKE_CXX_COMPILER=clang++ -DBULRUSH_FUZZ=ON -DBULRUSH_TESTS=OFF
+	cmake --build build-fuzz -j $(JOBS) --target fuzzers
+	tools/run-fuzzers build-fuzz $(FUZZ_SECONDS)
+
 bench: build
 	testsuite/bench.py --bin $(BUILD)/bin --part latency --part throughput --part saturation --part memory
 
