--- a/review/stand_ins_3/deployment.py
+++ b/review/stand_ins_3/deployment.py
@@ -32,14 +32,25 @@
 LIMITS = {"maxHeaderBytes": 16384, "maxBodyBytes": 4 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}
 
 
+given_ports = set()
+
+
 class CaseCannotRun(Exception):
     """The case could not be set up, so that it says nothing about the rule."""
 
 
 def free_port():
-    with socket.socket() as it:
-        it.bind((HOST, 0))
-        return it.getsockname()[1]
+    """Returns a free port below those that the system gives to outgoing connections, which could take it meanwhile."""
+    while True:
+        port = random.SystemRandom().randrange(15000, 32000)
+        with socket.socket() as it:
+            try:
+                it.bind((HOST, port))
+            except OSError:
+                continue
+        if port not in given_ports:
+            given_ports.add(port)
+            return port
 
 
 class Record:
