An idle connection tells whether a response that ends with its connection is whole

Cause: three ends within 10 ms counted as the end of the process, though it listened and its entry was the same; for an upstream that was leaving, one end counted as whole. A batch, a planned shutdown and a crash all produce such ends, so that they are evidence for none. The line doubtful-end of each cut stream gave "all its responses ended in the same moment" as the reason, which rules out a failed look at the listening socket and a reset.

Change: whether the process has outlived its response decides. The system ends all connections of a process with the process and keeps them until then, so that ProcessMonitor holds one idle connection to it while such responses are read, mostly out of the pool, and ProcessEvidence judges by it. Without an idle connection the listening socket decides; if nobody listens either, the response counts as broken off. That alone is no longer a crash: the probe looks again, as after any other failure. The line response-end says what each decision rests on.

--- a/src/include/bulrushstack/net/http_client.h
+++ b/src/include/bulrushstack/net/http_client.h
@@ -3,6 +3,7 @@
 #include "bulrushstack/kernel/clock.h"
 #include "bulrushstack/net/buffer_budget.h"
 #include "bulrushstack/net/http.h"
+#include "bulrushstack/net/idle_connection.h"
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -12,10 +13,6 @@
 
 namespace bulrushstack {
 
-namespace detail {
-class ConnectionPool;
-}
-
 /// Lets another coroutine abort an HttpClient call at any point. One object can be used for several calls in sequence,
 /// but not for concurrent calls. Not thread-safe; use it on the thread of the client's io_context.
 class HttpCancellation {
@@ -175,6 +172,12 @@
     /// Returns whether a TCP connection to the address can be established within `timeout`. Sends no request.
     boost::asio::awaitable<bool> isListening(Address address, std::chrono::nanoseconds timeout);
 
+    /// Takes a connection to the address that has been idle for less than `maxIdle`, or establishes one within
+    /// `timeout`, and keeps requests from it. Fails with Verdict::NotRun if none can be established, with the code
+    /// std::errc::connection_refused if nothing listens at the address. Sends nothing.
+    boost::asio::awaitable<Result<std::unique_ptr<IdleConnection>>> holdIdleConnection(
+        Address address, std::chrono::nanoseconds timeout, std::chrono::nanoseconds maxIdle = std::chrono::seconds(2));
+
     /// Closes every idle connection to the address. Called after a timeout: if one connection stopped responding, the
     /// others probably did too.
     void closeIdleConnections(const Address& address);
--- a/src/libfront/front_service.cpp
+++ b/src/libfront/front_service.cpp
@@ -303,6 +303,7 @@
         , loopMonitor(state, metrics)
         , reachabilityMonitor(state, client)
         , peerRelay(state, client, origins)
+        , processes(context, runtime.clock(), client)
         , refusalNotices(state, client, origins)
         , ingress(requestDependencies(client))
         , relayedRequests(requestDependencies(client))
@@ -331,6 +332,7 @@
     {
         return { .state = state,
             .client = client,
+            .processes = processes,
             .format = binding->requestFormat(),
             .adapters = agent,
             .permits = agent.permits(),
@@ -358,6 +360,7 @@
     LoopMonitor loopMonitor;
     ReachabilityMonitor reachabilityMonitor;
     PeerRelay peerRelay;
+    ProcessMonitors processes;
     RefusalNotices refusalNotices;
     Ingress ingress;
     RelayedRequestHandler relayedRequests;
--- a/src/libfront/front_state.cpp
+++ b/src/libfront/front_state.cpp
@@ -41,7 +41,6 @@
     , m_upstreamPace(clock)
     , m_reachability(clock)
     , m_residencyHints(clock)
-    , m_responseEnds(clock)
     , m_crashSuspects(clock)
     , m_recentRefusals(clock)
 {
--- a/src/libfront/front_state.h
+++ b/src/libfront/front_state.h
@@ -7,7 +7,6 @@
 #include "bulrushstack/serving/crash_suspects.h"
 #include "bulrushstack/serving/recent_refusals.h"
 #include "bulrushstack/serving/residency_hints.h"
-#include "bulrushstack/serving/response_ends.h"
 #include "bulrushstack/serving/retry_budget.h"
 #include "bulrushstack/serving/upstream_pace.h"
 #include "bulrushstack/serving/upstream_reachability.h"
@@ -82,7 +81,6 @@
     UpstreamReachability& reachability() { return m_reachability; }
     const UpstreamReachability& reachability() const { return m_reachability; }
     ResidencyHints& residencyHints() { return m_residencyHints; }
-    ResponseEnds& responseEnds() { return m_responseEnds; }
     RetryBudget& retryBudget(const std::string& service);
     const CrashSuspects& crashSuspects() const { return m_crashSuspects; }
     RecentRefusals& recentRefusals() { return m_recentRefusals; }
@@ -171,7 +169,6 @@
     UpstreamPace m_upstreamPace;
     UpstreamReachability m_reachability;
     ResidencyHints m_residencyHints;
-    ResponseEnds m_responseEnds;
     CrashSuspects m_crashSuspects;
     RecentRefusals m_recentRefusals;
     std::map<std::string, RetryBudget> m_retryBudgets;
--- a/src/libfront/front_test_support.h
+++ b/src/libfront/front_test_support.h
@@ -295,6 +295,7 @@
     SystemClock clock;
     FrontState state { context, clock, "front-1", "z", { .retryRatio = 1, .retrySlack = 100 } };
     HttpClient client { context, clock };
+    ProcessMonitors processes { context, clock, client };
     TestFormat format;
     NoAdapters adapters;
     CountedPermits permits { state };
@@ -323,6 +324,7 @@
     {
         return { .state = state,
             .client = client,
+            .processes = processes,
             .format = format,
             .adapters = adapters,
             .permits = permits,
--- a/src/libfront/request_attempt.cpp
+++ b/src/libfront/request_attempt.cpp
@@ -65,8 +65,8 @@
     if (!failure && !m_isDone) {
         m_responseFraming = attempt.stream->framing();
         if (m_responseFraming == BodyFraming::CloseDelimited)
-            attempt.inProgress
-                = m_state.responseEnds().begin({ .upstream = attempt.upstreamId, .startedAt = attempt.startedAt });
+            attempt.process = m_dependencies.processes.watch(
+                { .upstream = attempt.upstreamId, .startedAt = attempt.startedAt }, attempt.address);
         if (isEventStream(*attempt.stream))
             failure = co_await relayEventStream(attempt);
         else
--- a/src/libfront/request_dependencies.h
+++ b/src/libfront/request_dependencies.h
@@ -5,6 +5,7 @@
 #include "bulrushstack/teams/quota_issuer.h"
 #include "front_metrics.h"
 #include "front_state.h"
+#include "process_monitor.h"
 
 #include <memory>
 #include <optional>
@@ -153,6 +154,7 @@
 struct RequestDependencies {
     FrontState& state;
     HttpClient& client;
+    ProcessMonitors& processes;
     const RequestFormat& format;
     AdapterPlacement& adapters;
     PermitSource& permits;
--- a/src/libfront/request_forwarder.h
+++ b/src/libfront/request_forwarder.h
@@ -56,9 +56,9 @@
         /// Times of the first and of the last events of a stream.
         SteadyTime firstEventAt {};
         SteadyTime lastEventAt {};
-        /// Set while a response is read that ends with its connection.
-        ResponseEnds::Scope inProgress;
-        /// Whether the end of the response showed that the process has ended as well.
+        /// Set if the response ends with its connection.
+        std::shared_ptr<ProcessMonitor> process;
+        /// Whether the end of the response showed that its process has ended as well.
         bool hasProcessEnded = false;
 
         bool mayPromptHaveCrashedUpstream() const;
@@ -97,7 +97,7 @@
     boost::asio::awaitable<std::optional<Failure>> validateResponseHead(Attempt& attempt);
     boost::asio::awaitable<std::optional<Failure>> relayBufferedResponse(Attempt& attempt);
     boost::asio::awaitable<std::optional<Failure>> relayEventStream(Attempt& attempt);
-    boost::asio::awaitable<std::optional<std::string>> findEvidenceOfCrash(const Attempt& attempt);
+    boost::asio::awaitable<ResponseEndFacts> observeEnd(const Attempt& attempt, SteadyTime endedAt);
     boost::asio::awaitable<std::optional<Failure>> confirmEnd(Attempt& attempt);
     boost::asio::awaitable<void> beginClientStream(Attempt& attempt);
     boost::asio::awaitable<void> completeStream(Attempt& attempt);
--- a/src/libfront/response_end.cpp
+++ b/src/libfront/response_end.cpp
@@ -2,9 +2,10 @@
 
 #include "bulrushstack/kernel/tasks.h"
 #include <glog/logging.h>
+#include <sstream>
 
 // Whether a response that ended with its connection is whole. The connections of a process that crashes end in order
-// as well, so that the evidence lies beside the response: whether its process still runs.
+// as well, so that the evidence lies beside the response: whether its process has outlived it.
 
 namespace bulrushstack {
 
@@ -12,15 +13,11 @@
 
 namespace asio = boost::asio;
 
-/// Time after the end of a connection by which a process that crashes no longer listens, and its other connections have
-/// ended. It is shorter for a body that its caller gets only then; the events of a stream have been passed on before.
+/// Time in which this instance hears of the end of the other connections of a process that ended with a response. It is
+/// shorter for a body that its caller gets only then; the events of a stream have been passed on before.
 constexpr Milliseconds streamSettlingPeriod { 20 };
 constexpr Milliseconds bodySettlingPeriod { 5 };
 constexpr Milliseconds listeningProbeTimeout { 200 };
-/// Responses that end in the same moment while their upstream listens: its process has been replaced at once.
-constexpr std::size_t endsOfAReplacedProcess = 3;
-/// Responses that end in the same moment as an upstream that is shutting down stops listening: it was killed.
-constexpr std::size_t endsOfAKilledProcess = 2;
 
 } // namespace
 
@@ -40,46 +37,50 @@
     return std::nullopt;
 }
 
-/// Returns why the process that sent a response seems to have ended with it; empty if nothing says so.
-asio::awaitable<std::optional<std::string>> RequestForwarder::findEvidenceOfCrash(const Attempt& attempt)
+/// Finds out what is known of the process shortly after the end of its response.
+asio::awaitable<ResponseEndFacts> RequestForwarder::observeEnd(const Attempt& attempt, SteadyTime endedAt)
 {
-    const UpstreamProcess process { .upstream = attempt.upstreamId, .startedAt = attempt.startedAt };
     co_await sleepFor(m_state.context(), m_isStreaming ? streamSettlingPeriod : bodySettlingPeriod);
-    const bool isListening = co_await m_dependencies.client.isListening(attempt.address, listeningProbeTimeout);
-    const auto* entry = m_state.directory().find(attempt.upstreamId);
-    if (entry && entry->startedAt != attempt.startedAt && entry->address == attempt.address)
-        co_return "another process has its address";
-    if (isListening) {
-        if (m_state.responseEnds().haveEndedTogether(process, endsOfAReplacedProcess))
-            co_return "all its responses ended in the same moment";
-        co_return std::nullopt;
-    }
-    if (!wasEndExpected(attempt))
-        co_return "it no longer listens";
-    // An upstream that is shutting down may stop listening before it finishes its requests.
-    if (m_state.responseEnds().haveEndedTogether(process, endsOfAKilledProcess))
-        co_return "all its responses ended in the same moment, while it was shutting down";
-    co_return std::nullopt;
+    ResponseEndFacts facts { .process = attempt.process->stateAt(endedAt) };
+    const auto isReplaced = [&] {
+        const auto* entry = m_state.directory().find(attempt.upstreamId);
+        return entry && entry->startedAt != attempt.startedAt && entry->address == attempt.address;
+    };
+    facts.isReplaced = isReplaced();
+    if (!needsListeningProbe(facts))
+        co_return facts;
+    facts.isListening = co_await m_dependencies.client.isListening(attempt.address, listeningProbeTimeout);
+    facts.isReplaced = isReplaced();
+    co_return facts;
 }
 
-/// Returns a failure if the response ended with its connection and its process seems to have ended as well, so that the
-/// rest of the response may be missing. Looks once at the upstream, and not at all if the framing proves the end.
+/// Returns a failure if the response ended with its connection and nothing shows that its process has outlived it, so
+/// that the rest of the response may be missing. Does not look if the framing proves the end.
 asio::awaitable<std::optional<Failure>> RequestForwarder::confirmEnd(Attempt& attempt)
 {
     if (attempt.stream->framing() != BodyFraming::CloseDelimited)
         co_return std::nullopt;
     attempt.load.release();
-    attempt.inProgress.end();
-    const auto evidence = co_await findEvidenceOfCrash(attempt);
-    if (!evidence)
+    const auto idleTime = attempt.process->idleTime();
+    const auto facts = co_await observeEnd(attempt, m_state.clock().now());
+    const auto verdict = judgeResponseEnd(facts);
+    std::ostringstream idleField;
+    if (idleTime)
+        idleField << " idle_ms=" << millisecondsOf(*idleTime).count();
+    LOG(INFO) << "event=response-end request=" << m_request.id << " upstream=" << attempt.upstreamId
+              << " started_at=" << attempt.startedAt << " verdict=" << toString(verdict)
+              << " process=" << toString(facts.process) << idleField.str() << " replaced=" << facts.isReplaced
+              << " listening=" << (facts.isListening ? std::to_string(*facts.isListening) : "untried")
+              << " leaving=" << wasEndExpected(attempt);
+    if (verdict == ResponseEndVerdict::Whole)
         co_return std::nullopt;
-    attempt.hasProcessEnded = true;
+    attempt.hasProcessEnded = verdict == ResponseEndVerdict::ProcessEnded;
     m_dependencies.metrics.recordDoubtfulEnd();
-    LOG(WARNING) << "event=doubtful-end request=" << m_request.id << " upstream=" << attempt.upstreamId
-                 << " started_at=" << attempt.startedAt << " reason=\"" << *evidence << "\"";
     co_return Failure { .code = Errc::ConnectionClosed,
         .verdict = Verdict::MayHaveRun,
-        .detail = "the response ended with its connection when its upstream did: " + *evidence };
+        .detail = attempt.hasProcessEnded
+            ? "the response ended with its connection when its upstream did"
+            : "the response ended with its connection, and nothing shows that its upstream outlived it" };
 }
 
 } // namespace bulrushstack
--- a/src/libnet/connection_pool.cpp
+++ b/src/libnet/connection_pool.cpp
@@ -92,9 +92,45 @@
         closeUnusable();
     if (connection->sentIds.isFull())
         return;
-    auto& idle = m_idle[address];
     connection->idleSince = m_clock.now();
-    idle.push_back(std::move(connection));
+    add(address, std::move(connection));
+}
+
+ClientConnectionPtr ConnectionPool::takeLongestIdle(const Address& address, std::chrono::nanoseconds maxIdle)
+{
+    const auto found = m_idle.find(address);
+    if (found == m_idle.end())
+        return nullptr;
+    auto& idle = found->second;
+    const auto it = std::find_if(idle.begin(), idle.end(), [&](const ClientConnectionPtr& connection) {
+        const auto limit = std::min(connection->idleLimit / 2, maxIdle);
+        return m_clock.now() - connection->idleSince < limit && isReusable(*connection);
+    });
+    if (it == idle.end())
+        return nullptr;
+    auto connection = std::move(*it);
+    idle.erase(it);
+    --m_idleCount;
+    return connection;
+}
+
+void ConnectionPool::putBack(const Address& address, ClientConnectionPtr connection)
+{
+    if (m_isShutDown)
+        return;
+    if (connection->hasUnsolicitedInput)
+        ++m_unsolicited;
+    else if (isReusable(*connection))
+        add(address, std::move(connection));
+}
+
+/// Adds an idle connection behind those that have been idle for longer.
+void ConnectionPool::add(const Address& address, ClientConnectionPtr connection)
+{
+    auto& idle = m_idle[address];
+    const auto it = std::upper_bound(idle.begin(), idle.end(), connection,
+        [](const ClientConnectionPtr& a, const ClientConnectionPtr& b) { return a->idleSince < b->idleSince; });
+    idle.insert(it, std::move(connection));
     ++m_idleCount;
     if (idle.size() > idleLimitPerAddress) {
         idle.erase(idle.begin());
@@ -119,6 +155,12 @@
     m_idle.clear();
 }
 
+void ConnectionPool::shutDown()
+{
+    m_isShutDown = true;
+    closeAllIdle();
+}
+
 HttpConnectionCounts ConnectionPool::counts() const
 {
     return { .open = *m_connectionCount, .idle = m_idleCount, .evicted = m_evicted, .unsolicited = m_unsolicited };
--- a/src/libnet/connection_pool.h
+++ b/src/libnet/connection_pool.h
@@ -33,6 +33,7 @@
     SteadyTime idleSince {};
     std::chrono::nanoseconds idleLimit = std::chrono::nanoseconds::max(); ///< from the server's Keep-Alive header
     BackgroundSend backgroundSend;
+    bool hasUnsolicitedInput = false; ///< whether bytes arrived that no request had asked for
 
 private:
     std::shared_ptr<std::size_t> m_connectionCount;
@@ -64,9 +65,20 @@
 
     void release(const Address& address, ClientConnectionPtr connection);
 
+    /// Removes and returns the usable connection to the address that has been idle for longest, but for less than
+    /// `maxIdle` and half of what the server permits; null if there is none.
+    ClientConnectionPtr takeLongestIdle(const Address& address, std::chrono::nanoseconds maxIdle);
+
+    /// Adds a connection that has carried nothing since it was created or taken by takeLongestIdle(), if it is usable.
+    void putBack(const Address& address, ClientConnectionPtr connection);
+
     void closeIdle(const Address& address);
     void closeAllIdle();
 
+    /// Closes all idle connections and keeps none from now on. Called when the client is destroyed, which connections
+    /// in coroutines of its io_context may outlive.
+    void shutDown();
+
     HttpConnectionCounts counts() const;
 
     /// Returns whether a request may still be sent; see HttpCallOptions::sendBy.
@@ -83,6 +95,7 @@
     using IdleConnections = std::map<Address, std::vector<ClientConnectionPtr>>;
 
     bool isReusable(ClientConnection& connection) const;
+    void add(const Address& address, ClientConnectionPtr connection);
     void recordUnsolicited(ClientConnection& connection);
     void closeUnusable();
     void closeLongestIdle();
@@ -92,6 +105,7 @@
     const Clock& m_clock;
     IdleConnections m_idle;
     std::size_t m_idleCount = 0;
+    bool m_isShutDown = false;
     std::uint64_t m_evicted = 0;
     std::uint64_t m_unsolicited = 0;
     std::uint64_t m_lastNumber = 0; ///< number of the connection that was created last
--- a/src/libnet/http_client.cpp
+++ b/src/libnet/http_client.cpp
@@ -76,6 +76,9 @@
 /// Time after the deadline for which a response that has begun to arrive is read.
 constexpr std::chrono::milliseconds lateReadTime { 100 };
 
+/// Time without TCP acknowledgements after which a connection that is held idle fails.
+constexpr std::chrono::milliseconds idleKeepAliveTimeout { 2000 };
+
 class PooledStream final : public HttpStream {
 public:
     using Parser = http::response_parser<ReceivedBody>;
@@ -394,7 +397,7 @@
 {
 }
 
-HttpClient::~HttpClient() = default;
+HttpClient::~HttpClient() { m_pool->shutDown(); }
 
 asio::awaitable<Result<std::unique_ptr<HttpStream>>> HttpClient::open(
     Address address, HttpRequest request, HttpCallOptions options)
@@ -459,6 +462,24 @@
     co_return connection.has_value();
 }
 
+asio::awaitable<Result<std::unique_ptr<IdleConnection>>> HttpClient::holdIdleConnection(
+    Address address, std::chrono::nanoseconds timeout, std::chrono::nanoseconds maxIdle)
+{
+    auto pool = m_pool;
+    auto connection = pool->takeLongestIdle(address, maxIdle);
+    if (!connection) {
+        HttpCallOptions options;
+        options.connectTimeout = timeout;
+        options.tcpKeepAliveTimeout = idleKeepAliveTimeout;
+        auto connected = co_await connect(pool, address, options);
+        if (!connected)
+            co_return connected.error();
+        connection = std::move(*connected);
+        connection->idleSince = connection->info.establishedAt;
+    }
+    co_return std::make_unique<IdleConnection>(std::move(pool), std::move(address), std::move(connection));
+}
+
 void HttpClient::closeIdleConnections(const Address& address) { m_pool->closeIdle(address); }
 
 bool HttpClient::hasIdleConnection(
