--- a/src/libfront/process_monitor.cpp
+++ b/src/libfront/process_monitor.cpp
@@ -116,6 +116,7 @@
             monitor->recordUnavailable(connection.error());
         if (!monitor->m_connection)
             co_return;
+        // One that could not be replaced is kept until it ends.
         const auto limit = connection ? std::min(replaceAfter, monitor->m_connection->idleLimit()) : neverReplaced;
         auto ended = monitor->m_connection->waitForEnd(limit);
         monitor.reset();
--- a/src/libfront/response_end.cpp
+++ b/src/libfront/response_end.cpp
@@ -2,7 +2,6 @@
 
 #include "bulrushstack/kernel/tasks.h"
 #include <glog/logging.h>
-#include <sstream>
 
 // Whether a response that ended with its connection is whole. The connections of a process that crashes end in order
 // as well, so that the evidence lies beside the response: whether its process has outlived it.
@@ -64,12 +63,11 @@
     const auto idleTime = attempt.process->idleTime();
     const auto facts = co_await observeEnd(attempt, m_state.clock().now());
     const auto verdict = judgeResponseEnd(facts);
-    std::ostringstream idleField;
-    if (idleTime)
-        idleField << " idle_ms=" << millisecondsOf(*idleTime).count();
     LOG(INFO) << "event=response-end request=" << m_request.id << " upstream=" << attempt.upstreamId
               << " started_at=" << attempt.startedAt << " verdict=" << toString(verdict)
-              << " process=" << toString(facts.process) << idleField.str() << " replaced=" << facts.isReplaced
+              << " process=" << toString(facts.process)
+              << " idle_ms=" << (idleTime ? std::to_string(millisecondsOf(*idleTime).count()) : "none")
+              << " replaced=" << facts.isReplaced
               << " listening=" << (facts.isListening ? std::to_string(*facts.isListening) : "untried")
               << " leaving=" << wasEndExpected(attempt);
     if (verdict == ResponseEndVerdict::Whole)
--- a/src/libfront/response_end_test.cpp
+++ b/src/libfront/response_end_test.cpp
@@ -32,7 +32,7 @@
             { .id = "u1", .service = "s", .address = upstream.address(), .zone = "z", .slots = 64, .startedAt = 1 });
     }
 
-    /// Sends requests until as many responses have begun, over a time that no two responses of a batch share.
+    /// Sends requests one after the other, over more than 100 ms, and waits until their responses have begun.
     void begin(std::size_t n)
     {
         for (std::size_t i = 0; i < n; ++i) {
